--- a/crates/gauge/src/http.rs
+++ b/crates/gauge/src/http.rs
@@ -82,7 +82,7 @@
                 Ok(x) => x,
                 Err(_) => { tokio::time::sleep(Duration::from_millis(50)).await; continue }
             },
-            _ = stop.wait_for(|s| *s) => return,
+            _ = async { let _ = stop.wait_for(|s| *s).await; } => return,
         };
         let (h, mut stop, guard) = (handler.clone(), stop.clone(), conns.enter());
         let _ = io.set_nodelay(true);
--- /dev/null
+++ b/crates/track/src/answer.rs
@@ -0,0 +1,90 @@
+//! What a router answers to other processes (design 5.7).
+
+use crate::{
+    pressure::Figures,
+    rail::{Ask, Reply},
+    router::{Router, lock},
+};
+use gauge::{Area, Fence, Service, jot, settings::Settings};
+use interlocking::news;
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+use tokio::net::TcpListener;
+
+impl Router {
+    pub async fn answer(self: Arc<Self>, node: String, ask: Ask) -> Reply {
+        match ask {
+            Ask::Hail { .. } => {
+                lock(&self.heard).insert(node.as_str().into(), self.now());
+                Reply::Hailed { idx: self.ledger().idx }
+            }
+            Ask::News { have } => {
+                let l = self.ledger();
+                let base = l.idx;
+                Reply::News(news::since(have, &l, &VecDeque::new(), base))
+            }
+            Ask::Settle { fence, key, service, stale, pick, ttl_ms } => {
+                match self.settle_here(fence, key, &service, stale, pick, ttl_ms) {
+                    Ok(s) => Reply::Settled(s),
+                    Err(why) => self.no("settle", &node, why),
+                }
+            }
+            Ask::Copy { fence, shard, rows } => {
+                let known = lock(&self.tab).fence(shard, fence);
+                match known {
+                    Ok(()) => {
+                        self.take_copies(rows);
+                        Reply::Done
+                    }
+                    Err(f) => self.no("copy", &node, format!("stale fence: {f} is known")),
+                }
+            }
+            Ask::Fetch { shard } => Reply::Rows(lock(&self.tab).rows_of(shard, self.now())),
+            Ask::Watch { service, area, seq, fence, wait_ms } => {
+                match self.tell_figures(service, area, seq, fence, wait_ms).await {
+                    Some(f) => Reply::Figures(f),
+                    None => Reply::Bounced("not the home".into()),
+                }
+            }
+            Ask::Passes { region, service, node } => match self.grant(&region, &service, &node) {
+                Ok(p) => Reply::Pass(p),
+                Err(why) => Reply::Bounced(why.into()),
+            },
+            Ask::Redeem { spent } => match self.redeem_here(&spent) {
+                Ok(()) => Reply::Done,
+                Err(why) => self.no("redeem", &node, why.into()),
+            },
+        }
+    }
+
+    fn no(&self, step: &'static str, peer: &str, why: String) -> Reply {
+        self.numbers.bounce(why.split(':').next().unwrap_or("bounced"));
+        jot!(Info, step, "peer" => peer, "cause" => why);
+        Reply::Bounced(why)
+    }
+
+    async fn tell_figures(&self, svc: Service, area: Area, seq: u64, fence: Fence, wait_ms: u64) -> Option<Figures> {
+        let mut rx = lock(&self.published).get(&(svc.clone(), area.clone()))?.subscribe();
+        let newer = |f: &Option<Figures>| f.as_ref().is_some_and(|f| f.fence != fence || f.seq > seq);
+        let wait = Duration::from_millis(wait_ms.min(10_000));
+        let _ = tokio::time::timeout(wait, rx.wait_for(newer)).await;
+        let mut fig = rx.borrow().clone()?;
+        let at = self.pressure.board().seen.get(&(svc, area)).map(|s| s.at);
+        fig.age_ms = at.map(|t| self.now().since(t)).unwrap_or(0);
+        Some(fig)
+    }
+
+    /// Starts all standing work of a router.
+    pub fn start(self: &Arc<Self>, set: &Settings, rail: TcpListener) {
+        self.member.start();
+        tokio::spawn(self.clone().govern());
+        tokio::spawn(self.clone().hail());
+        tokio::spawn(self.clone().watch_all());
+        tokio::spawn(self.clone().lend());
+        tokio::spawn(self.clone().fill_purse());
+        tokio::spawn(self.clone().gather());
+        let me = self.clone();
+        tokio::spawn(gauge::link::listen(rail, set.me(), crate::rail::SERVICE, move |node, ask| {
+            me.clone().answer(node, ask)
+        }));
+    }
+}
--- /dev/null
+++ b/crates/track/src/body.rs
@@ -0,0 +1,70 @@
+//! Bodies on their way downstream (design 6.3): unbuffered, never cleanly ended where the
+//! upstream broke, and holding what must live until the last byte.
+
+use bytes::Bytes;
+use futures::FutureExt;
+use gauge::http::{Body, BoxErr};
+use http_body_util::BodyExt;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+use tokio::time::Sleep;
+
+/// An upstream body with a bound on silence, and with things kept until it ends.
+pub struct Passing<K> {
+    inner: Incoming,
+    idle: Duration,
+    timer: Pin<Box<Sleep>>,
+    _kept: K,
+}
+
+impl<K: Send + Sync + Unpin + 'static> Passing<K> {
+    pub fn wrap(inner: Incoming, idle: Duration, kept: K) -> Body {
+        let timer = Box::pin(tokio::time::sleep(idle));
+        Passing { inner, idle, timer, _kept: kept }.boxed()
+    }
+}
+
+impl<K: Unpin> HttpBody for Passing<K> {
+    type Data = Bytes;
+    type Error = BoxErr;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxErr>>> {
+        match Pin::new(&mut self.inner).poll_frame(cx) {
+            Poll::Ready(r) => {
+                let next = tokio::time::Instant::now() + self.idle;
+                self.timer.as_mut().reset(next);
+                Poll::Ready(r.map(|f| f.map_err(Into::into)))
+            }
+            Poll::Pending => match self.timer.poll_unpin(cx) {
+                Poll::Ready(()) => Poll::Ready(Some(Err("upstream fell silent".into()))),
+                Poll::Pending => Poll::Pending,
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// Whether the end of this body can be told from a cut: by length, or by chunks.
+pub fn ends_surely(method: &hyper::Method, head: &hyper::http::response::Parts, body: &Incoming) -> bool {
+    let none = method == hyper::Method::HEAD || matches!(head.status.as_u16(), 204 | 304);
+    let chunked = head
+        .headers
+        .get("transfer-encoding")
+        .and_then(|v| v.to_str().ok())
+        .is_some_and(|v| v.to_ascii_lowercase().ends_with("chunked"));
+    none || chunked || body.size_hint().exact().is_some()
+}
--- /dev/null
+++ b/crates/track/src/budget.rs
@@ -0,0 +1,41 @@
+//! Goes beyond the first (design 5.8): tokens come as a share of real jobs, so that the sum
+//! over all nodes keeps the same share.
+
+use std::sync::atomic::{AtomicI64, Ordering};
+
+const UNIT: i64 = 1_000_000;
+/// Most tokens that can be saved up.
+const CAP: i64 = 10 * UNIT;
+
+#[derive(Debug, Default)]
+pub struct Budget(AtomicI64);
+
+impl Budget {
+    pub fn earn(&self, share: f64) {
+        let add = (share * UNIT as f64) as i64;
+        let _ = self.0.fetch_update(Ordering::AcqRel, Ordering::Acquire, |v| Some((v + add).min(CAP)));
+    }
+
+    pub fn spend(&self) -> bool {
+        self.0
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |v| (v >= UNIT).then(|| v - UNIT))
+            .is_ok()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn extra_goes_stay_a_fifth() {
+        let b = Budget::default();
+        let extra = (0..1000).filter(|_| {
+            b.earn(0.2);
+            b.spend()
+        });
+        assert_eq!(extra.count(), 200);
+        (0..1000).for_each(|_| b.earn(0.2));
+        assert_eq!((0..100).filter(|_| b.spend()).count(), 10);
+    }
+}
--- /dev/null
+++ b/crates/track/src/carry.rs
@@ -0,0 +1,316 @@
+//! Carrying out a plan (design 6.2): goes in turn, each only where the one before allows it.
+
+use crate::{
+    edge::{bounced, unknown},
+    go::{Outcome, Sent, go},
+    hop::{self, Hop},
+    plan::Plan,
+    router::{Router, hop_id, lock},
+};
+use gauge::{
+    Fault, Region, ReplicaId, Step, Tick,
+    http::{Body, BusyGuard},
+    jot,
+};
+use hyper::Response;
+use interlocking::Member;
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use timetable::Kind;
+
+/// Most goes that one job may have.
+const MOST_GOES: u32 = 3;
+/// The part of its deadline that a job may spend on the waitlist.
+const WAIT_RATIO: u64 = 8;
+
+/// Counts a hop as open at its region until its last byte.
+struct OpenHop(Arc<crate::pressure::Own>);
+
+impl Drop for OpenHop {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// What went before, as far as the next go must know it.
+#[derive(Default)]
+struct Past {
+    goes: u32,
+    avoid: BTreeSet<Region>,
+    tried: Vec<ReplicaId>,
+    routers: Vec<String>,
+    /// An earlier go that may have run: from then on the job is never called bounced.
+    maybe: Option<Fault>,
+    wait_until: Option<Tick>,
+}
+
+enum Next {
+    Answer(Response<Body>),
+    /// Certain not to have run.
+    NotRun(Fault),
+    MayHaveRun(Fault),
+    /// Nothing was tried; the next look leaves out what is to be avoided.
+    Again,
+    /// Nothing to go to now; whether there may be later.
+    NoRoom(bool),
+}
+
+impl Router {
+    pub async fn carry(self: &Arc<Self>, p: &Plan, sent: &Sent, open: BusyGuard) -> Response<Body> {
+        let share = p.governing.table.tuning.extra_goes;
+        if !p.inner {
+            self.budget.earn(share);
+        }
+        let mut past = Past::default();
+        let mut open = Some(open);
+        loop {
+            let first = past.goes == 0;
+            match self.one_go(p, sent, &mut past, &mut open).await {
+                Next::Answer(r) => return r,
+                Next::Again => {}
+                Next::NoRoom(false) => return self.given_up(p, &past, "no replica in reach", 2),
+                Next::NoRoom(true) if first => {
+                    if let Err(why) = self.wait_for_room(p, &mut past).await {
+                        let secs = lock(&self.waitlist).retry_after();
+                        return self.given_up(p, &past, why, secs);
+                    }
+                }
+                Next::NoRoom(true) => return self.given_up(p, &past, "no room", 1),
+                Next::NotRun(e) => {
+                    let again = !p.inner && past.goes < MOST_GOES && self.now() < p.deadline && self.budget.spend();
+                    jot!(Info, e.step, "peer" => e.peer, "cause" => e.cause, "job" => p.job, "again" => again);
+                    if !again {
+                        return self.given_up(p, &past, "go failed before it was sent", 1);
+                    }
+                }
+                Next::MayHaveRun(e) => {
+                    let again = p.entry.repeatable
+                        && !p.inner
+                        && past.goes < MOST_GOES
+                        && self.now() < p.deadline
+                        && self.budget.spend();
+                    jot!(Warn, e.step, "peer" => e.peer, "cause" => e.cause, "job" => p.job, "again" => again);
+                    if !again {
+                        return unknown(self, p, &e, self.now() >= p.deadline);
+                    }
+                    past.maybe = Some(e);
+                }
+            }
+        }
+    }
+
+    async fn one_go(
+        self: &Arc<Self>,
+        p: &Plan,
+        sent: &Sent,
+        past: &mut Past,
+        open: &mut Option<BusyGuard>,
+    ) -> Next {
+        let own = self.own_region(&p.governing.table);
+        let target = if p.inner {
+            own.clone().map(|region| (region, true))
+        } else {
+            self.target(p, &past.avoid).await
+        };
+        let Some((region, stored)) = target else {
+            let seen = self.seen(&p.governing.table, &p.entry.to);
+            let any = own.is_some_and(|o| p.homes.contains(&o) && seen.contains_key(&o));
+            return Next::NoRoom(any);
+        };
+        if own.as_ref() == Some(&region) {
+            self.local(p, sent, past, open).await
+        } else {
+            self.remote(p, sent, past, open, region, stored).await
+        }
+    }
+
+    /// Models go by placement; lookups stay in the own region while it has anyone to ask.
+    async fn target(self: &Arc<Self>, p: &Plan, avoid: &BTreeSet<Region>) -> Option<(Region, bool)> {
+        let t = &p.governing.table;
+        match p.entry.kind {
+            Kind::Model => self.place(p, avoid).await.map(|x| (x.region, x.stored)),
+            Kind::Application => {
+                let seen = self.seen(t, &p.entry.to);
+                let own = self.own_region(t).filter(|o| p.homes.contains(o) && seen.contains_key(o));
+                let own = own.filter(|o| !avoid.contains(o));
+                own.or_else(|| {
+                    let open = |r: &Region| {
+                        !avoid.contains(r) && lock(&self.purse).has(r, &p.entry.to, self.now())
+                    };
+                    let c = crate::choose::candidates(&seen, &p.homes, t.policy(&p.entry), &open);
+                    crate::choose::draw(&c, rand::random())
+                })
+                .map(|r| (r, false))
+            }
+        }
+    }
+
+    async fn local(
+        self: &Arc<Self>,
+        p: &Plan,
+        sent: &Sent,
+        past: &mut Past,
+        open: &mut Option<BusyGuard>,
+    ) -> Next {
+        let t = &p.governing.table;
+        let picked = match self.pick(t, &p.entry.to, p.entry.kind, p.key, &past.tried) {
+            Ok(x) => x,
+            Err(any) => return Next::NoRoom(any),
+        };
+        self.count_go(past, "first");
+        past.tried.push(picked.id.clone());
+        let (addr, own, id) = (picked.addr, picked.own.clone(), picked.id.clone());
+        let extra = [("foldshunt-job", p.job.to_string())];
+        let left = p.deadline.since(self.now());
+        let kept = (picked, open.take());
+        match go(self.set.rail.ip(), addr, sent, &extra, self.set.timing.rail_ms, left, kept).await {
+            Outcome::Done(r) => {
+                self.note_load(&own, r.headers());
+                // Another may do better; this one says itself that it did not serve the job.
+                if p.entry.repeatable && r.status().as_u16() == 503 && past.goes < MOST_GOES && !p.inner {
+                    return Next::MayHaveRun(Fault::new("replica", id, "answered 503"));
+                }
+                Next::Answer(self.done(p, r))
+            }
+            Outcome::NotRun(e) => {
+                let until = self.now() + self.set.timing.check_ms;
+                own.shun.store(until.0, Ordering::Relaxed);
+                self.reopen(open);
+                Next::NotRun(e)
+            }
+            Outcome::Unknown(e) => {
+                self.reopen(open);
+                Next::MayHaveRun(e)
+            }
+        }
+    }
+
+    async fn remote(
+        self: &Arc<Self>,
+        p: &Plan,
+        sent: &Sent,
+        past: &mut Past,
+        open: &mut Option<BusyGuard>,
+        region: Region,
+        stored: bool,
+    ) -> Next {
+        let step: Step = "hop";
+        let Some(peer) = self.router_in(p, &region, &past.routers) else {
+            past.avoid.insert(region);
+            return Next::Again;
+        };
+        let spent = if stored {
+            None
+        } else {
+            match lock(&self.purse).spend(&region, &p.entry.to, self.node(), self.now()) {
+                Some(s) => Some(s),
+                None => {
+                    past.avoid.insert(region);
+                    return Next::Again;
+                }
+            }
+        };
+        let left = p.deadline.since(self.now());
+        let h = Hop {
+            job: p.job.clone(),
+            from: self.node().clone(),
+            revision: p.governing.revision,
+            entry: p.entry.name.clone(),
+            tenant: p.tenant.clone(),
+            service: p.entry.to.clone(),
+            region: region.clone(),
+            key: p.key,
+            spent,
+            left_ms: left,
+        };
+        let signed = match hop::sign(self.ledger().secret, &h) {
+            Ok(s) => s,
+            Err(e) => return Next::NotRun(Fault::new(step, &region, e)),
+        };
+        self.count_go(past, "hop");
+        past.routers.push(peer.card.node.to_string());
+        let own = self.pressure.own(&hop_id(&region, &p.entry.to));
+        own.open.fetch_add(1, Ordering::AcqRel);
+        let kept = (OpenHop(own), open.take());
+        let extra = [(hop::HEADER, signed)];
+        let to = peer.card.http;
+        match go(self.set.rail.ip(), to, sent, &extra, self.set.timing.rail_ms, left, kept).await {
+            Outcome::Done(r) => self.hop_answer(p, r, past, open, region, &peer).await,
+            Outcome::NotRun(e) => {
+                self.reopen(open);
+                Next::NotRun(e)
+            }
+            Outcome::Unknown(e) => {
+                self.reopen(open);
+                Next::MayHaveRun(e)
+            }
+        }
+    }
+
+    /// The other region's last word.
+    async fn hop_answer(
+        self: &Arc<Self>,
+        p: &Plan,
+        r: Response<Body>,
+        past: &mut Past,
+        open: &mut Option<BusyGuard>,
+        region: Region,
+        peer: &Member,
+    ) -> Next {
+        let said = |k: &str| r.headers().get(k).and_then(|v| v.to_str().ok()).unwrap_or("").to_string();
+        match said("foldshunt-outcome").as_str() {
+            "done" => Next::Answer(self.done(p, r)),
+            "bounced" => {
+                let why = said("foldshunt-reason");
+                self.reopen(open);
+                if why.ends_with("revision") || why == "revision not here yet" {
+                    tokio::time::sleep(Duration::from_millis(self.set.timing.beat_ms())).await;
+                } else {
+                    past.avoid.insert(region);
+                }
+                Next::NotRun(Fault::new("hop", &peer.card.node, format!("bounced: {why}")))
+            }
+            _ => {
+                self.reopen(open);
+                Next::MayHaveRun(Fault::new("hop", &peer.card.node, "outcome unknown there"))
+            }
+        }
+    }
+
+    /// The final answer, at once: bounced only where no go of the job can have run.
+    fn given_up(&self, p: &Plan, past: &Past, why: &'static str, secs: u64) -> Response<Body> {
+        match &past.maybe {
+            None => bounced(self, p, why, secs),
+            Some(e) => unknown(self, p, e, false),
+        }
+    }
+
+    fn reopen(&self, open: &mut Option<BusyGuard>) {
+        open.get_or_insert_with(|| self.busy.enter());
+    }
+
+    fn count_go(&self, past: &mut Past, kind: &str) {
+        let kind = if past.goes == 0 { kind } else { "extra" };
+        self.numbers.goes.with_label_values(&[kind]).inc();
+        past.goes += 1;
+    }
+
+    /// A place on the waitlist, for a part of the deadline at most; an answer at once where it
+    /// would not help.
+    async fn wait_for_room(&self, p: &Plan, past: &mut Past) -> Result<(), &'static str> {
+        let now = self.now();
+        let until = *past.wait_until.get_or_insert(now + p.deadline.since(now) / WAIT_RATIO);
+        let bound = p.governing.table.tuning.waitlist;
+        let joined = lock(&self.waitlist).join(until, bound, now);
+        let (at, rx) = joined.map_err(|b| match b {
+            crate::waitlist::Bounce::Full => "waitlist full",
+            crate::waitlist::Bounce::Late => "waitlist too long",
+        })?;
+        let got = tokio::time::timeout(Duration::from_millis(until.since(now)), rx).await;
+        lock(&self.waitlist).leave(&at);
+        got.map(|_| ()).map_err(|_| "no room in time")
+    }
+}
--- /dev/null
+++ b/crates/track/src/cut.rs
@@ -0,0 +1,113 @@
+//! Signs of life between nodes (design 3.5): who is heard, whether this node is cut off, and
+//! newer news from peers.
+
+use crate::{
+    rail::{Ask, Reply},
+    router::{Router, lock},
+};
+use gauge::{Index, NodeId};
+use hyper::{Response, StatusCode};
+use interlocking::{Role, rail as signal};
+use std::{collections::HashMap, sync::Arc, sync::atomic::Ordering, time::Duration};
+
+impl Router {
+    /// Heard within a tenure's length.
+    pub fn hears(&self, n: &NodeId) -> bool {
+        let now = self.now();
+        lock(&self.heard).get(n).is_some_and(|t| now.since(*t) <= self.set.timing.tenure_ms)
+    }
+
+    /// Without a tenure, and without a majority of the last known members: new work is bounced.
+    /// With that majority it is the core that is out, and traffic goes on.
+    pub fn cut_off(&self) -> bool {
+        if self.member.tenured() {
+            return false;
+        }
+        let l = self.ledger();
+        let all = l.members.len();
+        let heard = l.members.keys().filter(|n| **n == *self.node() || self.hears(n)).count();
+        heard * 2 <= all
+    }
+
+    pub async fn hail(self: Arc<Self>) {
+        let mut wakeup = tokio::time::interval(Duration::from_millis(self.set.timing.renew_ms()));
+        wakeup.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            wakeup.tick().await;
+            let l = self.ledger();
+            for m in l.members.values().filter(|m| m.card.node != *self.node()) {
+                let (me, m, idx) = (self.clone(), m.clone(), l.idx);
+                tokio::spawn(async move {
+                    let to = m.card.rail;
+                    let idx = match m.card.role {
+                        Role::Router => match me.lines.call("hail", to, Ask::Hail { idx }).await {
+                            Ok(Reply::Hailed { idx }) => Some(idx),
+                            _ => None,
+                        },
+                        Role::Core => {
+                            let ask = signal::Ask::Hail { idx };
+                            match me.member.lines.call("hail", to, ask).await {
+                                Ok(signal::Reply::Hailed { idx }) => Some(idx),
+                                _ => None,
+                            }
+                        }
+                    };
+                    if let Some(idx) = idx {
+                        lock(&me.heard).insert(m.card.node.clone(), me.now());
+                        if m.card.role == Role::Router {
+                            me.news_from(to, idx).await;
+                        }
+                    }
+                });
+            }
+            let (purged, now) = (self.set.timing.tenure_ms * 10, self.now());
+            lock(&self.heard).retain(|_, t| now.since(*t) < purged);
+            lock(&self.tab).sweep(now);
+        }
+    }
+
+    /// A peer that has seen more tells it; an older state is never installed.
+    async fn news_from(&self, peer: std::net::SocketAddr, idx: Index) {
+        let have = self.ledger().idx;
+        if idx <= have {
+            return;
+        }
+        if let Ok(Reply::News(n)) = self.lines.call("news", peer, Ask::News { have }).await {
+            self.member.install(n, &peer.to_string());
+        }
+    }
+
+    /// Fit to take new work, as the platform asks it.
+    pub fn ready(&self) -> Response<gauge::http::Body> {
+        let l = self.ledger();
+        let why: Vec<&str> = [
+            (self.governing.load().is_none(), "no configuration"),
+            (self.draining.load(Ordering::Acquire), "draining"),
+            (self.cut_off(), "cut off"),
+            (l.evacuated.contains(self.area()), "area evacuated"),
+        ]
+        .into_iter()
+        .filter_map(|(no, why)| no.then_some(why))
+        .collect();
+        let code = if why.is_empty() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let revision = self.member.governs.load(Ordering::Acquire);
+        gauge::http::json(code, &serde_json::json!({"ready": why.is_empty(), "why": why, "revision": revision, "idx": l.idx}))
+    }
+
+    pub fn metrics(&self) -> String {
+        let l = self.ledger();
+        let vals: HashMap<&str, i64> = HashMap::from([
+            ("tenured", i64::from(self.member.tenured())),
+            ("cut_off", i64::from(self.cut_off())),
+            ("index", l.idx.0 as i64),
+            ("revision", self.member.governs.load(Ordering::Acquire) as i64),
+            ("open_jobs", self.busy.open() as i64),
+            ("waitlist", lock(&self.waitlist).len() as i64),
+            ("table_rows", lock(&self.tab).len() as i64),
+        ]);
+        for (k, v) in vals {
+            self.numbers.state.with_label_values(&[k]).set(v);
+        }
+        self.numbers.meter.text()
+    }
+}
--- /dev/null
+++ b/crates/track/src/edge.rs
@@ -0,0 +1,186 @@
+//! The callers' side (design 6.4): from the head to the answer, bounced at once where it must be.
+
+use crate::{
+    hop,
+    plan::{Plan, header_of},
+    router::Router,
+};
+use gauge::{
+    Fault, JobId,
+    http::{Body, BoxErr, json, read_body, text},
+    jot,
+};
+use hyper::{Request, Response, StatusCode, body::Incoming, http::request::Parts};
+use interlocking::Member;
+use serde_json::json as j;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+type Res = Response<Body>;
+
+pub fn marked(mut r: Res, job: &JobId, outcome: &'static str, reason: &str) -> Res {
+    let h = r.headers_mut();
+    for (k, v) in [("foldshunt-job", job.as_str()), ("foldshunt-outcome", outcome), ("foldshunt-reason", reason)] {
+        if let Ok(v) = v.parse()
+            && !(k == "foldshunt-reason" && reason.is_empty())
+        {
+            h.insert(k, v);
+        }
+    }
+    r
+}
+
+/// Not run, and never will be: said at once, with when to come back.
+pub fn bounced_as(r: &Router, job: &JobId, code: StatusCode, reason: &str, retry_s: u64) -> Res {
+    r.numbers.bounce(reason);
+    let mut res = json(code, &j!({"outcome": "bounced", "reason": reason, "job": job, "retry_after_s": retry_s}));
+    if retry_s > 0
+        && let Ok(v) = retry_s.to_string().parse()
+    {
+        res.headers_mut().insert("retry-after", v);
+    }
+    marked(res, job, "bounced", reason)
+}
+
+pub fn bounced(r: &Router, p: &Plan, reason: &str, retry_s: u64) -> Res {
+    r.numbers.jobs.with_label_values(&[&p.entry.name, "bounced"]).inc();
+    bounced_as(r, &p.job, StatusCode::SERVICE_UNAVAILABLE, reason, retry_s)
+}
+
+/// It may have run: never called bounced.
+pub fn unknown(r: &Router, p: &Plan, e: &Fault, late: bool) -> Res {
+    r.numbers.jobs.with_label_values(&[&p.entry.name, "unknown"]).inc();
+    let code = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+    let res = json(code, &j!({"outcome": "unknown", "reason": e.step, "job": p.job}));
+    marked(res, &p.job, "unknown", e.step)
+}
+
+impl Router {
+    pub fn done(&self, p: &Plan, r: Res) -> Res {
+        self.numbers.jobs.with_label_values(&[&p.entry.name, "done"]).inc();
+        marked(r, &p.job, "done", "")
+    }
+
+    pub async fn handle(self: Arc<Self>, _peer: SocketAddr, req: Request<Incoming>) -> Result<Res, BoxErr> {
+        let (head, body) = req.into_parts();
+        match head.uri.path() {
+            "/healthz" => return Ok(text(StatusCode::OK, "ok\n")),
+            "/readyz" => return Ok(self.ready()),
+            "/metrics" => return Ok(text(StatusCode::OK, self.metrics())),
+            _ => {}
+        }
+        let open = self.busy.enter();
+        let n = self.serial.fetch_add(1, Ordering::Relaxed);
+        let job = hop::job_id(&self, n);
+        let no = |code, why, s| Ok(close(bounced_as(&self, &job, code, why, s)));
+        let Some(g) = self.governing.load_full() else {
+            return no(StatusCode::SERVICE_UNAVAILABLE, "no configuration", 2);
+        };
+        if self.draining.load(Ordering::Acquire) {
+            return no(StatusCode::SERVICE_UNAVAILABLE, "draining", 1);
+        }
+        if self.cut_off() {
+            return no(StatusCode::SERVICE_UNAVAILABLE, "cut off", 3);
+        }
+        let inner = header_of(&head)(hop::HEADER);
+        let plan = match &inner {
+            None => match Plan::make(&self, g, job.clone(), &head) {
+                Ok(p) => p,
+                Err(d) => return no(d.code, d.reason, 0),
+            },
+            Some(raw) => match self.inner_plan(g, &head, raw).await {
+                Ok(p) => p,
+                Err(why) => return no(StatusCode::SERVICE_UNAVAILABLE, why, 1),
+            },
+        };
+        if inner.is_none()
+            && let Some(r) = self.elsewhere(&plan, &head)
+        {
+            return Ok(close(r));
+        }
+        let long = header_of(&head)("content-length").and_then(|v| v.parse::<usize>().ok());
+        if long.is_some_and(|n| n > plan.entry.limit) {
+            return no(StatusCode::PAYLOAD_TOO_LARGE, "body over the entry's limit", 0);
+        }
+        let left = Duration::from_millis(plan.deadline.since(self.now()));
+        let bytes = match tokio::time::timeout(left, read_body(body, plan.entry.limit)).await {
+            Ok(Ok(b)) => b,
+            Ok(Err(true)) => return no(StatusCode::PAYLOAD_TOO_LARGE, "body over the entry's limit", 0),
+            Ok(Err(false)) => return no(StatusCode::BAD_REQUEST, "body broke off", 0),
+            Err(_) => return no(StatusCode::REQUEST_TIMEOUT, "body not here in time", 0),
+        };
+        let plan = if inner.is_none() { plan.with_key(&head, &bytes) } else { plan };
+        let sent = Plan::sent(&head, bytes);
+        Ok(self.carry(&plan, &sent, open).await)
+    }
+
+    async fn inner_plan(
+        &self,
+        g: Arc<crate::router::Governing>,
+        head: &Parts,
+        raw: &str,
+    ) -> Result<Plan, &'static str> {
+        let h = hop::verify(self.ledger().secret, raw).ok_or("unsigned hop")?;
+        hop::check(self, &h).await.inspect_err(|why| {
+            jot!(Info, "hop", "peer" => h.from, "cause" => *why, "job" => h.job);
+        })?;
+        let mut p = Plan::make(self, g, h.job.clone(), head).map_err(|d| d.reason)?;
+        if p.entry.name != h.entry {
+            return Err("another entry");
+        }
+        p.key = h.key;
+        p.inner = true;
+        p.deadline = self.now() + h.left_ms.min(p.entry.deadline_ms);
+        Ok(p)
+    }
+
+    /// Work that may not be read here: sent on, unread, to a router in a home (design 5.2).
+    fn elsewhere(&self, p: &Plan, head: &Parts) -> Option<Res> {
+        let own = self.own_region(&p.governing.table);
+        let away = self.ledger().evacuated.contains(self.area());
+        let at_home = own.as_ref().is_some_and(|o| p.homes.contains(o));
+        if at_home && !away {
+            return None;
+        }
+        let near = own.filter(|_| at_home);
+        let peer = near
+            .and_then(|r| self.router_in(p, &r, &[]))
+            .or_else(|| p.homes.iter().find_map(|r| self.router_in(p, r, &[])));
+        let reason = if at_home { "evacuated" } else { "outside homes" };
+        Some(match peer {
+            Some(m) => {
+                let path = head.uri.path_and_query().map(|x| x.as_str()).unwrap_or("/");
+                let mut r = bounced_as(self, &p.job, StatusCode::TEMPORARY_REDIRECT, reason, 0);
+                if let Ok(v) = format!("http://{}{path}", m.card.http).parse() {
+                    r.headers_mut().insert("location", v);
+                }
+                r
+            }
+            None => bounced_as(self, &p.job, StatusCode::SERVICE_UNAVAILABLE, reason, 5),
+        })
+    }
+
+    /// A router of a region that is heard, not evacuated and not tried yet; drawn, so that
+    /// no one of them gets it all.
+    pub fn router_in(&self, p: &Plan, region: &gauge::Region, tried: &[String]) -> Option<Member> {
+        let l = self.ledger();
+        let all: Vec<Member> = l
+            .routers()
+            .into_iter()
+            .filter(|m| p.governing.table.region_of(&m.card.area) == Some(region))
+            .filter(|m| !l.evacuated.contains(&m.card.area) && m.card.node != *self.node())
+            .filter(|m| !tried.contains(&m.card.node.to_string()) && self.hears(&m.card.node))
+            .cloned()
+            .collect();
+        (!all.is_empty()).then(|| all[rand::random_range(0..all.len())].clone())
+    }
+}
+
+/// The body was not read: the connection cannot carry another job.
+fn close(mut r: Res) -> Res {
+    r.headers_mut().insert("connection", "close".parse().expect("a fixed header"));
+    r
+}
--- /dev/null
+++ b/crates/track/src/go.rs
@@ -0,0 +1,116 @@
+//! One go at a replica or at a router of another region (design 6.1, 6.2): what is certain
+//! afterwards decides whether another go is allowed.
+
+use crate::body::{Passing, ends_surely};
+use bytes::Bytes;
+use gauge::{
+    Fault,
+    fault::At,
+    http::{Body, full, open},
+};
+use hyper::{HeaderMap, Method, Request, Response, Uri, header::HeaderName};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+/// What is known after a go.
+pub enum Outcome {
+    /// The upstream answered; from here on its bytes pass through.
+    Done(Response<Body>),
+    /// Not one byte of the job was sent, or the other side said that it did not run it.
+    NotRun(Fault),
+    /// It may have run.
+    Unknown(Fault),
+}
+
+/// What is sent, the same for each go.
+#[derive(Clone)]
+pub struct Sent {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// Headers that speak of one connection only.
+const HOP_BY_HOP: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+];
+
+pub fn strip(h: &mut HeaderMap) {
+    let named: Vec<HeaderName> = h
+        .get_all("connection")
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|n| n.trim().parse().ok())
+        .collect();
+    named.iter().for_each(|n| drop(h.remove(n)));
+    HOP_BY_HOP.iter().for_each(|n| drop(h.remove(*n)));
+    let own: Vec<HeaderName> = h.keys().filter(|k| k.as_str().starts_with("foldshunt-")).cloned().collect();
+    own.iter().for_each(|n| drop(h.remove(n)));
+}
+
+/// One go over a fresh connection. `kept` lives until the last byte has passed through.
+pub async fn go<K: Send + Sync + Unpin + 'static>(
+    ip: IpAddr,
+    to: SocketAddr,
+    sent: &Sent,
+    extra: &[(&'static str, String)],
+    connect_ms: u64,
+    left_ms: u64,
+    kept: K,
+) -> Outcome {
+    let step = "go";
+    let mut tx = match open(ip, to, connect_ms.min(left_ms.max(1))).await {
+        Ok(tx) => tx,
+        Err(e) => return Outcome::NotRun(e),
+    };
+    let built = || {
+        let mut req = Request::builder().method(sent.method.clone()).uri(
+            sent.uri.path_and_query().map(|p| p.as_str()).unwrap_or("/"),
+        );
+        if let Some(h) = req.headers_mut() {
+            h.extend(sent.headers.clone());
+            h.insert("host", to.to_string().parse().at(step, to)?);
+            for (k, v) in extra {
+                h.insert(*k, v.parse().at(step, to)?);
+            }
+        }
+        req.body(full(sent.body.clone())).at(step, to)
+    };
+    let req = match built() {
+        Ok(r) => r,
+        Err(e) => return Outcome::NotRun(e),
+    };
+    // From here on bytes may have left: every failure is "unknown".
+    let res = match tokio::time::timeout(Duration::from_millis(left_ms), tx.send_request(req)).await {
+        Ok(Ok(r)) => r,
+        Ok(Err(e)) => return Outcome::Unknown(Fault::new("await answer", to, e)),
+        Err(_) => return Outcome::Unknown(Fault::new("await answer", to, format!("none in {left_ms} ms"))),
+    };
+    let (mut head, body) = res.into_parts();
+    if !ends_surely(&sent.method, &head, &body) {
+        return Outcome::Unknown(Fault::new("read answer", to, "its end could not be told from a cut"));
+    }
+    let outcome = head.headers.get("foldshunt-outcome").cloned();
+    let reason = head.headers.get("foldshunt-reason").cloned();
+    strip(&mut head.headers);
+    for (k, v) in [("foldshunt-outcome", outcome), ("foldshunt-reason", reason)] {
+        if let Some(v) = v {
+            head.headers.insert(k, v);
+        }
+    }
+    let idle = Duration::from_millis(left_ms.max(1000));
+    Outcome::Done(Response::from_parts(head, Passing::wrap(body, idle, (tx, kept))))
+}
--- /dev/null
+++ b/crates/track/src/hop.rs
@@ -0,0 +1,113 @@
+//! The hop between regions (design 5.6): signed by a member, checked by the region that is
+//! asked, which has the last word.
+
+use crate::{lend::Spent, router::Router, tab::UserKey};
+use gauge::{JobId, NodeId, Region, Revision, Service, Tenant, rank::stable_hash, wire};
+use serde::{Deserialize, Serialize};
+use siphasher::sip128::{Hasher128, SipHasher24};
+use std::hash::Hasher;
+
+pub const HEADER: &str = "foldshunt-hop";
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hop {
+    pub job: JobId,
+    pub from: NodeId,
+    pub revision: Revision,
+    pub entry: String,
+    pub tenant: Option<Tenant>,
+    pub service: Service,
+    pub region: Region,
+    pub key: Option<UserKey>,
+    /// A stored placement needs no pass.
+    pub spent: Option<Spent>,
+    pub left_ms: u64,
+}
+
+fn mac(secret: u128, b: &[u8]) -> u128 {
+    let mut h = SipHasher24::new_with_keys(secret as u64, (secret >> 64) as u64);
+    h.write(b);
+    h.finish128().as_u128()
+}
+
+fn hex(b: &[u8]) -> String {
+    b.iter().map(|x| format!("{x:02x}")).collect()
+}
+
+fn unhex(s: &str) -> Option<Vec<u8>> {
+    let pair = |n: usize| s.get(n..n + 2).and_then(|p| u8::from_str_radix(p, 16).ok());
+    (s.len().is_multiple_of(2) && s.is_ascii()).then(|| (0..s.len()).step_by(2).map(pair).collect()).flatten()
+}
+
+pub fn sign(secret: u128, h: &Hop) -> std::io::Result<String> {
+    let b = wire::enc(h)?;
+    Ok(format!("{}.{:032x}", hex(&b), mac(secret, &b)))
+}
+
+pub fn verify(secret: u128, s: &str) -> Option<Hop> {
+    let (body, sig) = s.split_once('.')?;
+    let b = unhex(body)?;
+    let told = u128::from_str_radix(sig, 16).ok()?;
+    (told == mac(secret, &b)).then(|| wire::dec(&b).ok()).flatten()
+}
+
+/// Why a hop is bounced; the names stand in metrics and in `foldshunt-reason`.
+pub async fn check(r: &Router, h: &Hop) -> Result<(), &'static str> {
+    let g = r.governing.load_full().ok_or("no configuration")?;
+    let own = r.own_region(&g.table).ok_or("area unknown")?;
+    if h.region != own {
+        return Err("wrong region");
+    }
+    if h.revision < g.revision {
+        return Err("outdated revision");
+    }
+    if h.revision > g.revision {
+        return Err("revision not here yet");
+    }
+    if r.ledger().evacuated.contains(r.area()) {
+        return Err("evacuated");
+    }
+    let e = g.table.entries.iter().find(|e| e.name == h.entry).ok_or("no such entry")?;
+    if !g.table.homes(e, h.tenant.as_ref()).contains(&own) {
+        return Err("outside homes");
+    }
+    match &h.spent {
+        Some(s) if s.region == own => r.redeem(s).await,
+        Some(_) => Err("pass of another region"),
+        None => Ok(()),
+    }
+}
+
+/// A job's name: unique over nodes, restarts and time.
+pub fn job_id(r: &Router, n: u64) -> JobId {
+    let inc = r.member.card.inc.0;
+    JobId::new(format!("{}-{:x}-{n:x}", r.node(), stable_hash(&[&inc.to_le_bytes()]) >> 32))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_what_a_member_signed_passes() {
+        let h = Hop {
+            job: "j".into(),
+            from: "n".into(),
+            revision: Revision(3),
+            entry: "e".into(),
+            tenant: None,
+            service: "s".into(),
+            region: "r".into(),
+            key: Some(UserKey(9)),
+            spent: None,
+            left_ms: 5,
+        };
+        let s = sign(77, &h).unwrap();
+        assert_eq!(verify(77, &s), Some(h));
+        assert_eq!(verify(78, &s), None);
+        let mut other = s.clone().into_bytes();
+        other[3] = if other[3] == b'0' { b'1' } else { b'0' };
+        assert_eq!(verify(77, std::str::from_utf8(&other).unwrap()), None);
+        assert_eq!(verify(77, "zz.é"), None);
+    }
+}
--- /dev/null
+++ b/crates/track/src/key.rs
@@ -0,0 +1,55 @@
+//! The user key (design 5.2): learned from what callers do send, in the order of the policy.
+
+use crate::tab::UserKey;
+use timetable::KeyPart;
+
+/// Fields in which a prompt is looked for when its opening serves as the key.
+const PROMPTS: &[&str] = &["prompt", "input", "messages", "text"];
+
+pub fn user_key(
+    parts: &[KeyPart],
+    tenant: &str,
+    header: &dyn Fn(&str) -> Option<String>,
+    body: &[u8],
+) -> Option<UserKey> {
+    // Parsed only where a part needs it.
+    let parsed = std::cell::OnceCell::new();
+    let doc = || parsed.get_or_init(|| serde_json::from_slice::<serde_json::Value>(body).ok());
+    parts.iter().find_map(|p| match p {
+        KeyPart::Header(h) => header(h).filter(|v| !v.is_empty()).map(|v| UserKey::of(tenant, h, v.as_bytes())),
+        KeyPart::Json(path) => doc()
+            .as_ref()
+            .and_then(|d| path.split('.').try_fold(d, |at, k| at.get(k)))
+            .filter(|v| !v.is_null())
+            .map(|v| UserKey::of(tenant, path, v.to_string().as_bytes())),
+        KeyPart::Opening(n) => {
+            let field = doc().as_ref().and_then(|d| PROMPTS.iter().find_map(|k| d.get(k)));
+            let text = match field {
+                Some(serde_json::Value::String(s)) => s.as_bytes().to_vec(),
+                Some(v) => v.to_string().into_bytes(),
+                None => body.to_vec(),
+            };
+            (text.len() >= *n).then(|| UserKey::of(tenant, "opening", &text[..*n]))
+        }
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    /// Conformance, design 5.2: the first part that yields something is used.
+    #[rstest]
+    #[case::header_first(Some("u1"), r#"{"user":"u2"}"#, Some(("x-user", "u1")))]
+    #[case::then_json(None, r#"{"user":"u2"}"#, Some(("user", "\"u2\"")))]
+    #[case::then_opening(None, r#"{"prompt":"abcdefghijklmnopqrst"}"#, Some(("opening", "abcdefghijklmnop")))]
+    #[case::too_short(None, r#"{"prompt":"abc"}"#, None)]
+    #[case::not_json(None, "abcdefghijklmnopqrst", Some(("opening", "abcdefghijklmnop")))]
+    #[case::nothing(None, "", None)]
+    fn first_that_yields(#[case] head: Option<&str>, #[case] body: &str, #[case] want: Option<(&str, &str)>) {
+        let parts = [KeyPart::Header("x-user".into()), KeyPart::Json("user".into()), KeyPart::Opening(16)];
+        let got = user_key(&parts, "t", &|_| head.map(str::to_string), body.as_bytes());
+        assert_eq!(got, want.map(|(k, v)| UserKey::of("t", k, v.as_bytes())));
+    }
+}
--- /dev/null
+++ b/crates/track/src/lend.rs
@@ -0,0 +1,193 @@
+//! Lending passes (design 5.5): no input or output. A lender hands out a share of measured
+//! headroom; a purse holds what was handed out; each pick elsewhere uses one.
+
+use gauge::{Fence, NodeId, Region, Service, Tick};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pass {
+    pub region: Region,
+    pub service: Service,
+    pub fence: Fence,
+    pub serial: u64,
+    pub count: u32,
+    pub life_ms: u64,
+}
+
+/// One use of a pass, shown to the lending region.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spent {
+    pub region: Region,
+    pub service: Service,
+    pub fence: Fence,
+    pub serial: u64,
+    pub node: NodeId,
+}
+
+#[derive(Clone, Debug)]
+struct Grant {
+    serial: u64,
+    left: u32,
+    until: Tick,
+}
+
+/// Held by the one router that lends for a region, under its fence.
+#[derive(Clone, Debug, Default)]
+pub struct Lender {
+    pub fence: Fence,
+    serial: u64,
+    well_since: Option<Tick>,
+    grants: HashMap<(Service, NodeId), Grant>,
+    /// Passes used lately: room that is spoken for but not yet in the figures.
+    used: HashMap<Service, Vec<Tick>>,
+}
+
+impl Lender {
+    /// A new fence voids all that was granted under the old one, and wellness starts anew.
+    pub fn under(&mut self, fence: Fence) {
+        if fence != self.fence {
+            *self = Self { fence, serial: self.serial, ..Self::default() };
+        }
+    }
+
+    /// Called with each look at the region; being unwell once starts the count again.
+    pub fn observe(&mut self, well: bool, now: Tick) {
+        self.well_since = if well { self.well_since.or(Some(now)) } else { None };
+        if !well {
+            self.grants.clear();
+        }
+    }
+
+    pub fn well(&self, now: Tick, full_set_ms: u64) -> bool {
+        self.well_since.is_some_and(|s| now.since(s) >= full_set_ms)
+    }
+
+    /// Grants `node` its part; what it still held of an older grant is given back first.
+    #[allow(clippy::too_many_arguments)]
+    pub fn grant(
+        &mut self,
+        region: &Region,
+        service: &Service,
+        node: &NodeId,
+        room: f64,
+        askers: usize,
+        life_ms: u64,
+        now: Tick,
+    ) -> Option<Pass> {
+        let at = (service.clone(), node.clone());
+        self.grants.remove(&at);
+        self.grants.retain(|_, g| g.until > now);
+        let out: u32 = self.grants.iter().filter(|((s, _), _)| s == service).map(|(_, g)| g.left).sum();
+        let used = self.used.entry(service.clone()).or_default();
+        used.retain(|t| now.since(*t) < life_ms);
+        let free = room.max(0.0) as i64 - i64::from(out) - used.len() as i64;
+        let part = (room.max(0.0) / askers.max(1) as f64).ceil() as i64;
+        let count = part.min(free).max(0) as u32;
+        if count == 0 {
+            return None;
+        }
+        self.serial += 1;
+        let serial = self.serial;
+        self.grants.insert(at, Grant { serial, left: count, until: now + life_ms });
+        let (region, service, fence) = (region.clone(), service.clone(), self.fence);
+        Some(Pass { region, service, fence, serial, count, life_ms })
+    }
+
+    /// The lender's last word on one use.
+    pub fn redeem(&mut self, s: &Spent, now: Tick) -> Result<(), &'static str> {
+        if s.fence != self.fence {
+            return Err("stale fence");
+        }
+        let at = (s.service.clone(), s.node.clone());
+        match self.grants.get_mut(&at) {
+            Some(g) if g.serial != s.serial => Err("pass replaced"),
+            Some(g) if g.until <= now => Err("pass expired"),
+            Some(g) if g.left == 0 => Err("pass used up"),
+            Some(g) => {
+                g.left -= 1;
+                self.used.entry(s.service.clone()).or_default().push(now);
+                Ok(())
+            }
+            None => Err("unknown pass"),
+        }
+    }
+}
+
+/// What a router has in hand.
+#[derive(Clone, Debug, Default)]
+pub struct Purse(HashMap<(Region, Service), (Pass, Tick)>);
+
+impl Purse {
+    /// `asked` is when the pass was asked for: life is counted from before it was granted.
+    pub fn put(&mut self, region: &Region, service: &Service, pass: Option<Pass>, asked: Tick) {
+        let at = (region.clone(), service.clone());
+        match pass {
+            Some(p) => {
+                let until = asked + p.life_ms;
+                self.0.insert(at, (p, until));
+            }
+            None => {
+                self.0.remove(&at);
+            }
+        }
+    }
+
+    pub fn has(&self, region: &Region, service: &Service, now: Tick) -> bool {
+        self.0.get(&(region.clone(), service.clone())).is_some_and(|(p, until)| p.count > 0 && *until > now)
+    }
+
+    pub fn spend(&mut self, region: &Region, service: &Service, node: &NodeId, now: Tick) -> Option<Spent> {
+        let (p, until) = self.0.get_mut(&(region.clone(), service.clone()))?;
+        (p.count > 0 && *until > now).then(|| p.count -= 1)?;
+        Some(Spent {
+            region: region.clone(),
+            service: service.clone(),
+            fence: p.fence,
+            serial: p.serial,
+            node: node.clone(),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn spent(p: &Pass, node: &str) -> Spent {
+        Spent {
+            region: p.region.clone(),
+            service: p.service.clone(),
+            fence: p.fence,
+            serial: p.serial,
+            node: node.into(),
+        }
+    }
+
+    /// Design 5.5: never more than the room in total; used, expired, replaced and old passes
+    /// bounce by name; a region that was unwell lends nothing until a full set of checks.
+    #[test]
+    fn passes_from_grant_to_bounce() {
+        let (r, s) = (Region::new("r"), Service::new("s"));
+        let mut l = Lender::default();
+        l.under(Fence(4));
+        l.observe(true, Tick(0));
+        assert!(!l.well(Tick(2999), 3000) && l.well(Tick(3000), 3000));
+        l.observe(false, Tick(3001));
+        l.observe(true, Tick(3002));
+        assert!(!l.well(Tick(6000), 3000));
+        let a = l.grant(&r, &s, &"a".into(), 5.0, 2, 1000, Tick(0)).unwrap();
+        let b = l.grant(&r, &s, &"b".into(), 5.0, 2, 1000, Tick(0)).unwrap();
+        assert_eq!((a.count, b.count), (3, 2));
+        assert_eq!(l.grant(&r, &s, &"c".into(), 5.0, 2, 1000, Tick(0)), None);
+        assert_eq!(l.redeem(&spent(&b, "b"), Tick(1)), Ok(()));
+        assert_eq!(l.redeem(&spent(&b, "b"), Tick(1)), Ok(()));
+        assert_eq!(l.redeem(&spent(&b, "b"), Tick(1)), Err("pass used up"));
+        assert_eq!(l.redeem(&spent(&a, "a"), Tick(1000)), Err("pass expired"));
+        let mut old = spent(&a, "a");
+        old.fence = Fence(3);
+        assert_eq!(l.redeem(&old, Tick(1)), Err("stale fence"));
+        l.under(Fence(5));
+        assert_eq!(l.redeem(&spent(&a, "a"), Tick(1)), Err("stale fence"));
+    }
+}
--- /dev/null
+++ b/crates/track/src/lending.rs
@@ -0,0 +1,127 @@
+//! Lending at work (design 5.5): the lender's duty, and the purse that is kept filled.
+
+use crate::{
+    lend::{Pass, Spent},
+    rail::{Ask, Reply},
+    router::{Router, lock},
+};
+use gauge::{Fence, NodeId, Region, Service};
+use interlocking::{Member, duty};
+use std::{sync::Arc, time::Duration};
+use timetable::Table;
+
+impl Router {
+    /// The one router that lends for a region.
+    pub fn lender_of(&self, t: &Table, region: &Region) -> Option<Member> {
+        let l = self.ledger();
+        duty::line(&l, &format!("lender/{region}"), None)
+            .into_iter()
+            .find(|m| t.region_of(&m.card.area) == Some(region) && !l.evacuated.contains(&m.card.area))
+    }
+
+    fn lends_here(&self, t: &Table) -> Option<Region> {
+        let own = self.own_region(t)?;
+        self.lender_of(t, &own).filter(|m| m.card.node == *self.node()).map(|_| own)
+    }
+
+    /// Watches the own region while this node lends for it.
+    pub async fn lend(self: Arc<Self>) {
+        let mut wakeup = tokio::time::interval(Duration::from_millis((self.set.timing.check_ms / 4).max(10)));
+        loop {
+            wakeup.tick().await;
+            let Some(g) = self.governing.load_full() else { continue };
+            let fence = Fence(self.ledger().epoch.0);
+            let holds = self.lends_here(&g.table).is_some();
+            let well = holds
+                && self.member.tenured()
+                && g.table.services.keys().any(|s| !self.own_replicas(&g.table, s).is_empty());
+            let mut l = lock(&self.lender);
+            if holds {
+                l.under(fence);
+            }
+            l.observe(well, self.now());
+        }
+    }
+
+    fn own_replicas(&self, t: &Table, s: &Service) -> Vec<crate::pressure::Candidate> {
+        let own = self.own_region(t);
+        self.usable(s).into_iter().filter(|c| t.region_of(&c.area) == own.as_ref()).collect()
+    }
+
+    /// Grants from measured headroom; nothing until the region was well for a full set of checks.
+    pub fn grant(&self, region: &Region, svc: &Service, node: &NodeId) -> Result<Option<Pass>, &'static str> {
+        let g = self.governing.load_full().ok_or("no configuration")?;
+        if self.lends_here(&g.table).as_ref() != Some(region) {
+            return Err("not the lender");
+        }
+        let now = self.now();
+        let full_set = self.set.timing.stale_ms();
+        let over = g.table.policies.iter().map(|p| p.overload).fold(1.0, f64::min);
+        // A cold replica lends nothing.
+        let room: f64 = self
+            .own_replicas(&g.table, svc)
+            .iter()
+            .filter(|c| c.gauge.allowance.is_none())
+            .map(|c| c.gauge.capacity * over - c.consumption())
+            .sum();
+        let l = self.ledger();
+        let askers = l.routers().into_iter().filter(|m| g.table.region_of(&m.card.area) != Some(region)).count();
+        let tun = &g.table.tuning;
+        let mut lender = lock(&self.lender);
+        if !lender.well(now, full_set) {
+            return Ok(None);
+        }
+        let pass = lender.grant(region, svc, node, room * tun.lend_share, askers, tun.pass_ms, now);
+        self.numbers.passes.with_label_values(&["granted"]).inc_by(pass.as_ref().map_or(0, |p| u64::from(p.count)));
+        Ok(pass)
+    }
+
+    pub async fn redeem(&self, s: &Spent) -> Result<(), &'static str> {
+        let g = self.governing.load_full().ok_or("no configuration")?;
+        let lender = self.lender_of(&g.table, &s.region).ok_or("no lender")?;
+        let res = if lender.card.node == *self.node() {
+            self.redeem_here(s)
+        } else {
+            let ask = Ask::Redeem { spent: s.clone() };
+            match self.lines.call("redeem", lender.card.rail, ask).await {
+                Ok(Reply::Done) => Ok(()),
+                Ok(Reply::Bounced(_)) => Err("pass not good"),
+                _ => Err("lender unreachable"),
+            }
+        };
+        self.numbers.passes.with_label_values(&[res.err().unwrap_or("redeemed")]).inc();
+        res
+    }
+
+    pub fn redeem_here(&self, s: &Spent) -> Result<(), &'static str> {
+        let g = self.governing.load_full().ok_or("no configuration")?;
+        self.lends_here(&g.table).ok_or("not the lender")?;
+        lock(&self.lender).redeem(s, self.now())
+    }
+
+    /// Asks each other region for passes, three times within the life of one.
+    pub async fn fill_purse(self: Arc<Self>) {
+        loop {
+            let Some(g) = self.governing.load_full() else {
+                tokio::time::sleep(Duration::from_millis(self.set.timing.beat_ms())).await;
+                continue;
+            };
+            let own = self.own_region(&g.table);
+            for region in g.table.regions().into_iter().filter(|r| Some(r) != own.as_ref()) {
+                let Some(lender) = self.lender_of(&g.table, &region) else { continue };
+                for svc in g.table.services.keys() {
+                    let (me, region, svc) = (self.clone(), region.clone(), svc.clone());
+                    let to = lender.card.rail;
+                    tokio::spawn(async move {
+                        let asked = me.now();
+                        let ask = Ask::Passes { region: region.clone(), service: svc.clone(), node: me.node().clone() };
+                        if let Ok(Reply::Pass(p)) = me.lines.call("passes", to, ask).await {
+                            lock(&me.purse).put(&region, &svc, p, asked);
+                        }
+                    });
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(g.table.tuning.pass_ms / 3)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/track/src/place.rs
@@ -0,0 +1,198 @@
+//! Placing a user (design 5.1, 5.3): the stored region where it passes the tests, else a draw
+//! that is settled at the owner of the shard.
+
+use crate::{
+    choose::{candidates, draw, draw_by_key, passes},
+    plan::Plan,
+    rail::{Ask, Reply},
+    router::{Cached, Router, lock},
+    tab::{Copy, Settled, Tab, UserKey},
+};
+use gauge::{Region, Service, Tick};
+use interlocking::{Member, duty};
+use std::{collections::BTreeSet, sync::Arc};
+
+/// Where a job is to go, and whether it needs a pass to be there.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placed {
+    pub region: Region,
+    pub stored: bool,
+}
+
+impl Router {
+    fn owners(&self, shard: u16) -> Vec<Member> {
+        duty::line(&self.ledger(), &format!("shard/{shard}"), None)
+    }
+
+    pub async fn place(self: &Arc<Self>, p: &Plan, avoid: &BTreeSet<Region>) -> Option<Placed> {
+        let g = &p.governing;
+        let pol = g.table.policy(&p.entry);
+        let seen = self.seen(&g.table, &p.entry.to);
+        let own = self.own_region(&g.table);
+        let open_to = |r: &Region| {
+            !avoid.contains(r)
+                && (Some(r) == own.as_ref() || lock(&self.purse).has(r, &p.entry.to, self.now()))
+        };
+        let cands = candidates(&seen, &p.homes, pol, &open_to);
+        let count = |how: &str| self.numbers.placements.with_label_values(&[how]).inc();
+        let Some(key) = p.key else {
+            count("no key");
+            return draw(&cands, rand::random()).map(|region| Placed { region, stored: false });
+        };
+        let good =
+            |r: &Region| p.homes.contains(r) && !avoid.contains(r) && passes(seen.get(r), pol);
+        let mut stale = None;
+        if let Some(c) = self.cached(key, &p.entry.to) {
+            if good(&c.region) {
+                count("cached");
+                return Some(Placed { region: c.region, stored: true });
+            }
+            stale = Some(c.ver);
+        }
+        let pick = draw(&cands, rand::random());
+        for _ in 0..2 {
+            match self.settle(key, &p.entry.to, stale, pick.clone(), pol.ttl_ms).await {
+                Some(Settled::Held { region, ver, won }) => {
+                    self.remember(key, &p.entry.to, &region, ver, pol.ttl_ms);
+                    if won {
+                        count(if stale.is_some() { "moved" } else { "drawn" });
+                        return Some(Placed { region, stored: false });
+                    }
+                    if good(&region) {
+                        count("stored");
+                        return Some(Placed { region, stored: true });
+                    }
+                    stale = Some(ver);
+                }
+                Some(Settled::Empty) => return None,
+                // The table is out of reach: what was heard last, else the draw that all
+                // routers make alike.
+                None => {
+                    count("unreachable");
+                    let last = lock(&self.cache).get(&(key, p.entry.to.clone())).cloned();
+                    let known = last.filter(|c| c.until > self.now() && good(&c.region));
+                    return known.map(|c| Placed { region: c.region, stored: true }).or_else(|| {
+                        draw_by_key(&cands, key.0).map(|region| Placed { region, stored: false })
+                    });
+                }
+            }
+        }
+        // Others settled on regions that fail the tests here: go by the own draw, store nothing.
+        pick.map(|region| Placed { region, stored: false })
+    }
+
+    /// A cached placement serves for a small part of its life without asking the owner, so
+    /// that refreshes are coalesced and moves are heard of soon.
+    fn cached(&self, key: UserKey, svc: &Service) -> Option<Cached> {
+        let now = self.now();
+        let c = lock(&self.cache).get(&(key, svc.clone())).cloned()?;
+        let fresh = (c.until.since(c.heard) / 180).min(5_000);
+        (now.since(c.heard) < fresh).then_some(c)
+    }
+
+    fn remember(&self, key: UserKey, svc: &Service, region: &Region, ver: u64, ttl_ms: u64) {
+        let heard = self.now();
+        let c = Cached { region: region.clone(), ver, heard, until: heard + ttl_ms };
+        let mut g = lock(&self.cache);
+        if g.len() >= crate::tab::MAX_ROWS / 4 {
+            g.retain(|_, c| c.until > heard);
+        }
+        g.insert((key, svc.clone()), c);
+    }
+
+    /// Asks the owner of the shard; `None` where it can't be reached within the small bound.
+    async fn settle(
+        self: &Arc<Self>,
+        key: UserKey,
+        service: &Service,
+        stale: Option<u64>,
+        pick: Option<Region>,
+        ttl_ms: u64,
+    ) -> Option<Settled> {
+        let shard = key.shard(service);
+        let owner = self.owners(shard).into_iter().next()?;
+        let fence = gauge::Fence(self.ledger().epoch.0);
+        if owner.card.node == *self.node() {
+            return self.settle_here(fence, key, service, stale, pick, ttl_ms).ok();
+        }
+        let ask = Ask::Settle { fence, key, service: service.clone(), stale, pick, ttl_ms };
+        match self.lines.call_within(self.set.timing.table_ms(), "settle", owner.card.rail, ask).await {
+            Ok(Reply::Settled(s)) => Some(s),
+            _ => None,
+        }
+    }
+
+    /// The owner's side: settles and tells the followers of what it won.
+    pub fn settle_here(
+        self: &Arc<Self>,
+        fence: gauge::Fence,
+        key: UserKey,
+        service: &Service,
+        stale: Option<u64>,
+        pick: Option<Region>,
+        ttl_ms: u64,
+    ) -> Result<Settled, String> {
+        let shard = key.shard(service);
+        let owners = self.owners(shard);
+        if owners.first().is_none_or(|m| m.card.node != *self.node()) {
+            return Err("not the owner".into());
+        }
+        let now = self.now();
+        let (res, row) = {
+            let mut t = lock(&self.tab);
+            t.fence(shard, fence).map_err(|f| format!("stale fence: {f} is known"))?;
+            let res = t.settle(key, service, stale, pick, ttl_ms, now);
+            (res, t.one(key, service, now))
+        };
+        if let Some(row) = row {
+            self.tell_followers(shard, fence, owners, row);
+        }
+        Ok(res)
+    }
+
+    /// Two followers, in other areas where that can be had.
+    fn tell_followers(self: &Arc<Self>, shard: u16, fence: gauge::Fence, owners: Vec<Member>, row: Copy) {
+        let (far, near): (Vec<_>, Vec<_>) =
+            owners.into_iter().skip(1).partition(|m| m.card.area != *self.area());
+        for m in far.into_iter().chain(near).take(2) {
+            let (me, rows) = (self.clone(), vec![row.clone()]);
+            tokio::spawn(async move {
+                let ask = Ask::Copy { fence, shard, rows };
+                let _ = me.lines.call("copy", m.card.rail, ask).await;
+            });
+        }
+    }
+
+    /// A new owner gathers what the others hold of the shards that came to it.
+    pub async fn gather(self: Arc<Self>) {
+        let mut known: Vec<Option<String>> = vec![None; crate::tab::SHARDS as usize];
+        let mut moved = self.member.moved.subscribe();
+        loop {
+            for shard in 0..crate::tab::SHARDS {
+                let owners = self.owners(shard);
+                let first = owners.first().map(|m| m.card.node.to_string());
+                let was = std::mem::replace(&mut known[shard as usize], first.clone());
+                if first == was || first.as_deref() != Some(self.node().as_str()) {
+                    continue;
+                }
+                for m in owners.into_iter().skip(1).take(3) {
+                    let (me, to) = (self.clone(), m.card.rail);
+                    tokio::spawn(async move {
+                        if let Ok(Reply::Rows(rows)) = me.lines.call("fetch", to, Ask::Fetch { shard }).await {
+                            me.take_copies(rows);
+                        }
+                    });
+                }
+            }
+            if moved.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    pub fn take_copies(&self, rows: Vec<Copy>) {
+        let now: Tick = self.now();
+        let mut t = lock(&self.tab);
+        rows.into_iter().for_each(|c| Tab::copy(&mut t, c, now));
+    }
+}
--- /dev/null
+++ b/crates/track/src/plan.rs
@@ -0,0 +1,76 @@
+//! A job's plan, made as data before anything is done (design 6.1).
+
+use crate::{
+    go::Sent,
+    key::user_key,
+    router::{Governing, Router},
+    tab::UserKey,
+};
+use gauge::{JobId, Region, Tenant, Tick};
+use hyper::{StatusCode, http::request::Parts};
+use std::{collections::BTreeSet, sync::Arc};
+use timetable::Entry;
+
+/// All that is decided from the head alone.
+#[derive(Clone)]
+pub struct Plan {
+    pub job: JobId,
+    pub governing: Arc<Governing>,
+    pub entry: Entry,
+    pub tenant: Option<Tenant>,
+    pub homes: BTreeSet<Region>,
+    pub key: Option<UserKey>,
+    pub deadline: Tick,
+    /// Arrived from a router of another region: goes are its to repeat, not ours.
+    pub inner: bool,
+}
+
+/// Why a job gets no plan.
+pub struct Denied {
+    pub code: StatusCode,
+    pub reason: &'static str,
+}
+
+pub fn denied<T>(code: StatusCode, reason: &'static str) -> Result<T, Denied> {
+    Err(Denied { code, reason })
+}
+
+pub fn header_of(head: &Parts) -> impl Fn(&str) -> Option<String> + '_ {
+    |k| head.headers.get(k).and_then(|v| v.to_str().ok()).map(str::to_string)
+}
+
+impl Plan {
+    /// Entry, tenant and homes, from path and headers alone: known before any body is read.
+    pub fn make(r: &Router, g: Arc<Governing>, job: JobId, head: &Parts) -> Result<Plan, Denied> {
+        let header = header_of(head);
+        let Some(entry) = g.table.find(head.method.as_str(), head.uri.path(), &header).cloned() else {
+            return denied(StatusCode::NOT_FOUND, "no entry");
+        };
+        let Ok(tenant) = g.table.tenant(&header) else {
+            return denied(StatusCode::FORBIDDEN, "unknown tenant");
+        };
+        let homes = g.table.homes(&entry, tenant.as_ref());
+        if homes.is_empty() {
+            return denied(StatusCode::FORBIDDEN, "no common home of entry and tenant");
+        }
+        let deadline = r.now() + entry.deadline_ms;
+        drop(header);
+        Ok(Plan { job, governing: g, entry, tenant, homes, key: None, deadline, inner: false })
+    }
+
+    /// The user key, once the body is there.
+    pub fn with_key(mut self, head: &Parts, body: &[u8]) -> Plan {
+        let tenant = self.tenant.as_ref().map(|t| t.as_str()).unwrap_or("");
+        let pol = self.governing.table.policy(&self.entry);
+        self.key = user_key(&pol.key, tenant, &header_of(head), body);
+        self
+    }
+
+    pub fn sent(head: &Parts, body: bytes::Bytes) -> Sent {
+        let mut headers = head.headers.clone();
+        crate::go::strip(&mut headers);
+        // The body was read whole: its length is known, whatever the caller's framing was.
+        headers.remove("content-length");
+        Sent { method: head.method.clone(), uri: head.uri.clone(), headers, body }
+    }
+}
--- /dev/null
+++ b/crates/track/src/pressure.rs
@@ -0,0 +1,173 @@
+//! Pressure (design 5.4): what each home node publishes, and how regions are folded from it.
+
+use gauge::{Area, Fence, Region, ReplicaId, Service, Tick};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex, atomic::{AtomicI64, AtomicU64, Ordering}},
+};
+
+/// One replica as its home node sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Gauge {
+    pub id: ReplicaId,
+    pub addr: SocketAddr,
+    pub healthy: bool,
+    pub capacity: f64,
+    pub consumption: f64,
+    /// Set while the replica warms up: the most that all routers together may have there.
+    pub allowance: Option<u32>,
+}
+
+/// All replicas of one service in one area, with the age of the figures when they were sent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Figures {
+    pub service: Service,
+    pub area: Area,
+    pub fence: Fence,
+    pub seq: u64,
+    pub age_ms: u64,
+    pub replicas: Vec<Gauge>,
+}
+
+/// What this router itself knows of a replica (or of a region that it sends hops to).
+#[derive(Debug, Default)]
+pub struct Own {
+    pub open: AtomicI64,
+    /// How many of the open ones the last figures can have counted already.
+    pub counted: AtomicI64,
+    /// Own failures: not to be used until then, where there is another.
+    pub shun: AtomicU64,
+    /// `Server-Load` of the last answer, in thousandths of the capacity, and when it came.
+    pub load: AtomicI64,
+    pub load_at: AtomicU64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub fig: Figures,
+    /// When these figures were fresh, on the own clock.
+    pub at: Tick,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RegionPressure {
+    pub healthy: bool,
+    pub capacity: f64,
+    pub consumption: f64,
+}
+
+impl RegionPressure {
+    pub fn ratio(&self) -> f64 {
+        if self.capacity > 0.0 { self.consumption / self.capacity } else { f64::INFINITY }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    pub gauge: Gauge,
+    pub area: Area,
+    pub own: Arc<Own>,
+    pub at: Tick,
+}
+
+impl Candidate {
+    /// What others had open by the last report, plus what is open here now; a fresher
+    /// `Server-Load` raises it (design 5.4).
+    pub fn consumption(&self) -> f64 {
+        let o = &self.own;
+        let others = (self.gauge.consumption - o.counted.load(Ordering::Relaxed) as f64).max(0.0);
+        let sum = others + o.open.load(Ordering::Relaxed).max(0) as f64;
+        if o.load_at.load(Ordering::Relaxed) > self.at.0 {
+            sum.max(self.gauge.capacity * o.load.load(Ordering::Relaxed) as f64 / 1000.0)
+        } else {
+            sum
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    pub seen: HashMap<(Service, Area), Seen>,
+}
+
+/// Figures of all homes, and the own open jobs beside them.
+#[derive(Debug, Default)]
+pub struct Pressure {
+    board: arc_swap::ArcSwap<Board>,
+    own: Mutex<HashMap<ReplicaId, Arc<Own>>>,
+    write: Mutex<()>,
+}
+
+impl Pressure {
+    pub fn own(&self, id: &ReplicaId) -> Arc<Own> {
+        let mut g = self.own.lock().unwrap_or_else(|e| e.into_inner());
+        g.entry(id.clone()).or_default().clone()
+    }
+
+    pub fn board(&self) -> Arc<Board> {
+        self.board.load_full()
+    }
+
+    /// Takes figures unless they are a past holder's, or older than those in hand.
+    pub fn take(&self, fig: Figures, now: Tick) -> bool {
+        let _w = self.write.lock().unwrap_or_else(|e| e.into_inner());
+        let key = (fig.service.clone(), fig.area.clone());
+        let mut b = Board::clone(&self.board.load());
+        let newer = b.seen.get(&key).is_none_or(|s| {
+            fig.fence > s.fig.fence || (fig.fence == s.fig.fence && fig.seq >= s.fig.seq)
+        });
+        if newer {
+            let again = b.seen.get(&key).is_some_and(|s| s.fig.seq == fig.seq && s.fig.fence == fig.fence);
+            if !again {
+                for g in &fig.replicas {
+                    let o = self.own(&g.id);
+                    o.counted.store(o.open.load(Ordering::Relaxed), Ordering::Relaxed);
+                }
+                let at = now - fig.age_ms;
+                b.seen.insert(key, Seen { fig, at });
+                self.board.store(Arc::new(b));
+            }
+        }
+        newer
+    }
+
+    /// Replicas of a service with fresh figures that `usable` lets through.
+    pub fn replicas(
+        &self,
+        svc: &Service,
+        now: Tick,
+        stale_ms: u64,
+        usable: &dyn Fn(&Gauge, &Area) -> bool,
+    ) -> Vec<Candidate> {
+        let b = self.board.load();
+        b.seen
+            .iter()
+            .filter(|((s, _), seen)| s == svc && now.since(seen.at) <= stale_ms)
+            .flat_map(|((_, area), seen)| seen.fig.replicas.iter().map(move |g| (g, area, seen.at)))
+            .filter(|(g, area, _)| g.healthy && usable(g, area))
+            .map(|(g, area, at)| Candidate { gauge: g.clone(), area: area.clone(), own: self.own(&g.id), at })
+            .collect()
+    }
+}
+
+/// Folds replicas into regions: health, capacity and consumption for one service.
+pub fn regions(
+    reps: &[Candidate],
+    region_of: &dyn Fn(&Area) -> Option<Region>,
+) -> BTreeMap<Region, RegionPressure> {
+    let mut out: BTreeMap<Region, RegionPressure> = BTreeMap::new();
+    for c in reps {
+        let Some(r) = region_of(&c.area) else { continue };
+        let p = out.entry(r).or_default();
+        p.healthy = true;
+        let cap = match c.gauge.allowance {
+            Some(a) => c.gauge.capacity.min(f64::from(a)),
+            None => c.gauge.capacity,
+        };
+        p.capacity += cap;
+        p.consumption += c.consumption();
+    }
+    out
+}
--- /dev/null
+++ b/crates/track/src/rail.rs
@@ -0,0 +1,56 @@
+//! What a pointsman is asked by other processes (design 5.7).
+
+use crate::{
+    lend::{Pass, Spent},
+    pressure::Figures,
+    tab::{Copy, Settled, UserKey},
+};
+use gauge::{Area, Fence, Index, NodeId, Region, Service};
+use interlocking::news::News;
+use serde::{Deserialize, Serialize};
+
+pub const SERVICE: &str = "points";
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Ask {
+    /// A sign of life, with what this node has seen.
+    Hail { idx: Index },
+    News { have: Index },
+    /// Settles a miss or a failed placement at the shard's owner: first writer wins.
+    Settle { fence: Fence, key: UserKey, service: Service, stale: Option<u64>, pick: Option<Region>, ttl_ms: u64 },
+    /// From an owner to its followers.
+    Copy { fence: Fence, shard: u16, rows: Vec<Copy> },
+    /// A new owner asks for what others hold of its shard.
+    Fetch { shard: u16 },
+    Watch { service: Service, area: Area, seq: u64, fence: Fence, wait_ms: u64 },
+    Passes { region: Region, service: Service, node: NodeId },
+    Redeem { spent: Spent },
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Reply {
+    Hailed { idx: Index },
+    News(News),
+    Settled(Settled),
+    Rows(Vec<Copy>),
+    Figures(Figures),
+    Pass(Option<Pass>),
+    Done,
+    /// Not done, for a named reason.
+    Bounced(String),
+}
+
+impl tarpc::RequestName for Ask {
+    fn name(&self) -> &str {
+        match self {
+            Ask::Hail { .. } => "points.hail",
+            Ask::News { .. } => "points.news",
+            Ask::Settle { .. } => "points.settle",
+            Ask::Copy { .. } => "points.copy",
+            Ask::Fetch { .. } => "points.fetch",
+            Ask::Watch { .. } => "points.watch",
+            Ask::Passes { .. } => "points.passes",
+            Ask::Redeem { .. } => "points.redeem",
+        }
+    }
+}
--- /dev/null
+++ b/crates/track/src/router.rs
@@ -0,0 +1,177 @@
+//! A router's state, in one struct that is passed down by reference (design 5.10).
+
+use crate::{
+    budget::Budget,
+    lend::{Lender, Purse},
+    numbers::Numbers,
+    pressure::{Candidate, Figures, Pressure, RegionPressure, regions},
+    rail::{Ask, Reply},
+    tab::{Tab, UserKey},
+    waitlist::Waitlist,
+};
+use arc_swap::ArcSwapOption;
+use gauge::{Area, Clock, NodeId, Region, Revision, Service, Tick, http::Busy, jot, link::Lines, settings::Settings};
+use interlocking::{Ledger, member::Member};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+use timetable::Table;
+use tokio::sync::watch;
+
+/// A compiled document and the revision that it came from.
+pub struct Governing {
+    pub revision: Revision,
+    pub table: Table,
+}
+
+/// A placement as last heard from its owner.
+#[derive(Clone, Debug)]
+pub struct Cached {
+    pub region: Region,
+    pub ver: u64,
+    pub heard: Tick,
+    pub until: Tick,
+}
+
+/// Figures of the homes that this node holds.
+pub type Published = HashMap<(Service, Area), watch::Sender<Option<Figures>>>;
+
+pub struct Router {
+    pub set: Settings,
+    pub clock: Clock,
+    pub member: Arc<Member>,
+    pub lines: Lines<Ask, Reply>,
+    pub governing: ArcSwapOption<Governing>,
+    pub pressure: Pressure,
+    pub tab: Mutex<Tab>,
+    pub cache: Mutex<HashMap<(UserKey, Service), Cached>>,
+    pub purse: Mutex<Purse>,
+    pub lender: Mutex<Lender>,
+    pub budget: Budget,
+    pub waitlist: Mutex<Waitlist>,
+    pub heard: Mutex<HashMap<NodeId, Tick>>,
+    pub published: Mutex<Published>,
+    pub numbers: Numbers,
+    pub draining: AtomicBool,
+    pub busy: Arc<Busy>,
+    pub serial: AtomicU64,
+}
+
+pub fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl Router {
+    pub fn new(set: Settings, member: Arc<Member>, clock: Clock) -> Arc<Self> {
+        Arc::new(Self {
+            lines: Lines::new(set.me(), crate::rail::SERVICE),
+            set,
+            clock,
+            member,
+            governing: ArcSwapOption::empty(),
+            pressure: Pressure::default(),
+            tab: Mutex::default(),
+            cache: Mutex::default(),
+            purse: Mutex::default(),
+            lender: Mutex::default(),
+            budget: Budget::default(),
+            waitlist: Mutex::default(),
+            heard: Mutex::default(),
+            published: Mutex::default(),
+            numbers: Numbers::default(),
+            draining: AtomicBool::new(false),
+            busy: Arc::default(),
+            serial: AtomicU64::new(0),
+        })
+    }
+
+    pub fn now(&self) -> Tick {
+        self.clock.now()
+    }
+
+    pub fn ledger(&self) -> Arc<Ledger> {
+        self.member.ledger.load_full()
+    }
+
+    pub fn node(&self) -> &NodeId {
+        &self.member.card.node
+    }
+
+    pub fn area(&self) -> &Area {
+        &self.member.card.area
+    }
+
+    /// Compiles the newest document as soon as it is there; an older one never comes back.
+    pub async fn govern(self: Arc<Self>) {
+        let mut moved = self.member.moved.subscribe();
+        loop {
+            let l = self.ledger();
+            let have = self.governing.load().as_ref().map(|g| g.revision).unwrap_or_default();
+            if let Some(text) = l.text.as_ref().filter(|_| l.revision > have) {
+                match timetable::compile(text) {
+                    Ok(table) => {
+                        let revision = l.revision;
+                        self.governing.store(Some(Arc::new(Governing { revision, table })));
+                        self.member.governs.store(revision.0, Ordering::Release);
+                        jot!(Info, "governs", "revision" => revision.0);
+                    }
+                    Err(f) => jot!(Error, "compile", "peer" => "core", "cause" => format!("{f:?}")),
+                }
+            }
+            if moved.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    pub fn own_region(&self, t: &Table) -> Option<Region> {
+        t.region_of(self.area()).cloned()
+    }
+
+    /// Replicas that may be given something now: listed, not draining, area not evacuated,
+    /// figures fresh and healthy.
+    pub fn usable(&self, svc: &Service) -> Vec<Candidate> {
+        let l = self.ledger();
+        self.pressure.replicas(svc, self.now(), self.set.timing.stale_ms(), &|g, area| {
+            !l.evacuated.contains(area)
+                && l.replicas.get(&g.id).is_some_and(|r| !r.draining && r.addr == g.addr && r.service == *svc)
+        })
+    }
+
+    /// Pressure by region for one service, with own hops since the figures added.
+    pub fn seen(&self, t: &Table, svc: &Service) -> BTreeMap<Region, RegionPressure> {
+        let mut out = regions(&self.usable(svc), &|a| t.region_of(a).cloned());
+        let own = self.own_region(t);
+        for (r, p) in out.iter_mut().filter(|(r, _)| Some(*r) != own.as_ref()) {
+            let o = self.pressure.own(&hop_id(r, svc));
+            let since = o.open.load(Ordering::Relaxed) - o.counted.load(Ordering::Relaxed);
+            p.consumption += since.max(0) as f64;
+        }
+        out
+    }
+
+    pub fn free(&self) {
+        lock(&self.waitlist).free(self.now());
+    }
+
+    pub fn take_figures(&self, f: Figures) {
+        let (svc, area) = (f.service.clone(), f.area.clone());
+        if self.pressure.take(f, self.now())
+            && let Some(g) = self.governing.load().as_ref()
+            && let Some(r) = g.table.region_of(&area)
+        {
+            let o = self.pressure.own(&hop_id(r, &svc));
+            o.counted.store(o.open.load(Ordering::Relaxed), Ordering::Relaxed);
+            self.free();
+        }
+    }
+}
+
+/// Under this name own hops to a region are counted.
+pub fn hop_id(r: &Region, svc: &Service) -> gauge::ReplicaId {
+    gauge::ReplicaId::new(format!("hop/{r}/{svc}"))
+}
--- /dev/null
+++ b/crates/track/src/tab.rs
@@ -0,0 +1,184 @@
+//! One node's part of the placement table (design 5.3): no input or output. The owner of a
+//! shard settles misses; followers keep copies; lower fences bounce.
+
+use gauge::{Fence, Region, Service, Tick, rank::stable_hash};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+pub const SHARDS: u16 = 64;
+/// Rows over which a node holds no new ones: a bound on memory, not on traffic.
+pub const MAX_ROWS: usize = 1 << 20;
+
+/// A user key, hashed: what callers send is not kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct UserKey(pub u64);
+
+impl UserKey {
+    pub fn of(tenant: &str, kind: &str, raw: &[u8]) -> Self {
+        Self(stable_hash(&[tenant.as_bytes(), kind.as_bytes(), raw]))
+    }
+    pub fn shard(self, service: &Service) -> u16 {
+        (stable_hash(&[&self.0.to_le_bytes(), service.as_str().as_bytes()]) % u64::from(SHARDS)) as u16
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Copy {
+    pub key: UserKey,
+    pub service: Service,
+    pub region: Region,
+    pub ver: u64,
+    pub ttl_ms: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Settled {
+    /// Nothing is stored, and no pick was offered.
+    Empty,
+    Held { region: Region, ver: u64, won: bool },
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    region: Region,
+    ver: u64,
+    until: Tick,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Tab {
+    rows: HashMap<(UserKey, Service), Row>,
+    fences: HashMap<u16, Fence>,
+    vers: u64,
+}
+
+impl Tab {
+    /// Remembers the highest fence of a shard; tells the known one where this is lower.
+    pub fn fence(&mut self, shard: u16, f: Fence) -> Result<(), Fence> {
+        let known = self.fences.entry(shard).or_default();
+        if f < *known {
+            return Err(*known);
+        }
+        *known = f;
+        Ok(())
+    }
+
+    /// The first writer wins. `stale` names the version that the asker found wanting: only that
+    /// one may be replaced. A valid use refreshes the time to live.
+    pub fn settle(
+        &mut self,
+        key: UserKey,
+        service: &Service,
+        stale: Option<u64>,
+        pick: Option<Region>,
+        ttl_ms: u64,
+        now: Tick,
+    ) -> Settled {
+        let at = (key, service.clone());
+        let live = self.rows.get_mut(&at).filter(|r| r.until > now);
+        if let Some(r) = live.filter(|r| Some(r.ver) != stale || pick.is_none()) {
+            if Some(r.ver) != stale {
+                r.until = now + ttl_ms;
+            }
+            return Settled::Held { region: r.region.clone(), ver: r.ver, won: false };
+        }
+        let Some(region) = pick else { return Settled::Empty };
+        if self.rows.len() >= MAX_ROWS {
+            self.rows.retain(|_, r| r.until > now);
+        }
+        // Versions differ between owners: the fence's number stands above the count.
+        self.vers += 1;
+        let high = self.fences.get(&key.shard(service)).map(|f| f.0).unwrap_or(0);
+        let ver = (high << 32) | (self.vers & 0xffff_ffff);
+        if self.rows.len() < MAX_ROWS {
+            self.rows.insert(at, Row { region: region.clone(), ver, until: now + ttl_ms });
+        }
+        Settled::Held { region, ver, won: true }
+    }
+
+    pub fn copy(&mut self, c: Copy, now: Tick) {
+        let at = (c.key, c.service);
+        let older = self.rows.get(&at).is_none_or(|r| r.ver <= c.ver || r.until <= now);
+        if older && self.rows.len() < MAX_ROWS {
+            self.rows.insert(at, Row { region: c.region, ver: c.ver, until: now + c.ttl_ms });
+        }
+    }
+
+    pub fn rows_of(&self, shard: u16, now: Tick) -> Vec<Copy> {
+        self.rows
+            .iter()
+            .filter(|((k, s), r)| r.until > now && k.shard(s) == shard)
+            .map(|((key, s), r)| Copy {
+                key: *key,
+                service: s.clone(),
+                region: r.region.clone(),
+                ver: r.ver,
+                ttl_ms: r.until.since(now),
+            })
+            .collect()
+    }
+
+    pub fn one(&self, key: UserKey, service: &Service, now: Tick) -> Option<Copy> {
+        self.rows.get(&(key, service.clone())).filter(|r| r.until > now).map(|r| Copy {
+            key,
+            service: service.clone(),
+            region: r.region.clone(),
+            ver: r.ver,
+            ttl_ms: r.until.since(now),
+        })
+    }
+
+    pub fn sweep(&mut self, now: Tick) {
+        self.rows.retain(|_, r| r.until > now);
+    }
+
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn held(s: Settled) -> (String, u64, bool) {
+        match s {
+            Settled::Held { region, ver, won } => (region.to_string(), ver, won),
+            Settled::Empty => ("-".into(), 0, false),
+        }
+    }
+
+    /// Design 5.3: racers on one miss all get the first writer's region; a failed placement is
+    /// replaced once, by whoever names the version that failed.
+    #[test]
+    fn racers_agree() {
+        let (k, svc) = (UserKey(7), Service::new("m"));
+        let mut t = Tab::default();
+        let mut ask = |stale, pick: &str, now| {
+            held(t.settle(k, &svc, stale, (!pick.is_empty()).then(|| Region::new(pick)), 1000, Tick(now)))
+        };
+        assert_eq!(ask(None, "", 0).0, "-");
+        let (r, v1, won) = ask(None, "north", 1);
+        assert!(won && r == "north");
+        assert_eq!(ask(None, "south", 2), ("north".into(), v1, false));
+        let (r, v2, won) = ask(Some(v1), "south", 3);
+        assert!(won && r == "south" && v2 != v1);
+        assert_eq!(ask(Some(v1), "east", 4), ("south".into(), v2, false));
+        // Valid uses refresh; an entry that nobody uses is gone after its time.
+        assert_eq!(ask(None, "", 1003).0, "south");
+        assert_eq!(ask(None, "", 2002).0, "south");
+        assert_eq!(ask(None, "", 3002).0, "-");
+    }
+
+    #[test]
+    fn lower_fences_bounce() {
+        let mut t = Tab::default();
+        assert!(t.fence(3, Fence(5)).is_ok());
+        assert_eq!(t.fence(3, Fence(4)), Err(Fence(5)));
+        assert!(t.fence(4, Fence(4)).is_ok());
+    }
+}
--- /dev/null
+++ b/crates/track/src/waitlist.rs
@@ -0,0 +1,97 @@
+//! The waitlist (design 5.9): bounded, in order of deadline, and honest at once with those
+//! whose deadline can't be met.
+
+use gauge::Tick;
+use std::collections::BTreeMap;
+use tokio::sync::oneshot;
+
+#[derive(Debug, Default)]
+pub struct Waitlist {
+    rows: BTreeMap<(Tick, u64), oneshot::Sender<()>>,
+    serial: u64,
+    /// Smoothed time between two places that came free, in milliseconds.
+    gap_ms: f64,
+    last_free: Option<Tick>,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Bounce {
+    Full,
+    /// Too many stand before it for its deadline.
+    Late,
+}
+
+impl Waitlist {
+    /// Takes a place by deadline, or says at once that it would not help.
+    pub fn join(
+        &mut self,
+        deadline: Tick,
+        bound: usize,
+        now: Tick,
+    ) -> Result<((Tick, u64), oneshot::Receiver<()>), Bounce> {
+        if self.rows.len() >= bound {
+            return Err(Bounce::Full);
+        }
+        let before = self.rows.range(..(deadline, u64::MAX)).count() as f64;
+        if (before + 1.0) * self.gap_ms > deadline.since(now) as f64 {
+            return Err(Bounce::Late);
+        }
+        let (tx, rx) = oneshot::channel();
+        self.serial += 1;
+        let at = (deadline, self.serial);
+        self.rows.insert(at, tx);
+        Ok((at, rx))
+    }
+
+    pub fn leave(&mut self, at: &(Tick, u64)) {
+        self.rows.remove(at);
+    }
+
+    /// A place came free: the earliest deadline is woken.
+    pub fn free(&mut self, now: Tick) {
+        if let Some(last) = self.last_free.replace(now).filter(|_| !self.rows.is_empty()) {
+            let gap = now.since(last).min(10_000) as f64;
+            self.gap_ms = if self.gap_ms == 0.0 { gap } else { self.gap_ms * 0.8 + gap * 0.2 };
+        }
+        while let Some((_, tx)) = self.rows.pop_first() {
+            if tx.send(()).is_ok() {
+                return;
+            }
+        }
+        self.gap_ms = 0.0;
+    }
+
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// When to come back, in whole seconds.
+    pub fn retry_after(&self) -> u64 {
+        ((self.rows.len() as f64 * self.gap_ms / 1000.0).ceil() as u64).clamp(1, 30)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn earliest_deadline_first_and_bounced_at_once() {
+        let mut w = Waitlist::default();
+        let (_, mut late) = w.join(Tick(5000), 2, Tick(0)).unwrap();
+        let (_, mut soon) = w.join(Tick(1000), 2, Tick(0)).unwrap();
+        assert_eq!(w.join(Tick(500), 2, Tick(0)).unwrap_err(), Bounce::Full);
+        w.free(Tick(0));
+        assert!(soon.try_recv().is_ok() && late.try_recv().is_err());
+        // One place in 400 ms: a deadline 300 ms away can't be met behind others.
+        w.free(Tick(400));
+        let (_, _a) = w.join(Tick(9000), 9, Tick(400)).unwrap();
+        w.free(Tick(800));
+        let (_, _b) = w.join(Tick(9000), 9, Tick(800)).unwrap();
+        assert_eq!(w.join(Tick(1000), 9, Tick(800)).unwrap_err(), Bounce::Late);
+    }
+}
