--- a/crates/gauge/src/fault.rs
+++ b/crates/gauge/src/fault.rs
@@ -49,3 +49,14 @@
         Err(_) => Err(Fault::new(step, peer, format!("no answer in {ms} ms"))),
     }
 }
+
+/// A program's end: one message on failure, and an exit code that says so.
+pub fn ended(r: eyre::Result<()>) -> std::process::ExitCode {
+    match r {
+        Ok(()) => std::process::ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("error: {e:#}");
+            std::process::ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/interlocking/src/api/document.rs
@@ -0,0 +1,96 @@
+//! The document: shown, applied whole, changed in parts (design 4.1, 4.2, 4.7).
+
+use super::{Call, Early, Res, early, no};
+use crate::{
+    change::{Change, Verdict},
+    ledger::Ledger,
+    patch::{self, Patch},
+};
+use gauge::{
+    Area, Revision, Service,
+    http::{json, text},
+};
+use hyper::StatusCode;
+use serde_json::json as j;
+
+impl Call<'_> {
+    pub(super) async fn show(&self) -> Early<Res> {
+        let l = self.state().await?;
+        let Some(doc) = l.text else {
+            return early(no(StatusCode::NOT_FOUND, "no document was accepted yet; base revision 0"));
+        };
+        let mut r = text(StatusCode::OK, doc);
+        if let Ok(v) = format!("\"{}\"", l.revision).parse() {
+            r.headers_mut().insert("etag", v);
+        }
+        Ok(r)
+    }
+
+    fn base(&self) -> Early<Revision> {
+        let raw = self.base.clone().unwrap_or_default();
+        match raw.trim().trim_matches('"').parse() {
+            Ok(n) => Ok(Revision(n)),
+            Err(_) => early(no(
+                StatusCode::PRECONDITION_REQUIRED,
+                format!(
+                    "If-Match: {raw:?}; allowed: the revision that this change is based on, such as \"7\" (\"0\" for the first)"
+                ),
+            )),
+        }
+    }
+
+    pub(super) async fn put(&self, bytes: &[u8]) -> Early<Res> {
+        let base = self.base()?;
+        let Ok(src) = std::str::from_utf8(bytes) else {
+            return early(no(StatusCode::UNPROCESSABLE_ENTITY, "the document is not UTF-8"));
+        };
+        let l = self.state().await?;
+        if l.verdict(&self.op).is_none() {
+            self.check(src, &l)?;
+        }
+        self.propose(Change::Apply { op: self.op.clone(), base, text: src.into() }).await
+    }
+
+    /// All flaws at once; nothing was logged, so nothing can take effect (design 4.2).
+    fn check(&self, src: &str, l: &Ledger) -> Early<()> {
+        let listed: Vec<(Service, Area)> = l
+            .replicas
+            .values()
+            .filter(|r| !r.draining)
+            .map(|r| (r.service.clone(), r.area.clone()))
+            .collect();
+        let flaws = match timetable::compile(src) {
+            Ok(t) if t.cluster != self.core.set.cluster => vec![timetable::Flaw {
+                line: 1,
+                column: 1,
+                message: format!("cluster: {:?}; allowed: {:?}", t.cluster, self.core.set.cluster),
+            }],
+            Ok(t) => timetable::check_fleet(src, &t, &listed),
+            Err(f) => f,
+        };
+        if flaws.is_empty() {
+            return Ok(());
+        }
+        early(json(StatusCode::UNPROCESSABLE_ENTITY, &j!({"outcome": "refused", "flaws": flaws})))
+    }
+
+    pub(super) async fn patch(&self, bytes: &[u8]) -> Early<Res> {
+        let base = self.base()?;
+        let p: Patch = match serde_json::from_slice(bytes) {
+            Ok(p) => p,
+            Err(e) => return early(no(StatusCode::BAD_REQUEST, format!("body: {e}"))),
+        };
+        let l = self.state().await?;
+        if let Some(v) = l.verdict(&self.op) {
+            return Ok(self.told(v));
+        }
+        if base != l.revision {
+            return Ok(self.told(&Verdict::Conflict { current: l.revision }));
+        }
+        let src = match patch::apply(l.text.as_deref().unwrap_or(""), &p) {
+            Ok(s) => s,
+            Err(e) => return early(no(StatusCode::UNPROCESSABLE_ENTITY, e)),
+        };
+        self.put(src.as_bytes()).await
+    }
+}
--- a/crates/pointsman/src/main.rs
+++ b/crates/pointsman/src/main.rs
@@ -6,11 +6,7 @@
     Clock, Incarnation, http, jot,
     settings::{Flags, Settings, flags},
 };
-use interlocking::{
-    Role,
-    change::Card,
-    member::Member,
-};
+use interlocking::{Role, change::Card, member::Member};
 use std::{sync::atomic::Ordering, time::Duration};
 use tokio::{net::TcpListener, signal::unix, sync::watch};
 use track::router::Router;
@@ -24,7 +20,11 @@
 }
 
 #[tokio::main]
-async fn main() -> Result<()> {
+async fn main() -> std::process::ExitCode {
+    gauge::fault::ended(run().await)
+}
+
+async fn run() -> Result<()> {
     let set = Settings::read(&opts().run().flags)?;
     jot::start(&set.node, &set.log);
     let rail = TcpListener::bind(set.rail).await.wrap_err_with(|| format!("rail: {}", set.rail))?;
--- a/crates/signalbox/src/main.rs
+++ b/crates/signalbox/src/main.rs
@@ -24,7 +24,11 @@
 }
 
 #[tokio::main]
-async fn main() -> Result<()> {
+async fn main() -> std::process::ExitCode {
+    gauge::fault::ended(run().await)
+}
+
+async fn run() -> Result<()> {
     let set = Settings::read(&opts().run().flags)?;
     jot::start(&set.node, &set.log);
     let rail_lst = TcpListener::bind(set.rail).await.wrap_err_with(|| format!("rail: {}", set.rail))?;
--- a/crates/timetable/src/fleet.rs
+++ b/crates/timetable/src/fleet.rs
@@ -28,7 +28,10 @@
             None => {}
         }
     }
-    for (n, (t, homes)) in tab.tenants.iter().enumerate() {
+    let order: Vec<String> =
+        crate::doc::read(src).map(|d| d.tenants.into_iter().map(|t| t.name).collect()).unwrap_or_default();
+    for (t, homes) in &tab.tenants {
+        let n = order.iter().position(|o| o == t.as_str()).unwrap_or_default();
         let path = ["tenants".to_string(), n.to_string()];
         let Some(h) = homes else { continue };
         for e in &tab.entries {
--- a/crates/track/src/answer.rs
+++ b/crates/track/src/answer.rs
@@ -62,7 +62,14 @@
         Reply::Bounced(why)
     }
 
-    async fn tell_figures(&self, svc: Service, area: Area, seq: u64, fence: Fence, wait_ms: u64) -> Option<Figures> {
+    async fn tell_figures(
+        &self,
+        svc: Service,
+        area: Area,
+        seq: u64,
+        fence: Fence,
+        wait_ms: u64,
+    ) -> Option<Figures> {
         let mut rx = lock(&self.published).get(&(svc.clone(), area.clone()))?.subscribe();
         let newer = |f: &Option<Figures>| f.as_ref().is_some_and(|f| f.fence != fence || f.seq > seq);
         let wait = Duration::from_millis(wait_ms.min(10_000));
--- a/crates/track/src/budget.rs
+++ b/crates/track/src/budget.rs
@@ -17,9 +17,7 @@
     }
 
     pub fn spend(&self) -> bool {
-        self.0
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |v| (v >= UNIT).then(|| v - UNIT))
-            .is_ok()
+        self.0.fetch_update(Ordering::AcqRel, Ordering::Acquire, |v| (v >= UNIT).then(|| v - UNIT)).is_ok()
     }
 }
 
--- a/crates/track/src/carry.rs
+++ b/crates/track/src/carry.rs
@@ -3,17 +3,15 @@
 use crate::{
     edge::{bounced, unknown},
     go::{Outcome, Sent, go},
-    hop::{self, Hop},
     plan::Plan,
-    router::{Router, hop_id, lock},
+    router::{Router, lock},
 };
 use gauge::{
-    Fault, Region, ReplicaId, Step, Tick,
+    Fault, Region, ReplicaId, Tick,
     http::{Body, BusyGuard},
     jot,
 };
 use hyper::Response;
-use interlocking::Member;
 use std::{
     collections::BTreeSet,
     sync::{Arc, atomic::Ordering},
@@ -26,28 +24,19 @@
 /// The part of its deadline that a job may spend on the waitlist.
 const WAIT_RATIO: u64 = 8;
 
-/// Counts a hop as open at its region until its last byte.
-struct OpenHop(Arc<crate::pressure::Own>);
-
-impl Drop for OpenHop {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// What went before, as far as the next go must know it.
 #[derive(Default)]
-struct Past {
-    goes: u32,
-    avoid: BTreeSet<Region>,
-    tried: Vec<ReplicaId>,
-    routers: Vec<String>,
+pub(crate) struct Past {
+    pub goes: u32,
+    pub avoid: BTreeSet<Region>,
+    pub tried: Vec<ReplicaId>,
+    pub routers: Vec<String>,
     /// An earlier go that may have run: from then on the job is never called bounced.
-    maybe: Option<Fault>,
-    wait_until: Option<Tick>,
+    pub maybe: Option<Fault>,
+    pub wait_until: Option<Tick>,
 }
 
-enum Next {
+pub(crate) enum Next {
     Answer(Response<Body>),
     /// Certain not to have run.
     NotRun(Fault),
@@ -80,7 +69,8 @@
                 }
                 Next::NoRoom(true) => return self.given_up(p, &past, "no room", 1),
                 Next::NotRun(e) => {
-                    let again = !p.inner && past.goes < MOST_GOES && self.now() < p.deadline && self.budget.spend();
+                    let again =
+                        !p.inner && past.goes < MOST_GOES && self.now() < p.deadline && self.budget.spend();
                     jot!(Info, e.step, "peer" => e.peer, "cause" => e.cause, "job" => p.job, "again" => again);
                     if !again {
                         return self.given_up(p, &past, "go failed before it was sent", 1);
@@ -137,9 +127,8 @@
                 let own = self.own_region(t).filter(|o| p.homes.contains(o) && seen.contains_key(o));
                 let own = own.filter(|o| !avoid.contains(o));
                 own.or_else(|| {
-                    let open = |r: &Region| {
-                        !avoid.contains(r) && lock(&self.purse).has(r, &p.entry.to, self.now())
-                    };
+                    let open =
+                        |r: &Region| !avoid.contains(r) && lock(&self.purse).has(r, &p.entry.to, self.now());
                     let c = crate::choose::candidates(&seen, &p.homes, t.policy(&p.entry), &open);
                     crate::choose::draw(&c, rand::random())
                 })
@@ -188,98 +177,6 @@
         }
     }
 
-    async fn remote(
-        self: &Arc<Self>,
-        p: &Plan,
-        sent: &Sent,
-        past: &mut Past,
-        open: &mut Option<BusyGuard>,
-        region: Region,
-        stored: bool,
-    ) -> Next {
-        let step: Step = "hop";
-        let Some(peer) = self.router_in(p, &region, &past.routers) else {
-            past.avoid.insert(region);
-            return Next::Again;
-        };
-        let spent = if stored {
-            None
-        } else {
-            match lock(&self.purse).spend(&region, &p.entry.to, self.node(), self.now()) {
-                Some(s) => Some(s),
-                None => {
-                    past.avoid.insert(region);
-                    return Next::Again;
-                }
-            }
-        };
-        let left = p.deadline.since(self.now());
-        let h = Hop {
-            job: p.job.clone(),
-            from: self.node().clone(),
-            revision: p.governing.revision,
-            entry: p.entry.name.clone(),
-            tenant: p.tenant.clone(),
-            service: p.entry.to.clone(),
-            region: region.clone(),
-            key: p.key,
-            spent,
-            left_ms: left,
-        };
-        let signed = match hop::sign(self.ledger().secret, &h) {
-            Ok(s) => s,
-            Err(e) => return Next::NotRun(Fault::new(step, &region, e)),
-        };
-        self.count_go(past, "hop");
-        past.routers.push(peer.card.node.to_string());
-        let own = self.pressure.own(&hop_id(&region, &p.entry.to));
-        own.open.fetch_add(1, Ordering::AcqRel);
-        let kept = (OpenHop(own), open.take());
-        let extra = [(hop::HEADER, signed)];
-        let to = peer.card.http;
-        match go(self.set.rail.ip(), to, sent, &extra, self.set.timing.rail_ms, left, kept).await {
-            Outcome::Done(r) => self.hop_answer(p, r, past, open, region, &peer).await,
-            Outcome::NotRun(e) => {
-                self.reopen(open);
-                Next::NotRun(e)
-            }
-            Outcome::Unknown(e) => {
-                self.reopen(open);
-                Next::MayHaveRun(e)
-            }
-        }
-    }
-
-    /// The other region's last word.
-    async fn hop_answer(
-        self: &Arc<Self>,
-        p: &Plan,
-        r: Response<Body>,
-        past: &mut Past,
-        open: &mut Option<BusyGuard>,
-        region: Region,
-        peer: &Member,
-    ) -> Next {
-        let said = |k: &str| r.headers().get(k).and_then(|v| v.to_str().ok()).unwrap_or("").to_string();
-        match said("foldshunt-outcome").as_str() {
-            "done" => Next::Answer(self.done(p, r)),
-            "bounced" => {
-                let why = said("foldshunt-reason");
-                self.reopen(open);
-                if why.ends_with("revision") || why == "revision not here yet" {
-                    tokio::time::sleep(Duration::from_millis(self.set.timing.beat_ms())).await;
-                } else {
-                    past.avoid.insert(region);
-                }
-                Next::NotRun(Fault::new("hop", &peer.card.node, format!("bounced: {why}")))
-            }
-            _ => {
-                self.reopen(open);
-                Next::MayHaveRun(Fault::new("hop", &peer.card.node, "outcome unknown there"))
-            }
-        }
-    }
-
     /// The final answer, at once: bounced only where no go of the job can have run.
     fn given_up(&self, p: &Plan, past: &Past, why: &'static str, secs: u64) -> Response<Body> {
         match &past.maybe {
@@ -288,11 +185,11 @@
         }
     }
 
-    fn reopen(&self, open: &mut Option<BusyGuard>) {
+    pub(crate) fn reopen(&self, open: &mut Option<BusyGuard>) {
         open.get_or_insert_with(|| self.busy.enter());
     }
 
-    fn count_go(&self, past: &mut Past, kind: &str) {
+    pub(crate) fn count_go(&self, past: &mut Past, kind: &str) {
         let kind = if past.goes == 0 { kind } else { "extra" };
         self.numbers.goes.with_label_values(&[kind]).inc();
         past.goes += 1;
--- a/crates/track/src/choose.rs
+++ b/crates/track/src/choose.rs
@@ -26,7 +26,9 @@
     homes
         .iter()
         .filter(|r| open_to(r))
-        .filter_map(|r| seen.get(r).filter(|p| passes(Some(p), pol)).map(|p| (r.clone(), weight(p, pol.smooth))))
+        .filter_map(|r| {
+            seen.get(r).filter(|p| passes(Some(p), pol)).map(|p| (r.clone(), weight(p, pol.smooth)))
+        })
         .collect()
 }
 
@@ -41,10 +43,7 @@
         let u = rank::seeded_unit(&[&key.to_le_bytes(), r.as_str().as_bytes()]).max(f64::MIN_POSITIVE);
         -w / u.ln()
     };
-    cands
-        .iter()
-        .max_by(|a, b| score(&a.0, a.1).total_cmp(&score(&b.0, b.1)))
-        .map(|(r, _)| r.clone())
+    cands.iter().max_by(|a, b| score(&a.0, a.1).total_cmp(&score(&b.0, b.1))).map(|(r, _)| r.clone())
 }
 
 #[cfg(test)]
@@ -77,10 +76,11 @@
 
     #[test]
     fn homes_and_passes_bind_the_draw() {
-        let seen = BTreeMap::from([("a", p(true, 10.0, 0.0)), ("b", p(true, 10.0, 0.0)), ("c", p(true, 10.0, 9.9))])
-            .into_iter()
-            .map(|(k, v)| (Region::new(k), v))
-            .collect();
+        let seen =
+            BTreeMap::from([("a", p(true, 10.0, 0.0)), ("b", p(true, 10.0, 0.0)), ("c", p(true, 10.0, 9.9))])
+                .into_iter()
+                .map(|(k, v)| (Region::new(k), v))
+                .collect();
         let homes = ["b", "c"].map(Region::new).into_iter().collect();
         let pol = Policy::standard("s");
         let names = |open: &dyn Fn(&Region) -> bool| -> Vec<String> {
@@ -95,8 +95,7 @@
         let cands = [(Region::new("a"), 3.0), (Region::new("b"), 1.0)];
         let n = 20_000u64;
         let by_key = (0..n).filter(|k| draw_by_key(&cands, *k).unwrap().as_str() == "a").count();
-        let by_unit =
-            (0..n).filter(|k| draw(&cands, *k as f64 / n as f64).unwrap().as_str() == "a").count();
+        let by_unit = (0..n).filter(|k| draw(&cands, *k as f64 / n as f64).unwrap().as_str() == "a").count();
         assert!((14_600..15_400).contains(&by_key), "{by_key}");
         assert_eq!(by_unit, 15_000);
     }
--- a/crates/track/src/cut.rs
+++ b/crates/track/src/cut.rs
@@ -91,7 +91,10 @@
         .collect();
         let code = if why.is_empty() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         let revision = self.member.governs.load(Ordering::Acquire);
-        gauge::http::json(code, &serde_json::json!({"ready": why.is_empty(), "why": why, "revision": revision, "idx": l.idx}))
+        gauge::http::json(
+            code,
+            &serde_json::json!({"ready": why.is_empty(), "why": why, "revision": revision, "idx": l.idx}),
+        )
     }
 
     pub fn metrics(&self) -> String {
--- a/crates/track/src/edge.rs
+++ b/crates/track/src/edge.rs
@@ -23,7 +23,9 @@
 
 pub fn marked(mut r: Res, job: &JobId, outcome: &'static str, reason: &str) -> Res {
     let h = r.headers_mut();
-    for (k, v) in [("foldshunt-job", job.as_str()), ("foldshunt-outcome", outcome), ("foldshunt-reason", reason)] {
+    for (k, v) in
+        [("foldshunt-job", job.as_str()), ("foldshunt-outcome", outcome), ("foldshunt-reason", reason)]
+    {
         if let Ok(v) = v.parse()
             && !(k == "foldshunt-reason" && reason.is_empty())
         {
@@ -36,7 +38,8 @@
 /// Not run, and never will be: said at once, with when to come back.
 pub fn bounced_as(r: &Router, job: &JobId, code: StatusCode, reason: &str, retry_s: u64) -> Res {
     r.numbers.bounce(reason);
-    let mut res = json(code, &j!({"outcome": "bounced", "reason": reason, "job": job, "retry_after_s": retry_s}));
+    let mut res =
+        json(code, &j!({"outcome": "bounced", "reason": reason, "job": job, "retry_after_s": retry_s}));
     if retry_s > 0
         && let Ok(v) = retry_s.to_string().parse()
     {
--- a/crates/track/src/go.rs
+++ b/crates/track/src/go.rs
@@ -77,9 +77,9 @@
         Err(e) => return Outcome::NotRun(e),
     };
     let built = || {
-        let mut req = Request::builder().method(sent.method.clone()).uri(
-            sent.uri.path_and_query().map(|p| p.as_str()).unwrap_or("/"),
-        );
+        let mut req = Request::builder()
+            .method(sent.method.clone())
+            .uri(sent.uri.path_and_query().map(|p| p.as_str()).unwrap_or("/"));
         if let Some(h) = req.headers_mut() {
             h.extend(sent.headers.clone());
             h.insert("host", to.to_string().parse().at(step, to)?);
--- a/crates/track/src/key.rs
+++ b/crates/track/src/key.rs
@@ -16,7 +16,9 @@
     let parsed = std::cell::OnceCell::new();
     let doc = || parsed.get_or_init(|| serde_json::from_slice::<serde_json::Value>(body).ok());
     parts.iter().find_map(|p| match p {
-        KeyPart::Header(h) => header(h).filter(|v| !v.is_empty()).map(|v| UserKey::of(tenant, h, v.as_bytes())),
+        KeyPart::Header(h) => {
+            header(h).filter(|v| !v.is_empty()).map(|v| UserKey::of(tenant, h, v.as_bytes()))
+        }
         KeyPart::Json(path) => doc()
             .as_ref()
             .and_then(|d| path.split('.').try_fold(d, |at, k| at.get(k)))
--- a/crates/track/src/lending.rs
+++ b/crates/track/src/lending.rs
@@ -65,14 +65,18 @@
             .map(|c| c.gauge.capacity * over - c.consumption())
             .sum();
         let l = self.ledger();
-        let askers = l.routers().into_iter().filter(|m| g.table.region_of(&m.card.area) != Some(region)).count();
+        let askers =
+            l.routers().into_iter().filter(|m| g.table.region_of(&m.card.area) != Some(region)).count();
         let tun = &g.table.tuning;
         let mut lender = lock(&self.lender);
         if !lender.well(now, full_set) {
             return Ok(None);
         }
         let pass = lender.grant(region, svc, node, room * tun.lend_share, askers, tun.pass_ms, now);
-        self.numbers.passes.with_label_values(&["granted"]).inc_by(pass.as_ref().map_or(0, |p| u64::from(p.count)));
+        self.numbers
+            .passes
+            .with_label_values(&["granted"])
+            .inc_by(pass.as_ref().map_or(0, |p| u64::from(p.count)));
         Ok(pass)
     }
 
@@ -114,7 +118,11 @@
                     let to = lender.card.rail;
                     tokio::spawn(async move {
                         let asked = me.now();
-                        let ask = Ask::Passes { region: region.clone(), service: svc.clone(), node: me.node().clone() };
+                        let ask = Ask::Passes {
+                            region: region.clone(),
+                            service: svc.clone(),
+                            node: me.node().clone(),
+                        };
                         if let Ok(Reply::Pass(p)) = me.lines.call("passes", to, ask).await {
                             lock(&me.purse).put(&region, &svc, p, asked);
                         }
--- a/crates/track/src/lib.rs
+++ b/crates/track/src/lib.rs
@@ -1,6 +1,7 @@
 //! The data plane (design 5 and 6): a plan is made as data, then carried out.
 
 pub mod answer;
+pub mod away;
 pub mod body;
 pub mod budget;
 pub mod carry;
--- a/crates/track/src/place.rs
+++ b/crates/track/src/place.rs
@@ -39,8 +39,7 @@
             count("no key");
             return draw(&cands, rand::random()).map(|region| Placed { region, stored: false });
         };
-        let good =
-            |r: &Region| p.homes.contains(r) && !avoid.contains(r) && passes(seen.get(r), pol);
+        let good = |r: &Region| p.homes.contains(r) && !avoid.contains(r) && passes(seen.get(r), pol);
         let mut stale = None;
         if let Some(c) = self.cached(key, &p.entry.to) {
             if good(&c.region) {
@@ -178,7 +177,8 @@
                 for m in owners.into_iter().skip(1).take(3) {
                     let (me, to) = (self.clone(), m.card.rail);
                     tokio::spawn(async move {
-                        if let Ok(Reply::Rows(rows)) = me.lines.call("fetch", to, Ask::Fetch { shard }).await {
+                        if let Ok(Reply::Rows(rows)) = me.lines.call("fetch", to, Ask::Fetch { shard }).await
+                        {
                             me.take_copies(rows);
                         }
                     });
--- a/crates/track/src/pressure.rs
+++ b/crates/track/src/pressure.rs
@@ -5,7 +5,10 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
-    sync::{Arc, Mutex, atomic::{AtomicI64, AtomicU64, Ordering}},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicI64, AtomicU64, Ordering},
+    },
 };
 
 /// One replica as its home node sees it.
@@ -115,9 +118,10 @@
         let _w = self.write.lock().unwrap_or_else(|e| e.into_inner());
         let key = (fig.service.clone(), fig.area.clone());
         let mut b = Board::clone(&self.board.load());
-        let newer = b.seen.get(&key).is_none_or(|s| {
-            fig.fence > s.fig.fence || (fig.fence == s.fig.fence && fig.seq >= s.fig.seq)
-        });
+        let newer = b
+            .seen
+            .get(&key)
+            .is_none_or(|s| fig.fence > s.fig.fence || (fig.fence == s.fig.fence && fig.seq >= s.fig.seq));
         if newer {
             let again = b.seen.get(&key).is_some_and(|s| s.fig.seq == fig.seq && s.fig.fence == fig.fence);
             if !again {
--- a/crates/track/src/probe.rs
+++ b/crates/track/src/probe.rs
@@ -228,7 +228,8 @@
 
     /// `Server-Load` on an answer: a share of the capacity, or per cent of it.
     pub fn note_load(&self, own: &Own, h: &hyper::HeaderMap) {
-        let said = h.get("server-load").and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse::<f64>().ok());
+        let said =
+            h.get("server-load").and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse::<f64>().ok());
         if let Some(v) = said.filter(|v| v.is_finite() && *v >= 0.0) {
             let share = if v > 1.0 { v / 100.0 } else { v };
             own.load.store((share * 1000.0) as i64, Ordering::Relaxed);
--- a/crates/track/src/rail.rs
+++ b/crates/track/src/rail.rs
@@ -14,22 +14,53 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Ask {
     /// A sign of life, with what this node has seen.
-    Hail { idx: Index },
-    News { have: Index },
+    Hail {
+        idx: Index,
+    },
+    News {
+        have: Index,
+    },
     /// Settles a miss or a failed placement at the shard's owner: first writer wins.
-    Settle { fence: Fence, key: UserKey, service: Service, stale: Option<u64>, pick: Option<Region>, ttl_ms: u64 },
+    Settle {
+        fence: Fence,
+        key: UserKey,
+        service: Service,
+        stale: Option<u64>,
+        pick: Option<Region>,
+        ttl_ms: u64,
+    },
     /// From an owner to its followers.
-    Copy { fence: Fence, shard: u16, rows: Vec<Copy> },
+    Copy {
+        fence: Fence,
+        shard: u16,
+        rows: Vec<Copy>,
+    },
     /// A new owner asks for what others hold of its shard.
-    Fetch { shard: u16 },
-    Watch { service: Service, area: Area, seq: u64, fence: Fence, wait_ms: u64 },
-    Passes { region: Region, service: Service, node: NodeId },
-    Redeem { spent: Spent },
+    Fetch {
+        shard: u16,
+    },
+    Watch {
+        service: Service,
+        area: Area,
+        seq: u64,
+        fence: Fence,
+        wait_ms: u64,
+    },
+    Passes {
+        region: Region,
+        service: Service,
+        node: NodeId,
+    },
+    Redeem {
+        spent: Spent,
+    },
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Reply {
-    Hailed { idx: Index },
+    Hailed {
+        idx: Index,
+    },
     News(News),
     Settled(Settled),
     Rows(Vec<Copy>),
--- a/crates/track/src/replica.rs
+++ b/crates/track/src/replica.rs
@@ -81,9 +81,9 @@
         let ratio = |c: &Candidate| c.consumption() / c.gauge.capacity.max(1.0);
         let best = match (kind, key) {
             // The same user's prefixes stay on the same replica while it has room.
-            (Kind::Model, Some(k)) => all.into_iter().max_by_key(|c| {
-                stable_hash(&[&k.0.to_le_bytes(), c.gauge.id.as_str().as_bytes()])
-            }),
+            (Kind::Model, Some(k)) => all
+                .into_iter()
+                .max_by_key(|c| stable_hash(&[&k.0.to_le_bytes(), c.gauge.id.as_str().as_bytes()])),
             (Kind::Model, None) => all.into_iter().min_by(|a, b| ratio(a).total_cmp(&ratio(b))),
             (Kind::Application, _) => all.into_iter().min_by(|a, b| {
                 let far = |c: &Candidate| c.area != *self.area();
--- a/crates/track/src/router.rs
+++ b/crates/track/src/router.rs
@@ -10,7 +10,9 @@
     waitlist::Waitlist,
 };
 use arc_swap::ArcSwapOption;
-use gauge::{Area, Clock, NodeId, Region, Revision, Service, Tick, http::Busy, jot, link::Lines, settings::Settings};
+use gauge::{
+    Area, Clock, NodeId, Region, Revision, Service, Tick, http::Busy, jot, link::Lines, settings::Settings,
+};
 use interlocking::{Ledger, member::Member};
 use std::{
     collections::{BTreeMap, HashMap},
--- a/crates/track/src/tab.rs
+++ b/crates/track/src/tab.rs
@@ -35,7 +35,11 @@
 pub enum Settled {
     /// Nothing is stored, and no pick was offered.
     Empty,
-    Held { region: Region, ver: u64, won: bool },
+    Held {
+        region: Region,
+        ver: u64,
+        won: bool,
+    },
 }
 
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/crates/trainset/src/fleet.rs
@@ -0,0 +1,169 @@
+//! Twelve nodes as real processes on 127.0.0.0/8 (design 7.2): three signalboxes and nine
+//! pointsmen over three areas, with stand-in back ends beside them.
+
+use crate::{
+    deployment::Deployment,
+    node::{Node, RAIL},
+    operator::Operator,
+    standin::{Shape, StandIn},
+};
+use eyre::{Result, eyre};
+use gauge::http::ask;
+use hyper::Method;
+use nix::sys::signal::Signal;
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
+
+pub struct Fleet {
+    pub dep: Deployment,
+    pub nodes: Vec<Node>,
+    pub backs: Vec<Arc<StandIn>>,
+    pub dir: PathBuf,
+    bin: PathBuf,
+    pub net: u8,
+}
+
+fn ip(net: u8, group: u8, n: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, net, group, n))
+}
+
+impl Fleet {
+    pub async fn start(dep: Deployment, dir: &Path, net: u8) -> Result<Fleet> {
+        let bin = std::env::current_exe()?.parent().map(Path::to_path_buf).unwrap_or_default();
+        // Tests run from a folder below that of the programs.
+        let bin =
+            if bin.ends_with("deps") { bin.parent().map(Path::to_path_buf).unwrap_or(bin) } else { bin };
+        let mut nodes = Vec::new();
+        for (a, (area, _)) in dep.areas.iter().enumerate() {
+            for n in 0..4u8 {
+                let core = n == 0;
+                let num = if core { a + 1 } else { a * 3 + n as usize };
+                let name = format!("{}{num}", if core { "s" } else { "p" });
+                let ip = ip(net, a as u8 + 1, n + 1);
+                nodes.push(Node { dir: dir.join(&name), name, area, core, ip, child: None });
+            }
+        }
+        let seeds: Vec<SocketAddr> =
+            nodes.iter().filter(|n| n.core).map(|n| SocketAddr::new(n.ip, RAIL)).collect();
+        for n in &mut nodes {
+            std::fs::create_dir_all(&n.dir)?;
+            std::fs::write(n.dir.join("node.toml"), n.settings(dep.name, &seeds))?;
+            n.start(&bin)?;
+        }
+        let mut backs = Vec::new();
+        for (svc, per_area) in &dep.replicas {
+            for (a, count) in per_area.iter().enumerate() {
+                for _ in 0..*count {
+                    let (area, region) = dep.areas[a];
+                    let model = *svc == dep.replicas[0].0;
+                    let shape = Shape {
+                        service: svc.to_string(),
+                        area: area.into(),
+                        region: region.into(),
+                        slots: if model { 4 } else { 32 },
+                        prefixes: 24,
+                        cold_ms: if model { 240 } else { 4 },
+                        warm_ms: if model { 40 } else { 4 },
+                        token_ms: if model { 12 } else { 1 },
+                    };
+                    let n = backs.len() as u8;
+                    let addr = SocketAddr::new(ip(net, 100, n + 1), 9000);
+                    backs.push(StandIn::new(format!("{svc}-{area}-{n}"), addr, shape));
+                }
+            }
+        }
+        for b in &backs {
+            b.start().await?;
+        }
+        Ok(Fleet { dep, nodes, backs, dir: dir.into(), bin, net })
+    }
+
+    pub fn operator(&self) -> Operator {
+        let seats = self.nodes.iter().filter(|n| n.core).map(|n| n.http()).collect();
+        Operator { ip: self.caller_ip(), seats }
+    }
+
+    pub fn caller_ip(&self) -> IpAddr {
+        ip(self.net, 200, 1)
+    }
+
+    pub fn node(&mut self, name: &str) -> Result<&mut Node> {
+        self.nodes.iter_mut().find(|n| n.name == name).ok_or_else(|| eyre!("no node {name:?}"))
+    }
+
+    pub fn back(&self, id: &str) -> Result<&Arc<StandIn>> {
+        self.backs.iter().find(|b| b.id == id).ok_or_else(|| eyre!("no replica {id:?}"))
+    }
+
+    pub fn start_node(&mut self, name: &str) -> Result<()> {
+        let bin = self.bin.clone();
+        self.node(name)?.start(&bin)
+    }
+
+    /// Lists the replicas, applies the document, and waits until all routers are ready.
+    pub async fn open(&self) -> Result<()> {
+        let op = self.operator();
+        for b in &self.backs {
+            let mut listed = false;
+            for _ in 0..60 {
+                listed = op.list(&b.id, &b.shape.service, &b.shape.area, b.addr).await;
+                if listed {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(250)).await;
+            }
+            eyre::ensure!(listed, "the core did not list {}", b.id);
+        }
+        let res = op.apply(self.dep.document, 0, "first").await;
+        eyre::ensure!(
+            res.as_ref().is_some_and(|r| r.0 == 200),
+            "the first document was not accepted: {res:?}"
+        );
+        for n in self.nodes.iter().filter(|n| !n.core) {
+            let mut ready = false;
+            for _ in 0..100 {
+                ready = self.ready(n).await;
+                if ready {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            eyre::ensure!(ready, "{} is not ready", n.name);
+        }
+        Ok(())
+    }
+
+    pub async fn ready(&self, n: &Node) -> bool {
+        let res = ask(self.caller_ip(), n.http(), Method::GET, "/readyz", &[], "", 1_000).await;
+        res.is_ok_and(|r| r.0.is_success())
+    }
+
+    /// Sum of one counter's rows that carry `label`, over all routers that answer.
+    pub async fn sum(&self, metric: &str, label: &str) -> f64 {
+        let mut sum = 0.0;
+        for n in self.nodes.iter().filter(|n| !n.core && n.runs()) {
+            if let Ok((_, _, b)) =
+                ask(self.caller_ip(), n.http(), Method::GET, "/metrics", &[], "", 2_000).await
+            {
+                sum += String::from_utf8_lossy(&b)
+                    .lines()
+                    .filter(|l| l.starts_with(metric) && l.contains(label))
+                    .filter_map(|l| l.rsplit(' ').next().and_then(|v| v.parse::<f64>().ok()))
+                    .sum::<f64>();
+            }
+        }
+        sum
+    }
+
+    pub async fn stop(&mut self) {
+        for n in &mut self.nodes {
+            let _ = n.signal(Signal::SIGCONT);
+            let _ = n.kill().await;
+        }
+        self.backs.iter().for_each(|b| b.crash());
+    }
+}
--- a/crates/trainset/src/lib.rs
+++ b/crates/trainset/src/lib.rs
@@ -1,1 +1,12 @@
+//! Proof (design 7): stand-ins for callers and back ends, a whole fleet on one machine, and the
+//! seeded simulator. The only package that starts processes.
 
+pub mod audit;
+pub mod caller;
+pub mod deployment;
+pub mod drive;
+pub mod fault;
+pub mod fleet;
+pub mod node;
+pub mod operator;
+pub mod standin;
--- /dev/null
+++ b/crates/trainset/src/operator.rs
@@ -0,0 +1,83 @@
+//! A stand-in operator: the calls of the operators' API, against any of the seats.
+
+use bytes::Bytes;
+use gauge::http::ask;
+use hyper::Method;
+use std::net::{IpAddr, SocketAddr};
+
+#[derive(Clone, Debug)]
+pub struct Operator {
+    pub ip: IpAddr,
+    pub seats: Vec<SocketAddr>,
+}
+
+impl Operator {
+    /// Asks the seats in turn until one gives a final answer.
+    pub async fn ask(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<(u16, Bytes)> {
+        for s in &self.seats {
+            let res = ask(self.ip, *s, method.clone(), path, headers, body.to_string(), 8_000).await;
+            if let Ok((code, _, b)) = res
+                && code.as_u16() != 503
+            {
+                return Some((code.as_u16(), b));
+            }
+        }
+        None
+    }
+
+    pub async fn list(&self, id: &str, service: &str, area: &str, addr: SocketAddr) -> bool {
+        let body = serde_json::json!({"id": id, "service": service, "area": area, "addr": addr}).to_string();
+        matches!(self.ask(Method::POST, "/v1/replicas", &[], &body).await, Some((200, _)))
+    }
+
+    pub async fn apply(&self, text: &str, base: u64, op: &str) -> Option<(u16, serde_json::Value)> {
+        let base = base.to_string();
+        let headers = [("if-match", base.as_str()), ("foldshunt-op", op)];
+        let (code, b) = self.ask(Method::PUT, "/v1/configuration", &headers, text).await?;
+        Some((code, serde_json::from_slice(&b).unwrap_or_default()))
+    }
+
+    pub async fn shown(&self) -> Option<String> {
+        let (code, b) = self.ask(Method::GET, "/v1/configuration", &[], "").await?;
+        (code == 200).then(|| String::from_utf8_lossy(&b).into_owned())
+    }
+
+    pub async fn status(&self) -> Option<serde_json::Value> {
+        let (code, b) = self.ask(Method::GET, "/v1/status", &[], "").await?;
+        (code == 200).then(|| serde_json::from_slice(&b).ok()).flatten()
+    }
+
+    pub async fn evacuate(&self, area: &str, on: bool) -> bool {
+        let body = serde_json::json!({"area": area}).to_string();
+        let path = format!("/v1/evacuations/{area}");
+        let res = if on {
+            self.ask(Method::POST, "/v1/evacuations", &[], &body).await
+        } else {
+            self.ask(Method::DELETE, &path, &[], "").await
+        };
+        matches!(res, Some((200, _)))
+    }
+}
+
+impl Operator {
+    /// Applies at the leader, and waits until all nodes say that the document governs.
+    pub async fn apply_waiting(&self, text: &str, base: u64, op: &str) -> Option<(u16, serde_json::Value)> {
+        let leader = self.status().await.and_then(|s| {
+            let name = s["leader"].as_str()?.to_string();
+            let roster = s["roster"].as_array()?.clone();
+            roster.iter().find(|h| h["node"] == name.as_str())?["http"].as_str()?.parse().ok()
+        });
+        let seats = leader.into_iter().chain(self.seats.iter().copied()).collect();
+        let first = Operator { seats, ..self.clone() };
+        let base = base.to_string();
+        let headers = [("if-match", base.as_str()), ("foldshunt-op", op)];
+        let (code, b) = first.ask(Method::PUT, "/v1/configuration?wait_ms=5000", &headers, text).await?;
+        Some((code, serde_json::from_slice(&b).unwrap_or_default()))
+    }
+}
