--- a/crates/interlocking/src/seat/mod.rs
+++ b/crates/interlocking/src/seat/mod.rs
@@ -4,9 +4,13 @@
 mod form;
 mod lead;
 mod msg;
+mod post;
 mod sync;
 mod view;
 
+pub(crate) use post::Feed;
+pub use post::{Peer, Post};
+
 pub use msg::{Body, Ev, Fx, Image, LogEntry, Rec, SeatMsg, Tail, Voter};
 
 use crate::{
@@ -26,50 +30,6 @@
 /// Records after which a new slot is written.
 const SLOT_RECS: usize = 512;
 
-#[derive(Clone, Debug, Default)]
-pub struct Peer {
-    pub installed: bool,
-    pub last: Index,
-    pub accepted: Index,
-    /// Send time, on our clock, of the newest feed that it answered.
-    pub stamp: Tick,
-}
-
-/// A leader's feed as it arrived.
-pub(crate) struct Feed {
-    from: SocketAddr,
-    by: Voter,
-    to: u8,
-    view: View,
-    accepted: Index,
-    stamp: Tick,
-    body: Body,
-}
-
-#[derive(Clone, Debug)]
-pub enum Post {
-    Follower {
-        leader: Option<Voter>,
-        heard: Tick,
-    },
-    Canvass {
-        view: View,
-        ayes: Vec<u8>,
-        since: Tick,
-    },
-    Candidate {
-        view: View,
-        got: BTreeMap<u8, Tail>,
-        since: Tick,
-    },
-    /// Speaks for the whole order only once all up to `floor` is accepted in its own view.
-    Leader {
-        peers: BTreeMap<u8, Peer>,
-        since: Tick,
-        floor: Index,
-    },
-}
-
 #[derive(Clone, Debug)]
 pub struct Seat {
     pub me: Holder,
--- a/crates/interlocking/tests/seat.rs
+++ b/crates/interlocking/tests/seat.rs
@@ -60,11 +60,11 @@
 
 /// Tells the seat that all its writes are synced; what that releases.
 fn synced(s: &mut Seat, fx: &[Fx], now: Tick) -> Vec<Fx> {
-    let last = fx.iter().filter_map(|f| match f {
+    let mut last = fx.iter().filter_map(|f| match f {
         Fx::Persist { tok, .. } => Some(*tok),
         _ => None,
     });
-    last.last().map(|tok| s.step(Ev::Synced(tok), now)).unwrap_or_default()
+    last.next_back().map(|tok| s.step(Ev::Synced(tok), now)).unwrap_or_default()
 }
 
 fn held(n: u8, view: View, last: u64, stamp: Tick, installed: bool) -> Ev {
--- a/crates/trainset/src/sim/mod.rs
+++ b/crates/trainset/src/sim/mod.rs
@@ -7,6 +7,7 @@
 pub mod faults;
 pub mod nodes;
 pub mod sweep;
+pub mod way;
 
 pub mod world;
 
