A frozen or restarted router acts on nothing older than its own joining

Cause, by reading: after a restart a router could take its first frame from a seat that is cut off, and serve by a document older than the one that governed before; and a process frozen between plan and go went on as if no time had passed. Ruled out: the tenure alone prevents it (renewals go to the leader, news came from the seat of the area). Now new work waits until the state in hand holds the node's own joining, a lagging node asks the leader for news, and each go looks at deadline and membership again.

--- a/crates/interlocking/src/core/serve.rs
+++ b/crates/interlocking/src/core/serve.rs
@@ -36,7 +36,7 @@
         g.reports.insert(card.node.clone(), (idx, revision, now));
         let Inner { seat, tenures, .. } = &mut *g;
         match tenures.renew(&seat.ledger, &self.set.timing, &card, now) {
-            Ok(epoch) => Reply::Renewed { epoch: Epoch(epoch.0) },
+            Ok(epoch) => Reply::Renewed { epoch: Epoch(epoch.0), idx: seat.accepted() },
             Err(ch) => {
                 if let Some(ch) = ch {
                     let fx = g.seat.step(Ev::Propose(ch), now);
--- a/crates/interlocking/src/member.rs
+++ b/crates/interlocking/src/member.rs
@@ -33,6 +33,8 @@
     /// Revision whose compiled form is in use here.
     pub governs: AtomicU64,
     leader: Mutex<Option<SocketAddr>>,
+    /// Newest place that the leader spoke of.
+    told: AtomicU64,
     /// A gap was found in the news: the next question asks for a frame.
     gap: AtomicBool,
 }
@@ -50,6 +52,7 @@
             held: Mutex::default(),
             governs: AtomicU64::new(0),
             leader: Mutex::default(),
+            told: AtomicU64::new(0),
             gap: AtomicBool::new(false),
         })
     }
@@ -82,6 +85,13 @@
         self.held().valid(self.clock.now())
     }
 
+    /// What is held here is at least as new as the own joining: nothing that governed before a
+    /// restart of this node is newer (design 3.3).
+    pub fn caught_up(&self) -> bool {
+        let h = self.held();
+        h.epoch.0 > 0 && self.ledger.load().idx.0 >= h.epoch.0
+    }
+
     /// The core's addresses: those of the roster where it is known, and the seeds.
     pub fn seats(&self) -> Vec<(SocketAddr, bool)> {
         let l = self.ledger.load();
@@ -114,7 +124,8 @@
             let ask = Ask::Renew { card: self.card.clone(), idx: self.ledger.load().idx, revision };
             let ms = self.set.timing.renew_ms().min(self.set.timing.rail_ms);
             match self.lines.call_within(ms, "renew", to, ask).await {
-                Ok(Reply::Renewed { epoch }) => {
+                Ok(Reply::Renewed { epoch, idx }) => {
+                    self.told.fetch_max(idx.0, Ordering::AcqRel);
                     let mut g = self.held.lock().unwrap_or_else(|e| e.into_inner());
                     if g.epoch != epoch {
                         jot!(Info, "tenure", "peer" => to, "epoch" => epoch.0);
@@ -149,6 +160,11 @@
     async fn follow(&self) -> bool {
         let mut seats = self.seats();
         seats.sort_by_key(|(_, near)| !near);
+        // A seat that is cut off from the others may have nothing newer to tell.
+        let lags = self.ledger.load().idx.0 < self.told.load(Ordering::Acquire);
+        if let Some(h) = self.hint().filter(|_| lags) {
+            seats.sort_by_key(|(a, _)| *a != h);
+        }
         let wait_ms = self.set.timing.renew_ms();
         for (to, _) in seats {
             let gap = self.gap.swap(false, Ordering::AcqRel);
--- a/crates/interlocking/src/rail.rs
+++ b/crates/interlocking/src/rail.rs
@@ -44,8 +44,10 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Reply {
     Done,
+    /// With the place of the newest accepted change, so that a node knows when it lags.
     Renewed {
         epoch: Epoch,
+        idx: Index,
     },
     /// Asked for; come again with the next renewal.
     NotYet,
--- a/crates/track/src/carry.rs
+++ b/crates/track/src/carry.rs
@@ -57,6 +57,13 @@
         let mut open = Some(open);
         loop {
             let first = past.goes == 0;
+            // A process that was frozen must not act on what it knew before.
+            if self.now() >= p.deadline {
+                return self.given_up(p, &past, "past its deadline", 1);
+            }
+            if self.cut_off() {
+                return self.given_up(p, &past, "cut off", 3);
+            }
             match self.one_go(p, sent, &mut past, &mut open).await {
                 Next::Answer(r) => return r,
                 Next::Again => {}
--- a/crates/trainset/src/drive.rs
+++ b/crates/trainset/src/drive.rs
@@ -93,7 +93,7 @@
     let us = users(&dep, &mut rng);
     let routers: Vec<(SocketAddr, &'static str)> =
         f.nodes.iter().filter(|n| !n.core).map(|n| (n.http(), dep.region_of(n.area))).collect();
-    let ip = f.caller_ip();
+    let net = f.net;
     let begin = Instant::now();
     let mut jobs: JoinSet<Heard> = JoinSet::new();
     let mut acts = Vec::new();
@@ -120,6 +120,8 @@
                 let near: Vec<_> = routers.iter().filter(|r| r.1 == region).map(|r| r.0).collect();
                 let c = make(&dep, k, &u, n, seed);
                 let first = rng.random_range(0..near.len());
+                // One address has only so many ports.
+                let ip = crate::fleet::ip(net, 200, 1 + (n % 40) as u8);
                 jobs.spawn(async move {
                     // A caller that gets no connection has asked nothing: it tries the next one.
                     let mut last = None;
--- a/crates/trainset/src/fleet.rs
+++ b/crates/trainset/src/fleet.rs
@@ -27,7 +27,7 @@
     pub net: u8,
 }
 
-fn ip(net: u8, group: u8, n: u8) -> IpAddr {
+pub fn ip(net: u8, group: u8, n: u8) -> IpAddr {
     IpAddr::V4(Ipv4Addr::new(127, net, group, n))
 }
 
