--- a/crates/interlocking/src/api/mod.rs
+++ b/crates/interlocking/src/api/mod.rs
@@ -139,15 +139,17 @@
     fn status(&self) -> Value {
         let v = self.core.view();
         let (idx, rev) = (v.ledger.idx, v.ledger.revision);
+        // Renewals go to the leader: only it knows what governs where.
+        let leads = v.leader.as_ref().is_some_and(|l| l.node == v.me.node);
         let members: Vec<Value> = v
             .ledger
             .members
             .values()
             .map(|m| {
                 let told = v.reports.get(&m.card.node);
-                j!({"node": m.card.node, "area": m.card.area, "role": m.card.role, "rail": m.card.rail,
+                j!({"node": m.card.node, "area": m.card.area, "role": m.card.role, "lang": m.card.lang, "rail": m.card.rail,
                     "http": m.card.http, "epoch": m.epoch, "idx": told.map(|r| r.0), "revision": told.map(|r| r.1),
-                    "lags": told.is_none_or(|r| r.0 < idx || r.1 < rev)})
+                    "lags": leads.then(|| told.is_none_or(|r| r.0 < idx || r.1 < rev))})
             })
             .collect();
         j!({"cluster": self.core.set.cluster, "seat": v.me, "view": v.view, "leader": v.leader.map(|l| l.node),
--- a/crates/interlocking/src/change.rs
+++ b/crates/interlocking/src/change.rs
@@ -42,6 +42,8 @@
     pub node: NodeId,
     pub inc: Incarnation,
     pub role: Role,
+    /// Version of the document's language that this node can compile.
+    pub lang: u32,
     pub area: Area,
     pub rail: SocketAddr,
     pub http: SocketAddr,
--- a/crates/interlocking/src/ledger.rs
+++ b/crates/interlocking/src/ledger.rs
@@ -145,6 +145,7 @@
             node: "n".into(),
             inc: Incarnation(3),
             role: crate::change::Role::Router,
+            lang: 1,
             area: "a".into(),
             rail: addr,
             http: addr,
--- a/crates/interlocking/src/lib.rs
+++ b/crates/interlocking/src/lib.rs
@@ -17,3 +17,4 @@
 
 pub use change::{Change, Replica, ReplicaMove, Role, Verdict};
 pub use ledger::{Ledger, Member};
+pub use timetable::LANG;
--- a/crates/interlocking/src/tenure.rs
+++ b/crates/interlocking/src/tenure.rs
@@ -103,8 +103,15 @@
     fn a_lapsed_tenure_is_not_renewed() {
         let addr = "127.0.0.1:1".parse().unwrap();
         let inc = Incarnation(1);
-        let card =
-            Card { node: "n".into(), inc, role: Role::Router, area: "a".into(), rail: addr, http: addr };
+        let card = Card {
+            node: "n".into(),
+            inc,
+            role: Role::Router,
+            lang: 1,
+            area: "a".into(),
+            rail: addr,
+            http: addr,
+        };
         let mut l = Ledger::founded("c", vec![]);
         l.fold(Index(1), &Change::Join(card.clone()));
         let t = Timing::default();
--- a/crates/pointsman/src/main.rs
+++ b/crates/pointsman/src/main.rs
@@ -33,6 +33,7 @@
         node: set.node.as_str().into(),
         inc: Incarnation(rand::random::<u64>() >> 1),
         role: Role::Router,
+        lang: interlocking::LANG,
         area: set.area.as_str().into(),
         rail: set.rail(),
         http: set.http_told(),
--- a/crates/signalbox/src/main.rs
+++ b/crates/signalbox/src/main.rs
@@ -38,6 +38,7 @@
         node: set.node.as_str().into(),
         inc: core.view().me.inc,
         role: Role::Core,
+        lang: interlocking::LANG,
         area: set.area.as_str().into(),
         rail: set.rail(),
         http: set.http_told(),
--- a/crates/timetable/src/lib.rs
+++ b/crates/timetable/src/lib.rs
@@ -1,6 +1,9 @@
 //! The operator's document: reading, checks, the small language and its compiler (design 4).
 //! Pure: no input or output, the same result on every node.
 
+/// Version of the language; a node that reads an older one is told by `wheeltapper`.
+pub const LANG: u32 = 1;
+
 pub mod compile;
 pub mod doc;
 pub mod fleet;
--- a/crates/trainset/src/audit.rs
+++ b/crates/trainset/src/audit.rs
@@ -3,10 +3,11 @@
 use crate::{
     caller::{Heard, Told},
     drive::Ride,
+    fault::What,
     standin::{StandIn, by_job},
 };
 use serde::Serialize;
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 #[derive(Debug, Default, Serialize)]
 pub struct Audit {
@@ -30,6 +31,12 @@
     pub garbled: usize,
     /// Must be zero: whole answers without a run.
     pub done_not_run: usize,
+    /// Must be zero: runs begun at a drained or removed replica later than 4 s after that.
+    pub late_at_departed: usize,
+    /// Must be zero: runs begun in an evacuated area later than 5 s after that.
+    pub late_at_evacuated: usize,
+    /// How long after a drain, removal or evacuation the last run began there.
+    pub last_begun_after_ms: BTreeMap<String, u128>,
     pub bounced_without_retry_after: usize,
     pub slowest_bounce_ms: u128,
     pub model_runs: usize,
@@ -42,6 +49,8 @@
     pub hops: f64,
     pub read_back_exact: Option<bool>,
     pub acts: Vec<String>,
+    /// Longest time between the beginnings of two jobs that were done, by entry.
+    pub longest_gap_ms: BTreeMap<String, u128>,
     pub p50_ms: BTreeMap<String, u128>,
     pub p99_ms: BTreeMap<String, u128>,
     pub examples: Vec<String>,
@@ -61,7 +70,17 @@
         a.most_open_at_a_replica =
             a.most_open_at_a_replica.max(runs.iter().map(|r| r.open).max().unwrap_or(0));
     }
+    departures(&mut a, ride, backs);
     a.prefix_hit_ratio = a.prefix_hits as f64 / a.model_runs.max(1) as f64;
+    let mut begun: BTreeMap<&str, Vec<std::time::Instant>> = BTreeMap::new();
+    for h in ride.heard.iter().filter(|h| h.told == Told::Done) {
+        begun.entry(h.call.entry).or_default().push(h.at);
+    }
+    for (k, mut v) in begun {
+        v.sort();
+        let gap = v.windows(2).map(|w| w[1].duration_since(w[0]).as_millis()).max();
+        a.longest_gap_ms.insert(k.into(), gap.unwrap_or(0));
+    }
     let mut took: BTreeMap<String, Vec<u128>> = BTreeMap::new();
     for h in ride.heard.iter().filter(|h| h.told == Told::Done) {
         took.entry(h.call.entry.into()).or_default().push(h.took.as_millis());
@@ -76,6 +95,41 @@
     a
 }
 
+/// Runs that began where nothing new may begin any more.
+fn departures(a: &mut Audit, ride: &Ride, backs: &[Arc<StandIn>]) {
+    for act in ride.acts.iter().filter(|x| x.ok) {
+        let whom = act.fault.whom.as_str();
+        let back = |w: &What| {
+            let later =
+                ride.acts.iter().filter(|x| x.at > act.at && x.fault.what == *w && x.fault.whom == whom);
+            later.map(|x| x.at).min()
+        };
+        let (span, until) = match act.fault.what {
+            What::Drain | What::Remove => (Duration::from_secs(4), None),
+            What::Evacuate => (Duration::from_secs(5), back(&What::Restore)),
+            _ => continue,
+        };
+        let last = backs
+            .iter()
+            .filter(|b| b.shape.area == whom || b.id == whom)
+            .flat_map(|b| b.runs())
+            .filter(|r| r.at > act.at && until.is_none_or(|u| r.at < u))
+            .map(|r| r.at.duration_since(act.at).as_millis())
+            .max();
+        a.last_begun_after_ms.insert(act.what.clone(), last.unwrap_or(0));
+        let late = |s: &StandIn| {
+            let from = act.at + span;
+            s.runs().iter().filter(|r| r.at > from && until.is_none_or(|u| r.at < u)).count()
+        };
+        if act.fault.what == What::Evacuate {
+            a.late_at_evacuated +=
+                backs.iter().filter(|b| b.shape.area == whom).map(|b| late(b)).sum::<usize>();
+        } else {
+            a.late_at_departed += backs.iter().filter(|b| b.id == whom).map(|b| late(b)).sum::<usize>();
+        }
+    }
+}
+
 fn one(a: &mut Audit, h: &Heard, runs: &[(Arc<StandIn>, crate::standin::Run)]) {
     let mut note = |what: &str| {
         if a.examples.len() < 12 {
@@ -134,6 +188,8 @@
             ("misrouted", self.misrouted),
             ("garbled", self.garbled),
             ("done, not run", self.done_not_run),
+            ("late at a departed replica", self.late_at_departed),
+            ("late in an evacuated area", self.late_at_evacuated),
             ("read-back differs", usize::from(self.read_back_exact == Some(false))),
         ]
         .into_iter()
@@ -155,11 +211,13 @@
             misrouted: 3,
             garbled: 4,
             done_not_run: 5,
+            late_at_departed: 6,
+            late_at_evacuated: 7,
             read_back_exact: Some(false),
             ..Audit::default()
         };
         let counts: Vec<usize> = bad.violations().into_iter().map(|v| v.1).collect();
-        assert_eq!(counts, [1, 2, 3, 4, 5, 1]);
+        assert_eq!(counts, [1, 2, 3, 4, 5, 6, 7, 1]);
         assert!(Audit { read_back_exact: Some(true), ..Audit::default() }.violations().is_empty());
     }
 }
--- a/crates/trainset/src/drive.rs
+++ b/crates/trainset/src/drive.rs
@@ -20,6 +20,7 @@
 pub struct Act {
     pub at: Instant,
     pub what: String,
+    pub fault: Fault,
     pub ok: bool,
     /// For documents: how long until all nodes said that it governs.
     pub governs_ms: Option<u64>,
@@ -152,7 +153,7 @@
 async fn act(f: &mut Fleet, x: &Fault, seed: u64) -> Act {
     let at = Instant::now();
     let what = format!("{}:{:?}:{}", x.second, x.what, x.whom);
-    let mut out = Act { at, what, ok: true, governs_ms: None, text: None };
+    let mut out = Act { at, what, fault: x.clone(), ok: true, governs_ms: None, text: None };
     let op = f.operator();
     let whom = x.whom.as_str();
     let area: Vec<String> = f.nodes.iter().filter(|n| n.area == whom).map(|n| n.name.clone()).collect();
@@ -167,6 +168,8 @@
             }
             What::Freeze => f.node(whom)?.signal(Signal::SIGSTOP)?,
             What::Thaw => f.node(whom)?.signal(Signal::SIGCONT)?,
+            What::Cut => f.relays.cut(f.pairs(whom)),
+            What::Mend => f.relays.mend(&f.pairs(whom)),
             What::KillArea => {
                 for n in &area {
                     f.node(n)?.kill().await?;
--- a/crates/trainset/src/fault.rs
+++ b/crates/trainset/src/fault.rs
@@ -14,6 +14,9 @@
     Blank,
     Freeze,
     Thaw,
+    /// Cuts a node or area off (`p1`), only outwards (`p1>`), or one link (`s1--s2`).
+    Cut,
+    Mend,
     Evacuate,
     Restore,
     /// A replica crashes, comes back cold, is drained, or leaves.
@@ -44,6 +47,8 @@
     ("blank", What::Blank),
     ("freeze", What::Freeze),
     ("thaw", What::Thaw),
+    ("cut", What::Cut),
+    ("mend", What::Mend),
     ("evacuate", What::Evacuate),
     ("restore", What::Restore),
     ("crash", What::Crash),
--- a/crates/trainset/src/fleet.rs
+++ b/crates/trainset/src/fleet.rs
@@ -3,8 +3,9 @@
 
 use crate::{
     deployment::Deployment,
-    node::{Node, RAIL},
+    node::{HTTP, Node, RAIL},
     operator::Operator,
+    relay::{Cuts, Relays},
     standin::{Shape, StandIn},
 };
 use eyre::{Result, eyre};
@@ -25,6 +26,7 @@
     pub dir: PathBuf,
     bin: PathBuf,
     pub net: u8,
+    pub relays: Relays,
 }
 
 pub fn ip(net: u8, group: u8, n: u8) -> IpAddr {
@@ -43,12 +45,18 @@
                 let core = n == 0;
                 let num = if core { a + 1 } else { a * 3 + n as usize };
                 let name = format!("{}{num}", if core { "s" } else { "p" });
-                let ip = ip(net, a as u8 + 1, n + 1);
-                nodes.push(Node { dir: dir.join(&name), name, area, core, ip, child: None });
+                let (told, ip) = (ip(net, a as u8 + 51, n + 1), ip(net, a as u8 + 1, n + 1));
+                nodes.push(Node { dir: dir.join(&name), name, area, core, ip, told, child: None });
             }
         }
         let seeds: Vec<SocketAddr> =
-            nodes.iter().filter(|n| n.core).map(|n| SocketAddr::new(n.ip, RAIL)).collect();
+            nodes.iter().filter(|n| n.core).map(|n| SocketAddr::new(n.told, RAIL)).collect();
+        let relays = Relays::default();
+        for n in &nodes {
+            for port in [RAIL, HTTP] {
+                relays.put(SocketAddr::new(n.told, port), SocketAddr::new(n.ip, port)).await?;
+            }
+        }
         for n in &mut nodes {
             std::fs::create_dir_all(&n.dir)?;
             std::fs::write(n.dir.join("node.toml"), n.settings(dep.name, &seeds))?;
@@ -79,7 +87,7 @@
         for b in &backs {
             b.start().await?;
         }
-        Ok(Fleet { dep, nodes, backs, dir: dir.into(), bin, net })
+        Ok(Fleet { dep, nodes, backs, dir: dir.into(), bin, net, relays })
     }
 
     pub fn operator(&self) -> Operator {
@@ -87,6 +95,23 @@
         Operator { ip: self.caller_ip(), seats }
     }
 
+    /// Pairs that a cut names: `p1` from all others, `p1>` only outwards, `s1-s2` one link.
+    pub fn pairs(&self, whom: &str) -> Cuts {
+        let named = |n: &str| {
+            self.nodes.iter().filter(|x| x.name == n || x.area == n).map(|x| x.ip).collect::<Vec<_>>()
+        };
+        let all: Vec<IpAddr> = self.nodes.iter().map(|n| n.ip).collect();
+        let (a, b, back) = match (whom.strip_suffix('>'), whom.split_once("--")) {
+            (Some(n), _) => (named(n), all, false),
+            (_, Some((a, b))) => (named(a), named(b), true),
+            _ => (named(whom), all, true),
+        };
+        let inside = a.clone();
+        let out = a.iter().flat_map(|x| b.iter().map(move |y| (*x, *y)));
+        let out: Vec<_> = out.filter(|(_, y)| !inside.contains(y)).collect();
+        out.iter().flat_map(|(x, y)| [Some((*x, *y)), back.then_some((*y, *x))]).flatten().collect()
+    }
+
     pub fn caller_ip(&self) -> IpAddr {
         ip(self.net, 200, 1)
     }
--- a/crates/trainset/src/lib.rs
+++ b/crates/trainset/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod fleet;
 pub mod node;
 pub mod operator;
+pub mod relay;
 pub mod sim;
 pub mod standin;
--- a/crates/trainset/src/node.rs
+++ b/crates/trainset/src/node.rs
@@ -22,6 +22,8 @@
     pub area: &'static str,
     pub core: bool,
     pub ip: IpAddr,
+    /// Where its relay stands: what the others are told.
+    pub told: IpAddr,
     pub dir: PathBuf,
     pub child: Option<Child>,
 }
@@ -35,8 +37,8 @@
         let seeds: Vec<String> = seeds.iter().map(|s| format!("{s:?}").replace('"', "")).collect();
         let data = if self.core { format!("data = {:?}\n", self.dir.join("data")) } else { String::new() };
         format!(
-            "cluster = {cluster:?}\nnode = {:?}\narea = {:?}\nrail = \"{}:{RAIL}\"\nhttp = \"{}:{HTTP}\"\nseeds = {seeds:?}\n{data}",
-            self.name, self.area, self.ip, self.ip
+            "cluster = {cluster:?}\nnode = {:?}\narea = {:?}\nrail = \"{}:{RAIL}\"\nhttp = \"{}:{HTTP}\"\nrail_advertise = \"{}:{RAIL}\"\nhttp_advertise = \"{}:{HTTP}\"\nseeds = {seeds:?}\n{data}",
+            self.name, self.area, self.ip, self.ip, self.told, self.told
         )
     }
 
--- a/crates/trainset/src/sim/nodes.rs
+++ b/crates/trainset/src/sim/nodes.rs
@@ -126,6 +126,7 @@
             node: format!("p{n}").as_str().into(),
             inc: Incarnation(inc),
             role: Role::Router,
+            lang: 1,
             area: format!("a{}", n % 3).as_str().into(),
             rail: addr(100 + n),
             http: addr(100 + n),
--- /dev/null
+++ b/crates/wheeltapper/src/lib.rs
@@ -0,0 +1,192 @@
+//! Checks of a document against the fleet as it is (design 4.9): pure, over what a signalbox
+//! told of its state.
+
+use gauge::{Area, Region, Service};
+use interlocking::Replica;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use timetable::{Table, check_fleet, compile};
+
+/// The parts of `/v1/status` that the checks go by.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Status {
+    #[serde(default)]
+    pub cluster: String,
+    #[serde(default)]
+    pub leader: Option<String>,
+    #[serde(default)]
+    pub revision: u64,
+    #[serde(default)]
+    pub evacuated: BTreeSet<Area>,
+    #[serde(default)]
+    pub members: Vec<MemberRow>,
+    #[serde(default)]
+    pub replicas: BTreeMap<String, Replica>,
+    #[serde(default)]
+    pub roster: Vec<RosterRow>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct MemberRow {
+    pub node: String,
+    pub area: Area,
+    pub role: String,
+    #[serde(default)]
+    pub lags: Option<bool>,
+    #[serde(default)]
+    pub lang: u32,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct RosterRow {
+    pub node: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Weight {
+    Note,
+    Warning,
+    Fault,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Finding {
+    pub weight: Weight,
+    pub check: &'static str,
+    pub message: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub line: Option<usize>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub column: Option<usize>,
+}
+
+fn found(weight: Weight, check: &'static str, message: String) -> Finding {
+    Finding { weight, check, message, line: None, column: None }
+}
+
+/// All findings, the heaviest first.
+pub fn tap(src: &str, st: &Status) -> Vec<Finding> {
+    let mut out = Vec::new();
+    let flawed = |check, flaws: Vec<timetable::Flaw>| -> Vec<Finding> {
+        flaws
+            .into_iter()
+            .map(|f| Finding {
+                line: Some(f.line),
+                column: Some(f.column),
+                ..found(Weight::Fault, check, f.message)
+            })
+            .collect()
+    };
+    match compile(src) {
+        Err(f) => out.extend(flawed("document", f)),
+        Ok(t) => {
+            if t.cluster != st.cluster {
+                let msg = format!("the document is for cluster {:?}, this is {:?}", t.cluster, st.cluster);
+                out.push(found(Weight::Fault, "cluster", msg));
+            }
+            let live: Vec<(Service, Area)> = live(st).map(|r| (r.service.clone(), r.area.clone())).collect();
+            out.extend(flawed("homes", check_fleet(src, &t, &live)));
+            out.extend(strays(&t, st));
+            out.extend(losses(&t, st));
+            out.extend(routers(&t, st));
+        }
+    }
+    out.extend(nodes(st));
+    out.sort_by(|a, b| b.weight.cmp(&a.weight).then(a.line.cmp(&b.line)));
+    out
+}
+
+/// Replicas that can be given something: not draining, and not in an evacuated area.
+fn live(st: &Status) -> impl Iterator<Item = &Replica> {
+    st.replicas.values().filter(|r| !r.draining && !st.evacuated.contains(&r.area))
+}
+
+/// Replicas that the document has no place for.
+fn strays(t: &Table, st: &Status) -> Vec<Finding> {
+    let odd =
+        st.replicas.iter().filter_map(|(id, r)| match (t.areas.get(&r.area), t.services.get(&r.service)) {
+            (None, _) => {
+                Some(format!("replica {id} is in area {:?}, which the document does not have", r.area))
+            }
+            (_, None) => {
+                Some(format!("replica {id} is of service {:?}, which the document does not have", r.service))
+            }
+            _ => None,
+        });
+    odd.map(|m| found(Weight::Warning, "stray replica", m)).collect()
+}
+
+/// What would be left of each entry's replicas after the loss of any one area.
+fn losses(t: &Table, st: &Status) -> Vec<Finding> {
+    let mut out = Vec::new();
+    for e in &t.entries {
+        let homes = t.homes(e, None);
+        let count = |without: Option<&Area>| {
+            live(st)
+                .filter(|r| r.service == e.to && Some(&r.area) != without)
+                .filter(|r| t.region_of(&r.area).is_some_and(|x: &Region| homes.contains(x)))
+                .count()
+        };
+        let all = count(None);
+        for a in t.areas.keys().filter(|a| t.region_of(a).is_some_and(|r| homes.contains(r))) {
+            let left = count(Some(a));
+            if all > 0 && left == 0 {
+                let msg = format!("entry '{}' has no replica left when area '{a}' is lost", e.name);
+                out.push(found(Weight::Warning, "loss of an area", msg));
+            } else if left * 2 < all {
+                let msg =
+                    format!("entry '{}' keeps {left} of {all} replicas when area '{a}' is lost", e.name);
+                out.push(found(Weight::Note, "loss of an area", msg));
+            }
+        }
+    }
+    out
+}
+
+fn routers(t: &Table, st: &Status) -> Vec<Finding> {
+    let in_area = |a: &Area| st.members.iter().filter(|m| m.role == "Router" && m.area == *a).count();
+    t.areas
+        .keys()
+        .filter(|a| in_area(a) == 0)
+        .map(|a| found(Weight::Warning, "routers", format!("no router holds a tenure in area '{a}'")))
+        .chain(
+            st.evacuated
+                .iter()
+                .map(|a| found(Weight::Warning, "evacuation", format!("area '{a}' is evacuated"))),
+        )
+        .collect()
+}
+
+fn nodes(st: &Status) -> Vec<Finding> {
+    let mut out = Vec::new();
+    if st.leader.is_none() {
+        out.push(found(Weight::Fault, "core", "no leader: no change can be accepted now".into()));
+    }
+    for h in st.roster.iter().filter(|h| !st.members.iter().any(|m| m.node == h.node)) {
+        let msg = format!("seat holder {} holds no tenure: one more loss stops all changes", h.node);
+        out.push(found(Weight::Warning, "core", msg));
+    }
+    for m in st.members.iter().filter(|m| m.lags == Some(true)) {
+        out.push(found(Weight::Warning, "lag", format!("{} lags behind revision {}", m.node, st.revision)));
+    }
+    for m in st.members.iter().filter(|m| m.lang < timetable::LANG) {
+        let msg = format!(
+            "{} reads language version {}, this document is checked for {}",
+            m.node,
+            m.lang,
+            timetable::LANG
+        );
+        out.push(found(Weight::Fault, "too old", msg));
+    }
+    out
+}
+
+/// For scripts: 0 nothing but notes, 2 faults, 3 warnings.
+pub fn exit_code(f: &[Finding]) -> u8 {
+    match f.iter().map(|x| x.weight).max() {
+        Some(Weight::Fault) => 2,
+        Some(Weight::Warning) => 3,
+        _ => 0,
+    }
+}
