Routers share what a report shows as free, and users keep to their replicas

Cause: each of six routers took all the room that the last report of a replica showed, so 24 jobs were open where 4 slots are. Ruled out: the replica's own queue (it only showed the overshoot), the waitlist's bound (the same at 3x load).

--- a/crates/gauge/src/settings.rs
+++ b/crates/gauge/src/settings.rs
@@ -84,6 +84,10 @@
     pub fn stale_ms(&self) -> u64 {
         self.check_ms * u64::from(self.check_fails)
     }
+    /// Time between two looks at what presses.
+    pub fn look_ms(&self) -> u64 {
+        (self.check_ms / 4).max(10)
+    }
     /// The small bound within which the placement table must answer.
     pub fn table_ms(&self) -> u64 {
         (self.rail_ms / 5).max(10)
--- a/crates/track/src/carry.rs
+++ b/crates/track/src/carry.rs
@@ -115,7 +115,7 @@
         let Some((region, stored)) = target else {
             let seen = self.seen(&p.governing.table, &p.entry.to);
             let any = own.is_some_and(|o| p.homes.contains(&o) && seen.contains_key(&o));
-            return Next::NoRoom(any);
+            return Next::NoRoom(any || self.starting());
         };
         if own.as_ref() == Some(&region) {
             self.local(p, sent, past, open).await
@@ -154,7 +154,7 @@
         let t = &p.governing.table;
         let picked = match self.pick(t, &p.entry.to, p.entry.kind, p.key, &past.tried) {
             Ok(x) => x,
-            Err(any) => return Next::NoRoom(any),
+            Err(any) => return Next::NoRoom(any || self.starting()),
         };
         self.count_go(past, "first");
         past.tried.push(picked.id.clone());
@@ -206,7 +206,9 @@
     /// would not help.
     async fn wait_for_room(&self, p: &Plan, past: &mut Past) -> Result<(), &'static str> {
         let now = self.now();
-        let until = *past.wait_until.get_or_insert(now + p.deadline.since(now) / WAIT_RATIO);
+        let until = *past
+            .wait_until
+            .get_or_insert(now + (p.deadline.since(now) / WAIT_RATIO).min(2 * self.set.timing.check_ms));
         let bound = p.governing.table.tuning.waitlist;
         let joined = lock(&self.waitlist).join(until, bound, now);
         let (at, rx) = joined.map_err(|b| match b {
--- a/crates/track/src/pressure.rs
+++ b/crates/track/src/pressure.rs
@@ -73,6 +73,8 @@
     pub area: Area,
     pub own: Arc<Own>,
     pub at: Tick,
+    /// Number of the figures; the split of what is free turns with it.
+    pub seq: u64,
 }
 
 impl Candidate {
@@ -149,9 +151,15 @@
         b.seen
             .iter()
             .filter(|((s, _), seen)| s == svc && now.since(seen.at) <= stale_ms)
-            .flat_map(|((_, area), seen)| seen.fig.replicas.iter().map(move |g| (g, area, seen.at)))
+            .flat_map(|((_, area), seen)| seen.fig.replicas.iter().map(move |g| (g, area, seen)))
             .filter(|(g, area, _)| g.healthy && usable(g, area))
-            .map(|(g, area, at)| Candidate { gauge: g.clone(), area: area.clone(), own: self.own(&g.id), at })
+            .map(|(g, area, seen)| Candidate {
+                gauge: g.clone(),
+                area: area.clone(),
+                own: self.own(&g.id),
+                at: seen.at,
+                seq: seen.fig.seq,
+            })
             .collect()
     }
 }
--- a/crates/track/src/probe.rs
+++ b/crates/track/src/probe.rs
@@ -154,11 +154,20 @@
         let (tx, _) = watch::channel(None);
         lock(&self.published).insert((service.clone(), area.clone()), tx.clone());
         let mut watched = self.inherited(&service, &area);
-        let mut wakeup = tokio::time::interval(Duration::from_millis(self.set.timing.check_ms));
-        wakeup.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut seq = 0;
+        let mut wakeup = tokio::time::interval(Duration::from_millis(self.set.timing.look_ms()));
+        wakeup.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+        let (mut seq, mut full_at) = (0, Tick(0));
         loop {
             wakeup.tick().await;
+            // Between two full checks only where it presses: figures age fast there.
+            let full = self.now().since(full_at) + self.set.timing.look_ms() / 2 >= self.set.timing.check_ms;
+            let presses = watched.values().any(|w: &Watched| w.healthy && w.consumption * 2.0 > w.capacity);
+            if !full && !presses {
+                continue;
+            }
+            if full {
+                full_at = self.now();
+            }
             let Some(g) = self.governing.load_full() else { continue };
             let l = self.ledger();
             let mine: Vec<(ReplicaId, Replica)> = l
@@ -175,7 +184,9 @@
             for ((id, r), rep) in mine.into_iter().zip(found) {
                 let w = watched.entry(id.clone()).or_default();
                 let was = w.healthy;
-                w.check(rep, self.set.timing.check_fails, f64::from(tun.slots), now);
+                if full || rep.is_some() {
+                    w.check(rep, self.set.timing.check_fails, f64::from(tun.slots), now);
+                }
                 if was != w.healthy {
                     jot!(Info, "replica health", "peer" => r.addr, "replica" => id, "healthy" => w.healthy);
                 }
--- a/crates/track/src/replica.rs
+++ b/crates/track/src/replica.rs
@@ -13,6 +13,9 @@
 };
 use timetable::{Kind, Table};
 
+/// Share of a region's capacity in use from which users keep to their first replicas.
+const PRESSED: f64 = 0.75;
+
 /// A replica that was picked; while this lives the job counts as open there.
 pub struct Picked {
     pub addr: SocketAddr,
@@ -29,28 +32,38 @@
     }
 }
 
-/// This router's part of what a warming replica may have open in all.
-fn cold_share(l: &Ledger, t: &Table, region: &Region, me: &str, id: &str, allowance: u32) -> i64 {
-    let line: Vec<_> = l
-        .routers()
-        .into_iter()
-        .filter(|m| t.region_of(&m.card.area) == Some(region) && !l.evacuated.contains(&m.card.area))
-        .collect();
-    let ranked = gauge::rank::ranked(id, &line, |m| m.card.node.as_str());
+/// This router's part of `whole` places at a replica, cut over the region's routers by rank.
+fn share(line: &[String], me: &str, key: &str, whole: u32) -> i64 {
+    let ranked = gauge::rank::ranked(key, line, |n| n.as_str());
     let n = ranked.len().max(1) as u32;
-    let place = ranked.iter().position(|m| m.card.node.as_str() == me).unwrap_or(usize::MAX);
-    i64::from(allowance / n) + i64::from((place as u64) < u64::from(allowance % n))
+    let place = ranked.iter().position(|m| m.as_str() == me).unwrap_or(usize::MAX);
+    i64::from(whole / n) + i64::from((place as u64) < u64::from(whole % n))
 }
 
-impl Router {
-    fn has_room(&self, c: &Candidate, l: &Ledger, t: &Table, region: &Region) -> bool {
-        let open = c.own.open.load(Ordering::Relaxed);
-        match c.gauge.allowance {
-            Some(a) => open < cold_share(l, t, region, self.node().as_str(), c.gauge.id.as_str(), a),
-            None => c.consumption() + 1.0 <= c.gauge.capacity.max(1.0),
-        }
+fn routers_of(l: &Ledger, t: &Table, region: &Region) -> Vec<String> {
+    let inside = |m: &&interlocking::Member| {
+        t.region_of(&m.card.area) == Some(region) && !l.evacuated.contains(&m.card.area)
+    };
+    l.routers().into_iter().filter(inside).map(|m| m.card.node.to_string()).collect()
+}
+
+/// Whether one more job may go to this replica from here (design 5.4). What a report shows as
+/// free is split over the routers, so that they do not all take the same room; a replica that is
+/// less than half full takes one more from each of them, so that users stay where they are warm.
+pub fn has_room(c: &Candidate, line: &[String], me: &str) -> bool {
+    let (id, open) = (c.gauge.id.as_str(), c.own.open.load(Ordering::Relaxed));
+    if let Some(a) = c.gauge.allowance {
+        return open < share(line, me, id, a);
     }
+    let cap = c.gauge.capacity.max(1.0);
+    let added = open - c.own.counted.load(Ordering::Relaxed);
+    let free = (cap - c.gauge.consumption).max(0.0) as u32;
+    let part = share(line, me, &format!("{id}/{}", c.seq), free);
+    let half_empty = c.gauge.consumption * 2.0 <= cap;
+    c.consumption() + 1.0 <= cap && (added < part || (half_empty && added < 1))
+}
 
+impl Router {
     /// Picks a replica with room and counts the job there at once. `Err(true)`: there are
     /// replicas, but none has room; `Err(false)`: there are none.
     pub fn pick(
@@ -77,19 +90,27 @@
         if all.iter().any(|c| !shunned(c)) {
             all.retain(|c| !shunned(c));
         }
-        all.retain(|c| self.has_room(c, &l, t, &region));
+        let line = routers_of(&l, t, &region);
         let ratio = |c: &Candidate| c.consumption() / c.gauge.capacity.max(1.0);
-        let best = match (kind, key) {
-            // The same user's prefixes stay on the same replica while it has room.
-            (Kind::Model, Some(k)) => all
-                .into_iter()
-                .max_by_key(|c| stable_hash(&[&k.0.to_le_bytes(), c.gauge.id.as_str().as_bytes()])),
-            (Kind::Model, None) => all.into_iter().min_by(|a, b| ratio(a).total_cmp(&ratio(b))),
-            (Kind::Application, _) => all.into_iter().min_by(|a, b| {
+        match (kind, key) {
+            // The same user's prefixes stay on the same replicas, best the same one.
+            (Kind::Model, Some(k)) => {
+                let rank = |c: &Candidate| stable_hash(&[&k.0.to_le_bytes(), c.gauge.id.as_str().as_bytes()]);
+                all.sort_by_key(|c| std::cmp::Reverse(rank(c)));
+                let whole: f64 = all.iter().map(|c| c.gauge.capacity).sum();
+                let used: f64 = all.iter().map(|c| c.consumption()).sum();
+                // Under pressure a cold run elsewhere costs more than a short wait.
+                if used > whole * PRESSED {
+                    all.truncate((all.len() / 8).max(2));
+                }
+            }
+            (Kind::Model, None) => all.sort_by(|a, b| ratio(a).total_cmp(&ratio(b))),
+            (Kind::Application, _) => all.sort_by(|a, b| {
                 let far = |c: &Candidate| c.area != *self.area();
                 far(a).cmp(&far(b)).then(ratio(a).total_cmp(&ratio(b)))
             }),
-        };
+        }
+        let best = all.into_iter().find(|c| has_room(c, &line, self.node().as_str()));
         let c = best.ok_or(true)?;
         c.own.open.fetch_add(1, Ordering::AcqRel);
         Ok(Picked {
@@ -101,3 +122,47 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::pressure::Gauge;
+    use gauge::Tick;
+
+    fn seen(consumption: f64, allowance: Option<u32>, seq: u64) -> Candidate {
+        let gauge = Gauge {
+            id: "r".into(),
+            addr: ([127, 0, 0, 1], 1).into(),
+            healthy: true,
+            capacity: 8.0,
+            consumption,
+            allowance,
+        };
+        Candidate { gauge, area: "a".into(), own: Arc::default(), at: Tick(0), seq }
+    }
+
+    /// How many jobs all routers together add on one and the same report.
+    fn added(consumption: f64, allowance: Option<u32>, routers: usize, seq: u64) -> i64 {
+        let line: Vec<String> = (0..routers).map(|n| format!("p{n}")).collect();
+        let one = |me: &String| {
+            let c = seen(consumption, allowance, seq);
+            (0..100)
+                .take_while(|_| has_room(&c, &line, me) && c.own.open.fetch_add(1, Ordering::Relaxed) >= 0)
+                .count()
+        };
+        line.iter().map(one).sum::<usize>() as i64
+    }
+
+    /// Found by a crowd on the fleet: with 4 slots and 6 routers, 24 jobs were open at one
+    /// replica, since each router took all the room that the last report showed.
+    #[test]
+    fn routers_share_what_a_report_shows_as_free() {
+        for seq in 0..20 {
+            assert_eq!(added(8.0, None, 6, seq), 0);
+            assert_eq!(added(5.0, None, 6, seq), 3);
+            assert_eq!(added(0.0, None, 6, seq), 8);
+            assert!(added(4.0, None, 6, seq) <= 6);
+            assert_eq!(added(0.0, Some(2), 6, seq), 2, "a cold one is never flooded");
+        }
+    }
+}
--- a/crates/track/src/router.rs
+++ b/crates/track/src/router.rs
@@ -61,6 +61,8 @@
     pub draining: AtomicBool,
     pub busy: Arc<Busy>,
     pub serial: AtomicU64,
+    /// When the first document governed here; figures arrive soon after.
+    pub since: AtomicU64,
 }
 
 pub fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -88,6 +90,7 @@
             draining: AtomicBool::new(false),
             busy: Arc::default(),
             serial: AtomicU64::new(0),
+            since: AtomicU64::new(0),
         })
     }
 
@@ -118,6 +121,8 @@
                     Ok(table) => {
                         let revision = l.revision;
                         self.governing.store(Some(Arc::new(Governing { revision, table })));
+                        let _ =
+                            self.since.compare_exchange(0, self.now().0, Ordering::AcqRel, Ordering::Acquire);
                         self.member.governs.store(revision.0, Ordering::Release);
                         jot!(Info, "governs", "revision" => revision.0);
                     }
@@ -156,6 +161,12 @@
         out
     }
 
+    /// Too young to have heard of all replicas: jobs wait a little instead of being bounced.
+    pub fn starting(&self) -> bool {
+        let since = Tick(self.since.load(Ordering::Acquire));
+        self.now().since(since) <= self.set.timing.stale_ms()
+    }
+
     pub fn free(&self) {
         lock(&self.waitlist).free(self.now());
     }
@@ -168,7 +179,7 @@
         {
             let o = self.pressure.own(&hop_id(r, &svc));
             o.counted.store(o.open.load(Ordering::Relaxed), Ordering::Relaxed);
-            self.free();
+            lock(&self.waitlist).wake_all();
         }
     }
 }
--- a/crates/track/src/waitlist.rs
+++ b/crates/track/src/waitlist.rs
@@ -61,6 +61,13 @@
         self.gap_ms = 0.0;
     }
 
+    /// New figures may show room for many: all look again, in their order.
+    pub fn wake_all(&mut self) {
+        while let Some((_, tx)) = self.rows.pop_first() {
+            let _ = tx.send(());
+        }
+    }
+
     pub fn len(&self) -> usize {
         self.rows.len()
     }
