--- a/crates/trainset/src/audit.rs
+++ b/crates/trainset/src/audit.rs
@@ -1,6 +1,7 @@
 //! The audit of a run (design 7.5): callers' answers against the replicas' own logs.
 
 use crate::{
+    acts::Act,
     caller::{Heard, Told},
     drive::Ride,
     fault::What,
@@ -44,6 +45,10 @@
     pub prefix_hit_ratio: f64,
     pub most_open_at_a_replica: usize,
     pub runs_by_region: BTreeMap<String, usize>,
+    /// Most runs open at a replica in each second after it came back cold.
+    pub cold_open: BTreeMap<String, Vec<usize>>,
+    pub placements: BTreeMap<String, f64>,
+    pub passes: BTreeMap<String, f64>,
     pub extra_goes: f64,
     pub extra_share: f64,
     pub hops: f64,
@@ -107,6 +112,10 @@
         let (span, until) = match act.fault.what {
             What::Drain | What::Remove => (Duration::from_secs(4), None),
             What::Evacuate => (Duration::from_secs(5), back(&What::Restore)),
+            What::Cold => {
+                cold(a, act, backs);
+                continue;
+            }
             _ => continue,
         };
         let last = backs
@@ -130,6 +139,19 @@
     }
 }
 
+fn cold(a: &mut Audit, act: &Act, backs: &[Arc<StandIn>]) {
+    for b in backs.iter().filter(|b| b.id == act.fault.whom) {
+        let mut most = vec![0usize; 15];
+        for r in b.runs() {
+            let sec = r.at.saturating_duration_since(act.at).as_secs() as usize;
+            if r.at > act.at && sec < most.len() {
+                most[sec] = most[sec].max(r.open);
+            }
+        }
+        a.cold_open.insert(b.id.clone(), most);
+    }
+}
+
 fn one(a: &mut Audit, h: &Heard, runs: &[(Arc<StandIn>, crate::standin::Run)]) {
     let mut note = |what: &str| {
         if a.examples.len() < 12 {
--- a/crates/trainset/src/deployment.rs
+++ b/crates/trainset/src/deployment.rs
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug)]
 pub struct Deployment {
     pub name: &'static str,
-    pub document: &'static str,
+    pub document: String,
     /// Area and its region.
     pub areas: [(&'static str, &'static str); 3],
     /// Service, and replicas in each area.
@@ -65,7 +65,7 @@
     match f {
         Firm::Bitacora => Deployment {
             name: "bitacora",
-            document: include_str!("../../../examples/bitacora.toml"),
+            document: include_str!("../../../examples/bitacora.toml").into(),
             areas: [("centro-1", "centro"), ("centro-2", "centro"), ("norte-1", "norte")],
             replicas: [("verdict", [5, 5, 8]), ("contacts", [1, 1, 1])],
             kinds: vec![
@@ -83,7 +83,7 @@
             let user_field = "register";
             Deployment {
                 name: "rinaldi",
-                document: include_str!("../../../examples/rinaldi.toml"),
+                document: include_str!("../../../examples/rinaldi.toml").into(),
                 areas: [("baires-1", "buenos-aires"), ("baires-2", "buenos-aires"), ("cordoba-1", "cordoba")],
                 replicas: [("match", [3, 3, 5]), ("tickets", [1, 1, 1])],
                 kinds: vec![
@@ -111,6 +111,16 @@
     pub fn region_of(&self, area: &str) -> &'static str {
         self.areas.iter().find(|a| a.0 == area).map(|a| a.1).unwrap_or("")
     }
+    /// Changes one piece of the document, written as `FROM=>TO`.
+    pub fn replace(&mut self, rule: &str) -> Result<(), String> {
+        let (from, to) = rule.split_once("=>").ok_or(format!("{rule:?}; allowed: FROM=>TO"))?;
+        if self.document.matches(from).count() != 1 {
+            return Err(format!("{from:?} does not stand exactly once in the document"));
+        }
+        self.document = self.document.replacen(from, to, 1);
+        Ok(())
+    }
+
     pub fn regions(&self) -> Vec<&'static str> {
         let mut v: Vec<_> = self.areas.iter().map(|a| a.1).collect();
         v.dedup();
@@ -129,14 +139,14 @@
             let d = deployment(f);
             let count = |n: usize| d.replicas[n].1.iter().sum::<usize>();
             assert_eq!((count(0), count(1)), (models, apps));
-            let tab = timetable::compile(d.document).unwrap();
+            let tab = timetable::compile(&d.document).unwrap();
             assert_eq!(tab.cluster, d.name);
             let listed: Vec<_> = d
                 .replicas
                 .iter()
                 .flat_map(|(s, _)| d.areas.iter().map(|(a, _)| ((*s).into(), (*a).into())))
                 .collect();
-            assert_eq!(timetable::check_fleet(d.document, &tab, &listed), vec![]);
+            assert_eq!(timetable::check_fleet(&d.document, &tab, &listed), vec![]);
             for k in &d.kinds {
                 let e = tab.entries.iter().find(|e| e.name == k.entry).unwrap();
                 assert_eq!(e.repeatable, !k.once);
--- a/crates/trainset/src/drive.rs
+++ b/crates/trainset/src/drive.rs
@@ -1,13 +1,13 @@
 //! Drives a fleet with a deployment's traffic while faults happen (design 7.2, 7.4).
 
 use crate::{
+    acts::{Act, act},
     caller::{Call, Heard, Told, call},
     deployment::{Deployment, Kind},
-    fault::{Fault, What},
+    fault::Fault,
     fleet::Fleet,
 };
 use eyre::Result;
-use nix::sys::signal::Signal;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::{
     net::SocketAddr,
@@ -15,19 +15,6 @@
 };
 use tokio::task::JoinSet;
 
-/// What operators did and saw during the run.
-#[derive(Clone, Debug)]
-pub struct Act {
-    pub at: Instant,
-    pub what: String,
-    pub fault: Fault,
-    pub ok: bool,
-    /// For documents: how long until all nodes said that it governs.
-    pub governs_ms: Option<u64>,
-    /// For documents: its text, if it was accepted.
-    pub text: Option<String>,
-}
-
 pub struct Ride {
     pub heard: Vec<Heard>,
     pub acts: Vec<Act>,
@@ -87,8 +74,19 @@
     }
 }
 
-/// Open-loop traffic for `secs`, at `rate` times the deployment's own.
-pub async fn ride(f: &mut Fleet, secs: f64, rate: f64, seed: u64, faults: &[Fault]) -> Result<Ride> {
+/// Open-loop traffic.
+#[derive(Clone, Debug)]
+pub struct Load {
+    pub secs: f64,
+    /// As a multiple of the deployment's own.
+    pub rate: f64,
+    pub seed: u64,
+    /// Region at which all callers without a home arrive, instead of being spread evenly.
+    pub crowd: Option<String>,
+}
+
+pub async fn ride(f: &mut Fleet, load: &Load, faults: &[Fault]) -> Result<Ride> {
+    let Load { secs, rate, seed, crowd } = load.clone();
     let mut rng = SmallRng::seed_from_u64(seed);
     let dep = f.dep.clone();
     let us = users(&dep, &mut rng);
@@ -118,6 +116,7 @@
                 n += 1;
                 let u = us[rng.random_range(0..us.len())].clone();
                 let region = if rng.random_bool(0.02) { dep.regions()[n as usize % 2] } else { u.region };
+                let region = crowd.as_deref().filter(|_| u.home.is_none()).unwrap_or(region);
                 let near: Vec<_> = routers.iter().filter(|r| r.1 == region).map(|r| r.0).collect();
                 let c = make(&dep, k, &u, n, seed);
                 let first = rng.random_range(0..near.len());
@@ -149,96 +148,3 @@
     }
     Ok(Ride { heard, acts })
 }
-
-async fn act(f: &mut Fleet, x: &Fault, seed: u64) -> Act {
-    let at = Instant::now();
-    let what = format!("{}:{:?}:{}", x.second, x.what, x.whom);
-    let mut out = Act { at, what, fault: x.clone(), ok: true, governs_ms: None, text: None };
-    let op = f.operator();
-    let whom = x.whom.as_str();
-    let area: Vec<String> = f.nodes.iter().filter(|n| n.area == whom).map(|n| n.name.clone()).collect();
-    let res: Result<bool> = async {
-        match x.what {
-            What::Kill => f.node(whom)?.kill().await?,
-            What::Stop => drop(f.node(whom)?.stop().await?),
-            What::Start => f.start_node(whom)?,
-            What::Blank => {
-                f.node(whom)?.wipe()?;
-                f.start_node(whom)?;
-            }
-            What::Freeze => f.node(whom)?.signal(Signal::SIGSTOP)?,
-            What::Thaw => f.node(whom)?.signal(Signal::SIGCONT)?,
-            What::Cut => f.relays.cut(f.pairs(whom)),
-            What::Mend => f.relays.mend(&f.pairs(whom)),
-            What::KillArea => {
-                for n in &area {
-                    f.node(n)?.kill().await?;
-                }
-                f.backs.iter().filter(|b| b.shape.area == whom).for_each(|b| b.crash());
-            }
-            What::StartArea => {
-                for n in &area {
-                    f.start_node(n)?;
-                }
-                for b in f.backs.iter().filter(|b| b.shape.area == whom) {
-                    b.start().await?;
-                }
-            }
-            What::Evacuate => return Ok(op.evacuate(whom, true).await),
-            What::Restore => return Ok(op.evacuate(whom, false).await),
-            What::Crash => f.back(whom)?.crash(),
-            What::Cold => f.back(whom)?.start().await?,
-            What::Drain => {
-                let path = format!("/v1/replicas/{whom}/drain");
-                return Ok(matches!(op.ask(hyper::Method::POST, &path, &[], "").await, Some((200, _))));
-            }
-            What::Remove => {
-                let path = format!("/v1/replicas/{whom}");
-                return Ok(matches!(op.ask(hyper::Method::DELETE, &path, &[], "").await, Some((200, _))));
-            }
-            What::Apply | What::Race => return Ok(false),
-        }
-        Ok(true)
-    }
-    .await;
-    match x.what {
-        What::Apply => apply(&op, x, seed, &mut out).await,
-        What::Race => race(&op, x, seed, &mut out).await,
-        _ => out.ok = res.unwrap_or(false),
-    }
-    out
-}
-
-fn changed(doc: &str, x: &Fault, tag: u32) -> String {
-    format!("{doc}\n# change at {} number {tag}\n", x.second)
-}
-
-async fn apply(op: &crate::operator::Operator, x: &Fault, seed: u64, out: &mut Act) {
-    let (Some(doc), Some(st)) = (op.shown().await, op.status().await) else {
-        out.ok = false;
-        return;
-    };
-    let base = st["revision"].as_u64().unwrap_or(0);
-    let text = changed(&doc, x, 0);
-    let at = Instant::now();
-    let name = format!("apply-{seed}-{}", x.second);
-    let res = op.apply_waiting(&text, base, &name).await;
-    out.ok = res.as_ref().is_some_and(|r| r.0 == 200 && r.1["governs"] == true);
-    out.governs_ms = Some(at.elapsed().as_millis() as u64);
-    out.text = res.filter(|r| r.0 == 200).map(|_| text);
-}
-
-async fn race(op: &crate::operator::Operator, x: &Fault, seed: u64, out: &mut Act) {
-    let (Some(doc), Some(st)) = (op.shown().await, op.status().await) else {
-        out.ok = false;
-        return;
-    };
-    let base = st["revision"].as_u64().unwrap_or(0);
-    let texts: Vec<String> = (1..=2).map(|n| changed(&doc, x, n)).collect();
-    let names: Vec<String> = (1..=2).map(|n| format!("race-{seed}-{}-{n}", x.second)).collect();
-    let (a, b) = tokio::join!(op.apply(&texts[0], base, &names[0]), op.apply(&texts[1], base, &names[1]));
-    let codes: Vec<u16> = [&a, &b].iter().filter_map(|r| r.as_ref().map(|r| r.0)).collect();
-    out.ok = codes.contains(&200) && codes.contains(&412);
-    let won = if matches!(a, Some((200, _))) { 0 } else { 1 };
-    out.text = codes.contains(&200).then(|| texts[won].clone());
-}
--- a/crates/trainset/src/fleet.rs
+++ b/crates/trainset/src/fleet.rs
@@ -143,7 +143,7 @@
             }
             eyre::ensure!(listed, "the core did not list {}", b.id);
         }
-        let res = op.apply(self.dep.document, 0, "first").await;
+        let res = op.apply(&self.dep.document, 0, "first").await;
         eyre::ensure!(
             res.as_ref().is_some_and(|r| r.0 == 200),
             "the first document was not accepted: {res:?}"
@@ -162,6 +162,21 @@
         Ok(())
     }
 
+    /// One counter over all routers that answer, by the value of its only label.
+    pub async fn by_label(&self, metric: &str) -> std::collections::BTreeMap<String, f64> {
+        let mut out = std::collections::BTreeMap::new();
+        for n in self.nodes.iter().filter(|n| !n.core && n.runs()) {
+            let res = ask(self.caller_ip(), n.http(), Method::GET, "/metrics", &[], "", 2_000).await;
+            for l in String::from_utf8_lossy(&res.map(|r| r.2).unwrap_or_default()).lines() {
+                let row = l.strip_prefix(metric).and_then(|r| r.split_once("=\"")).map(|r| r.1);
+                if let Some((label, v)) = row.and_then(|r| r.split_once("\"} ")) {
+                    *out.entry(label.to_string()).or_default() += v.parse::<f64>().unwrap_or(0.0);
+                }
+            }
+        }
+        out
+    }
+
     pub async fn ready(&self, n: &Node) -> bool {
         let res = ask(self.caller_ip(), n.http(), Method::GET, "/readyz", &[], "", 1_000).await;
         res.is_ok_and(|r| r.0.is_success())
--- a/crates/trainset/src/lib.rs
+++ b/crates/trainset/src/lib.rs
@@ -1,6 +1,7 @@
 //! Proof (design 7): stand-ins for callers and back ends, a whole fleet on one machine, and the
 //! seeded simulator. The only package that starts processes.
 
+pub mod acts;
 pub mod audit;
 pub mod caller;
 pub mod deployment;
--- a/crates/trainset/src/main.rs
+++ b/crates/trainset/src/main.rs
@@ -1,12 +1,12 @@
 //! `trainset`: stand-ins, fleets and the simulator (design 7).
 
 use bpaf::Bpaf;
-use eyre::{Result, WrapErr, ensure};
+use eyre::{Result, WrapErr, ensure, eyre};
 use std::path::PathBuf;
 use trainset::{
     audit::audit,
     deployment::{Firm, deployment},
-    drive::ride,
+    drive::{Load, ride},
     fault::Fault,
     fleet::Fleet,
     sim::{Broken, sweep::sweep},
@@ -43,6 +43,12 @@
         /// SECOND:WHAT:WHOM, such as 20:kill:s1; may be given many times
         #[bpaf(long("fault"), argument("FAULT"))]
         faults: Vec<Fault>,
+        /// Region at which all callers without a home arrive
+        #[bpaf(argument("REGION"))]
+        crowd: Option<String>,
+        /// FROM=>TO: changes one piece of the document first; may be given many times
+        #[bpaf(argument("FROM=>TO"))]
+        replace: Vec<String>,
     },
     /// Runs the simulator over many seeds; a violation ends it with the seed and its trace
     #[bpaf(command)]
@@ -66,15 +72,20 @@
 
 async fn run() -> Result<()> {
     match opts().run() {
-        Opts::Fleet { firm, seconds, rate, seed, settle, net, dir, faults } => {
+        Opts::Fleet { firm, seconds, rate, seed, settle, net, dir, faults, crowd, replace } => {
             ensure!((1.0..=86_400.0).contains(&seconds), "--seconds: {seconds}; allowed: 1 to 86400");
             ensure!((0.01..=100.0).contains(&rate), "--rate: {rate}; allowed: 0.01 to 100");
             ensure!((0.0..=600.0).contains(&settle), "--settle: {settle}; allowed: 0 to 600");
             ensure!((1..=254).contains(&net), "--net: {net}; allowed: 1 to 254");
             let taken = std::fs::read_dir(&dir).is_ok_and(|mut d| d.next().is_some());
             ensure!(!taken, "--dir: {dir:?} is not empty; allowed: a new or empty folder");
-            let mut f = Fleet::start(deployment(firm), &dir, net).await?;
-            let res = fleet(&mut f, seconds, rate, seed, settle, &faults).await;
+            let mut dep = deployment(firm);
+            replace.iter().try_for_each(|r| dep.replace(r)).map_err(|e| eyre!("--replace: {e}"))?;
+            let known = crowd.as_ref().is_none_or(|c| dep.regions().contains(&c.as_str()));
+            ensure!(known, "--crowd: {crowd:?}; allowed: {}", dep.regions().join(", "));
+            let mut f = Fleet::start(dep, &dir, net).await?;
+            let load = Load { secs: seconds, rate, seed, crowd };
+            let res = fleet(&mut f, &load, settle, &faults).await;
             f.stop().await;
             res
         }
@@ -85,16 +96,18 @@
     }
 }
 
-async fn fleet(f: &mut Fleet, secs: f64, rate: f64, seed: u64, settle: f64, faults: &[Fault]) -> Result<()> {
+async fn fleet(f: &mut Fleet, load: &Load, settle: f64, faults: &[Fault]) -> Result<()> {
     f.open().await.wrap_err("opening the fleet")?;
     tokio::time::sleep(std::time::Duration::from_secs_f64(settle)).await;
-    let r = ride(f, secs, rate, seed, faults).await?;
+    let r = ride(f, load, faults).await?;
     let mut a = audit(&r, &f.backs, f.dep.replicas[0].0);
+    a.placements = f.by_label("foldshunt_placements_total{").await;
+    a.passes = f.by_label("foldshunt_passes_total{").await;
     a.extra_goes = f.sum("foldshunt_goes_total", "extra").await;
     a.hops = f.sum("foldshunt_goes_total", "hop").await;
     a.extra_share = a.extra_goes / a.jobs.max(1) as f64;
     let newest = r.acts.iter().rev().find_map(|x| x.text.clone());
-    let want = newest.unwrap_or(f.dep.document.to_string());
+    let want = newest.unwrap_or(f.dep.document.clone());
     a.read_back_exact = f.operator().shown().await.map(|s| s == want);
     println!("{}", serde_json::to_string_pretty(&a)?);
     let bad = a.violations();
