A new home asks for the last figures; a joining node holds its first jobs

Cause: in a rolling restart each restarted router that became the home of a service had heard nothing yet, took all its replicas for cold and let them ramp anew: 84 "waitlist too long" and 20 "no room in time" at two fifths of the capacity. Ruled out: lending (passes were void, but no region was over its bound before), the waitlist's estimate.

--- a/crates/track/src/answer.rs
+++ b/crates/track/src/answer.rs
@@ -45,6 +45,10 @@
                     None => Reply::Bounced("not the home".into()),
                 }
             }
+            Ask::Last { service, area } => match self.last_figures(&service, &area) {
+                Some(f) => Reply::Figures(f),
+                None => Reply::Bounced("nothing heard".into()),
+            },
             Ask::Passes { region, service, node } => match self.grant(&region, &service, &node) {
                 Ok(p) => Reply::Pass(p),
                 Err(why) => Reply::Bounced(why.into()),
@@ -62,6 +66,14 @@
         Reply::Bounced(why)
     }
 
+    /// Figures with their age, as long as they still count.
+    pub fn last_figures(&self, svc: &Service, area: &Area) -> Option<Figures> {
+        let b = self.pressure.board();
+        let s = b.seen.get(&(svc.clone(), area.clone()))?;
+        let age_ms = self.now().since(s.at);
+        (age_ms <= self.set.timing.stale_ms()).then(|| Figures { age_ms, ..s.fig.clone() })
+    }
+
     async fn tell_figures(
         &self,
         svc: Service,
--- a/crates/track/src/edge.rs
+++ b/crates/track/src/edge.rs
@@ -79,6 +79,7 @@
         let n = self.serial.fetch_add(1, Ordering::Relaxed);
         let job = hop::job_id(&self, n);
         let no = |code, why, s| Ok(close(bounced_as(&self, &job, code, why, s)));
+        self.await_joining().await;
         let Some(g) = self.governing.load_full() else {
             return no(StatusCode::SERVICE_UNAVAILABLE, "no configuration", 2);
         };
@@ -121,6 +122,16 @@
         Ok(self.carry(&plan, &sent, open).await)
     }
 
+    /// A node that has just started joins within a few beats: its first jobs wait for that, for
+    /// as long as a seat's patience at most.
+    async fn await_joining(&self) {
+        let until = self.now() + self.set.timing.patience_ms();
+        let ready = || self.member.caught_up() && self.governing.load().is_some();
+        while !ready() && self.now() < until && !self.draining.load(Ordering::Acquire) {
+            tokio::time::sleep(Duration::from_millis(self.set.timing.beat_ms() / 2)).await;
+        }
+    }
+
     async fn inner_plan(
         &self,
         g: Arc<crate::router::Governing>,
--- a/crates/track/src/lib.rs
+++ b/crates/track/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod router;
 pub mod tab;
 pub mod waitlist;
+pub mod watched;
--- a/crates/track/src/probe.rs
+++ b/crates/track/src/probe.rs
@@ -5,6 +5,7 @@
     pressure::{Figures, Gauge, Own},
     rail::{Ask, Reply},
     router::{Router, lock},
+    watched::{Report, Watched},
 };
 use gauge::{Area, Fence, ReplicaId, Service, Tick, http::ask, jot};
 use hyper::Method;
@@ -13,77 +14,6 @@
 use timetable::Table;
 use tokio::{sync::watch, task::JoinHandle};
 
-/// What a home remembers of one replica between checks.
-#[derive(Clone, Debug, Default)]
-pub struct Watched {
-    pub fails: u32,
-    pub healthy: bool,
-    pub capacity: f64,
-    pub consumption: f64,
-    /// When it last came up; its concurrency ramps from there.
-    pub warm_since: Option<Tick>,
-}
-
-/// A report, read tolerantly: what is absent or unknown is left alone.
-#[derive(Debug, Default, PartialEq)]
-pub struct Report {
-    pub healthy: Option<bool>,
-    pub capacity: Option<f64>,
-    pub consumption: Option<f64>,
-}
-
-impl Report {
-    pub fn read(b: &[u8], model: &str) -> Option<Report> {
-        let v: serde_json::Value = serde_json::from_slice(b).ok()?;
-        let of_model = v.get("models").and_then(|m| m.as_array()).and_then(|m| {
-            let mine = m.iter().find(|x| x.get("name").and_then(|n| n.as_str()) == Some(model));
-            mine.and_then(|x| x.get("payload").or(Some(x)).cloned())
-        });
-        let at = of_model.unwrap_or(v);
-        let num = |k: &str| at.get(k).and_then(|x| x.as_f64()).filter(|x| x.is_finite() && *x >= 0.0);
-        Some(Report {
-            healthy: at.get("healthy").and_then(|x| x.as_bool()),
-            capacity: num("capacity"),
-            consumption: num("consumption"),
-        })
-    }
-}
-
-impl Watched {
-    /// Folds one check in: `None` is a check without an answer.
-    pub fn check(&mut self, rep: Option<Report>, fails: u32, slots: f64, now: Tick) {
-        let said_well = rep.as_ref().is_some_and(|r| r.healthy != Some(false));
-        match rep {
-            Some(r) if said_well => {
-                self.fails = 0;
-                if !self.healthy {
-                    self.warm_since = Some(now);
-                }
-                self.healthy = true;
-                self.capacity = r.capacity.unwrap_or(slots);
-                self.consumption = r.consumption.unwrap_or(0.0);
-            }
-            // What says itself that it is unwell is believed at once.
-            Some(_) => (self.healthy, self.fails) = (false, fails),
-            None => {
-                self.fails = (self.fails + 1).min(fails);
-                if self.fails >= fails {
-                    self.healthy = false;
-                }
-            }
-        }
-    }
-
-    /// The ramp: a tenth of the capacity at first, all of it after `warm_ms`.
-    pub fn allowance(&self, warm_ms: u64, now: Tick) -> Option<u32> {
-        let up = now.since(self.warm_since?);
-        (up < warm_ms).then(|| {
-            let part = (up as f64 / warm_ms as f64).max(0.1);
-            (self.capacity * part).max(1.0) as u32
-        })
-    }
-}
-
 type Key = (Service, Area);
 
 impl Router {
@@ -153,6 +83,7 @@
     async fn probe(self: Arc<Self>, (service, area): Key) {
         let (tx, _) = watch::channel(None);
         lock(&self.published).insert((service.clone(), area.clone()), tx.clone());
+        self.ask_the_last(&service, &area).await;
         let mut watched = self.inherited(&service, &area);
         let mut wakeup = tokio::time::interval(Duration::from_millis(self.set.timing.look_ms()));
         wakeup.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
@@ -207,6 +138,24 @@
         }
     }
 
+    /// A home that has just begun asks others for the figures of the one before: without them
+    /// every warm replica would look cold.
+    async fn ask_the_last(&self, service: &Service, area: &Area) {
+        if self.last_figures(service, area).is_some() {
+            return;
+        }
+        let others = self.ledger();
+        let asks = others.routers().into_iter().filter(|m| m.card.node != *self.node()).map(|m| {
+            let ask = Ask::Last { service: service.clone(), area: area.clone() };
+            self.lines.call("last figures", m.card.rail, ask)
+        });
+        for told in futures::future::join_all(asks).await {
+            if let Ok(Reply::Figures(f)) = told {
+                self.take_figures(f);
+            }
+        }
+    }
+
     /// A new home goes on from the figures of the last one: what was warm stays warm.
     fn inherited(&self, service: &Service, area: &Area) -> HashMap<ReplicaId, Watched> {
         let b = self.pressure.board();
--- a/crates/track/src/rail.rs
+++ b/crates/track/src/rail.rs
@@ -46,6 +46,11 @@
         fence: Fence,
         wait_ms: u64,
     },
+    /// What this node last heard of a service in an area, for a home that has just begun.
+    Last {
+        service: Service,
+        area: Area,
+    },
     Passes {
         region: Region,
         service: Service,
@@ -80,6 +85,7 @@
             Ask::Copy { .. } => "points.copy",
             Ask::Fetch { .. } => "points.fetch",
             Ask::Watch { .. } => "points.watch",
+            Ask::Last { .. } => "points.last",
             Ask::Passes { .. } => "points.passes",
             Ask::Redeem { .. } => "points.redeem",
         }
