--- a/crates/gauge/src/http.rs
+++ b/crates/gauge/src/http.rs
@@ -5,6 +5,7 @@
     link::dial,
 };
 use bytes::Bytes;
+use futures::FutureExt;
 use http_body_util::{BodyExt, Full, Limited, combinators::BoxBody};
 use hyper::{
     Method, Request, Response, StatusCode,
@@ -21,7 +22,10 @@
     sync::atomic::{AtomicUsize, Ordering},
     time::Duration,
 };
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
 
 pub type BoxErr = Box<dyn std::error::Error + Send + Sync>;
 pub type Body = BoxBody<Bytes, BoxErr>;
@@ -70,7 +74,11 @@
     }
 }
 
-/// Serves until `stop` turns true, then lets open connections finish what was read.
+/// How long a connection that is open at a stop may still bring its first job.
+const LAST_JOBS: Duration = Duration::from_millis(500);
+
+/// Serves until `stop` turns true. Then what already waits to be accepted is still taken, and
+/// each open connection may bring what is on its way, before it is closed in good order.
 pub async fn serve<F, Fut>(lst: TcpListener, conns: Arc<Busy>, mut stop: watch::Receiver<bool>, handler: F)
 where
     F: Fn(SocketAddr, Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
@@ -82,26 +90,42 @@
                 Ok(x) => x,
                 Err(_) => { tokio::time::sleep(Duration::from_millis(50)).await; continue }
             },
-            _ = async { let _ = stop.wait_for(|s| *s).await; } => return,
+            _ = async { let _ = stop.wait_for(|s| *s).await; } => break,
         };
-        let (h, mut stop, guard) = (handler.clone(), stop.clone(), conns.enter());
-        let _ = io.set_nodelay(true);
-        tokio::spawn(async move {
-            let _guard = guard;
-            let conn = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(Duration::from_secs(30))
-                .half_close(false)
-                .serve_connection(TokioIo::new(io), service_fn(move |r| h(peer, r)));
-            tokio::pin!(conn);
-            tokio::select! {
-                _ = conn.as_mut() => {}
-                _ = async { let _ = stop.wait_for(|s| *s).await; } => {
-                    conn.as_mut().graceful_shutdown();
-                    let _ = conn.await;
-                }
-            }
-        });
+        tokio::spawn(one(io, peer, conns.enter(), stop.clone(), handler.clone()));
+    }
+    while let Some(Ok((io, peer))) = lst.accept().now_or_never() {
+        tokio::spawn(one(io, peer, conns.enter(), stop.clone(), handler.clone()));
+    }
+}
+
+async fn one<F, Fut>(
+    io: TcpStream,
+    peer: SocketAddr,
+    _guard: BusyGuard,
+    mut stop: watch::Receiver<bool>,
+    handler: F,
+) where
+    F: Fn(SocketAddr, Request<Incoming>) -> Fut,
+    Fut: Future<Output = Result<Response<Body>, BoxErr>>,
+{
+    let _ = io.set_nodelay(true);
+    let conn = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_secs(30))
+        .half_close(false)
+        .serve_connection(TokioIo::new(io), service_fn(move |r| handler(peer, r)));
+    tokio::pin!(conn);
+    let stopped = async {
+        let _ = stop.wait_for(|s| *s).await;
+        tokio::time::sleep(LAST_JOBS).await;
+    };
+    tokio::select! {
+        _ = conn.as_mut() => {}
+        _ = stopped => {
+            conn.as_mut().graceful_shutdown();
+            let _ = conn.await;
+        }
     }
 }
 
--- a/crates/interlocking/src/member.rs
+++ b/crates/interlocking/src/member.rs
@@ -10,7 +10,7 @@
     tenure::Held,
 };
 use arc_swap::ArcSwap;
-use gauge::{Clock, Index, Revision, Tick, jot, settings::Settings};
+use gauge::{Clock, Epoch, Index, Revision, Tick, jot, settings::Settings};
 use std::{
     net::SocketAddr,
     sync::{
@@ -37,6 +37,8 @@
     told: AtomicU64,
     /// A gap was found in the news: the next question asks for a frame.
     gap: AtomicBool,
+    /// On its way out: renews no more.
+    leaving: AtomicBool,
 }
 
 impl Member {
@@ -54,6 +56,7 @@
             leader: Mutex::default(),
             told: AtomicU64::new(0),
             gap: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
         })
     }
 
@@ -61,7 +64,7 @@
         let me = self.clone();
         tokio::spawn(async move {
             // Without a tenure it asks with each beat: a joining is accepted within one or two.
-            loop {
+            while !me.leaving.load(Ordering::Acquire) {
                 me.renew().await;
                 let t = &me.set.timing;
                 let ms = if me.tenured() { t.renew_ms() } else { t.beat_ms() };
@@ -82,6 +85,15 @@
         *self.held.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Takes a tenure, counted from before its renewal was sent.
+    pub fn hold(&self, epoch: Epoch, sent: Tick) {
+        let mut g = self.held.lock().unwrap_or_else(|e| e.into_inner());
+        if g.epoch != epoch {
+            jot!(Info, "tenure", "epoch" => epoch.0);
+        }
+        g.renewed(epoch, sent, &self.set.timing);
+    }
+
     pub fn tenured(&self) -> bool {
         self.held().valid(self.clock.now())
     }
@@ -127,12 +139,7 @@
             match self.lines.call_within(ms, "renew", to, ask).await {
                 Ok(Reply::Renewed { epoch, idx }) => {
                     self.told.fetch_max(idx.0, Ordering::AcqRel);
-                    let mut g = self.held.lock().unwrap_or_else(|e| e.into_inner());
-                    if g.epoch != epoch {
-                        jot!(Info, "tenure", "peer" => to, "epoch" => epoch.0);
-                    }
-                    g.renewed(epoch, sent, &self.set.timing);
-                    drop(g);
+                    self.hold(epoch, sent);
                     return self.set_hint(Some(to));
                 }
                 Ok(Reply::NotYet) => return self.set_hint(Some(to)),
@@ -148,6 +155,9 @@
 
     /// Gives the tenure back on a planned stop.
     pub async fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+        // A renewal that is on its way must not arrive after the leave and join anew.
+        tokio::time::sleep(Duration::from_millis(self.set.timing.beat_ms())).await;
         let tries = self.hint().into_iter().chain(self.seats().into_iter().map(|s| s.0));
         for to in tries {
             let ask = Ask::Leave { card: self.card.clone() };
--- a/crates/pointsman/src/main.rs
+++ b/crates/pointsman/src/main.rs
@@ -54,9 +54,11 @@
         _ = term.recv() => {}
         _ = tokio::signal::ctrl_c() => {}
     }
-    // Not ready first, so that callers go elsewhere; what was read is finished (design 6.5).
+    // Not ready first, and duties given back, so that callers and the other routers go
+    // elsewhere; then no more is accepted; what was read is finished (design 6.5).
     jot!(Info, "draining", "open" => router.busy.open());
     router.draining.store(true, Ordering::Release);
+    member.leave().await;
     tokio::time::sleep(Duration::from_millis(set.timing.renew_ms())).await;
     let _ = stop.send(true);
     let _ = serving.await;
@@ -64,7 +66,6 @@
     while (router.busy.open() > 0 || conns.open() > 0) && tokio::time::Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    member.leave().await;
     jot!(Info, "stopped", "open" => router.busy.open());
     Ok(())
 }
--- a/crates/trainset/src/drive.rs
+++ b/crates/trainset/src/drive.rs
@@ -114,7 +114,11 @@
                 let gap: f64 = -(1.0 - rng.random::<f64>()).ln() / (k.rate * rate);
                 *at = at.max(now - 1.0) + gap;
                 n += 1;
-                let u = us[rng.random_range(0..us.len())].clone();
+                let mut u = us[rng.random_range(0..us.len())].clone();
+                // No caller sends what its tenant's homes rule out.
+                while homes(&dep, k, &u).is_empty() {
+                    u = us[rng.random_range(0..us.len())].clone();
+                }
                 let region = if rng.random_bool(0.02) { dep.regions()[n as usize % 2] } else { u.region };
                 let region = crowd.as_deref().filter(|_| u.home.is_none()).unwrap_or(region);
                 let near: Vec<_> = routers.iter().filter(|r| r.1 == region).map(|r| r.0).collect();
