--- a/crates/gauge/src/fault.rs
+++ b/crates/gauge/src/fault.rs
@@ -60,3 +60,10 @@
         }
     }
 }
+
+/// Prints for a reader that may have gone: a closed pipe is no failure.
+pub fn print(s: &str) {
+    use std::io::Write;
+    let mut out = std::io::stdout().lock();
+    let _ = out.write_all(s.as_bytes()).and_then(|()| out.flush());
+}
--- a/crates/gauge/src/settings.rs
+++ b/crates/gauge/src/settings.rs
@@ -25,6 +25,7 @@
     pub rail_advertise: Option<SocketAddr>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub http_advertise: Option<SocketAddr>,
+    #[serde(default)]
     pub seeds: Vec<SocketAddr>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub data: Option<PathBuf>,
--- a/crates/stationmaster/src/main.rs
+++ b/crates/stationmaster/src/main.rs
@@ -201,9 +201,9 @@
             for f in v["flaws"].as_array().into_iter().flatten() {
                 eprintln!("{}:{}: {}", f["line"], f["column"], f["message"].as_str().unwrap_or(""));
             }
-            println!("{v:#}");
+            gauge::fault::print(&format!("{v:#}\n"));
         }
-        None => print!("{text}"),
+        None => gauge::fault::print(&text),
     }
     Ok(exit_code(code))
 }
--- a/crates/track/src/cut.rs
+++ b/crates/track/src/cut.rs
@@ -2,6 +2,7 @@
 //! newer news from peers.
 
 use crate::{
+    digest::Happened,
     rail::{Ask, Reply},
     router::{Router, lock},
 };
@@ -38,6 +39,7 @@
         loop {
             wakeup.tick().await;
             let l = self.ledger();
+            self.note_standing();
             for m in l.members.values().filter(|m| m.card.node != *self.node()) {
                 let (me, m, idx) = (self.clone(), m.clone(), l.idx);
                 tokio::spawn(async move {
@@ -69,6 +71,18 @@
         }
     }
 
+    /// Changes of the own standing go into the journal.
+    fn note_standing(&self) {
+        let (cut, epoch) = (self.cut_off(), self.member.held().epoch);
+        let d = self.journal.with(|d| (d.cut_off, d.epoch));
+        if d.0 != cut {
+            self.happened(Happened::CutOff(cut));
+        }
+        if d.1 < epoch {
+            self.happened(Happened::Member(epoch));
+        }
+    }
+
     /// A peer that has seen more tells it; an older state is never installed.
     async fn news_from(&self, peer: std::net::SocketAddr, idx: Index) {
         let have = self.ledger().idx;
--- /dev/null
+++ b/crates/track/src/digest.rs
@@ -0,0 +1,82 @@
+//! What happened at a router lately, and what that adds up to (design 1.5): events appended to
+//! the journal, one view folded from them, both shown on `/foldshunt/journal`.
+
+use gauge::{Epoch, ReplicaId, Revision, Tick, journal::Fold};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Events kept for a look back.
+pub const KEEP: usize = 256;
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Happened {
+    Governs(Revision),
+    Member(Epoch),
+    CutOff(bool),
+    Health { replica: ReplicaId, healthy: bool },
+    Bounced(String),
+    Unknown(String),
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Event {
+    pub at: Tick,
+    pub what: Happened,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Digest {
+    pub revision: Revision,
+    pub epoch: Epoch,
+    pub cut_off: bool,
+    /// Replicas that this node, as their home, found unwell.
+    pub unwell: BTreeSet<ReplicaId>,
+    pub bounced: BTreeMap<String, u64>,
+    pub unknown: BTreeMap<String, u64>,
+    pub last: Tick,
+}
+
+impl Fold<Event> for Digest {
+    fn fold(&mut self, ev: &Event) {
+        self.last = ev.at;
+        match &ev.what {
+            // What governs never goes back, whatever order events are told in.
+            Happened::Governs(r) => self.revision = self.revision.max(*r),
+            Happened::Member(e) => self.epoch = self.epoch.max(*e),
+            Happened::CutOff(c) => self.cut_off = *c,
+            Happened::Health { replica, healthy: true } => drop(self.unwell.take(replica)),
+            Happened::Health { replica, healthy: false } => drop(self.unwell.replace(replica.clone())),
+            Happened::Bounced(why) => *self.bounced.entry(why.clone()).or_default() += 1,
+            Happened::Unknown(step) => *self.unknown.entry(step.clone()).or_default() += 1,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use gauge::journal::Journal;
+
+    #[test]
+    fn the_view_is_what_the_events_add_up_to() {
+        let j = Journal::new(Digest::default(), 2);
+        let sick = |healthy| Happened::Health { replica: "r1".into(), healthy };
+        let all = [
+            Happened::Governs(Revision(3)),
+            Happened::Governs(Revision(2)),
+            sick(false),
+            Happened::Bounced("no room".into()),
+            Happened::Bounced("no room".into()),
+        ];
+        for (n, what) in all.into_iter().enumerate() {
+            j.append(Event { at: Tick(n as u64), what });
+        }
+        let d = j.view();
+        assert_eq!((d.revision, d.bounced["no room"], d.last), (Revision(3), 2, Tick(4)));
+        assert!(d.unwell.contains(&ReplicaId::new("r1")));
+        j.append(Event { at: Tick(9), what: sick(true) });
+        assert!(j.view().unwell.is_empty());
+        assert_eq!(j.tail().len(), 2);
+    }
+}
--- a/crates/track/src/edge.rs
+++ b/crates/track/src/edge.rs
@@ -1,6 +1,7 @@
 //! The callers' side (design 6.4): from the head to the answer, bounced at once where it must be.
 
 use crate::{
+    digest::Happened,
     hop,
     plan::{Plan, header_of},
     router::Router,
@@ -38,6 +39,7 @@
 /// Not run, and never will be: said at once, with when to come back.
 pub fn bounced_as(r: &Router, job: &JobId, code: StatusCode, reason: &str, retry_s: u64) -> Res {
     r.numbers.bounce(reason);
+    r.happened(Happened::Bounced(reason.into()));
     let mut res =
         json(code, &j!({"outcome": "bounced", "reason": reason, "job": job, "retry_after_s": retry_s}));
     if retry_s > 0
@@ -56,6 +58,7 @@
 /// It may have run: never called bounced.
 pub fn unknown(r: &Router, p: &Plan, e: &Fault, late: bool) -> Res {
     r.numbers.jobs.with_label_values(&[&p.entry.name, "unknown"]).inc();
+    r.happened(Happened::Unknown(e.step.into()));
     let code = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
     let res = json(code, &j!({"outcome": "unknown", "reason": e.step, "job": p.job}));
     marked(res, &p.job, "unknown", e.step)
@@ -72,6 +75,10 @@
         match head.uri.path() {
             "/healthz" => return Ok(text(StatusCode::OK, "ok\n")),
             "/readyz" => return Ok(self.ready()),
+            "/foldshunt/journal" => {
+                let (digest, tail) = (self.journal.view(), self.journal.tail());
+                return Ok(json(StatusCode::OK, &j!({"digest": digest, "tail": tail})));
+            }
             "/metrics" => return Ok(text(StatusCode::OK, self.metrics())),
             _ => {}
         }
--- a/crates/track/src/probe.rs
+++ b/crates/track/src/probe.rs
@@ -2,6 +2,7 @@
 //! the others subscribe.
 
 use crate::{
+    digest::Happened,
     pressure::{Figures, Gauge, Own},
     rail::{Ask, Reply},
     router::{Router, lock},
@@ -65,6 +66,7 @@
     }
 
     async fn subscribe(self: Arc<Self>, (service, area): Key, home: Member) {
+        self.ask_the_last(&service, &area).await;
         let (mut seq, mut fence) = (0, Fence(0));
         let wait_ms = self.set.timing.check_ms * 2;
         loop {
@@ -120,6 +122,8 @@
                 }
                 if was != w.healthy {
                     jot!(Info, "replica health", "peer" => r.addr, "replica" => id, "healthy" => w.healthy);
+                    let (replica, healthy) = (id.clone(), w.healthy);
+                    self.happened(Happened::Health { replica, healthy });
                 }
                 replicas.push(Gauge {
                     id,
@@ -138,8 +142,8 @@
         }
     }
 
-    /// A home that has just begun asks others for the figures of the one before: without them
-    /// every warm replica would look cold.
+    /// A router that has heard nothing yet asks others for the last figures: without them a new
+    /// home would take every warm replica for cold, and first jobs would wait for the next check.
     async fn ask_the_last(&self, service: &Service, area: &Area) {
         if self.last_figures(service, area).is_some() {
             return;
@@ -147,12 +151,19 @@
         let others = self.ledger();
         let asks = others.routers().into_iter().filter(|m| m.card.node != *self.node()).map(|m| {
             let ask = Ask::Last { service: service.clone(), area: area.clone() };
-            self.lines.call("last figures", m.card.rail, ask)
+            Box::pin(async move {
+                match self.lines.call("last figures", m.card.rail, ask).await {
+                    Ok(Reply::Figures(f)) => Ok(f),
+                    _ => Err(()),
+                }
+            })
         });
-        for told in futures::future::join_all(asks).await {
-            if let Ok(Reply::Figures(f)) = told {
-                self.take_figures(f);
-            }
+        let asks: Vec<_> = asks.collect();
+        // The first that knows is enough: newer ones follow with the next check.
+        if !asks.is_empty()
+            && let Ok((f, _)) = futures::future::select_ok(asks).await
+        {
+            self.take_figures(f);
         }
     }
 
--- a/crates/track/src/router.rs
+++ b/crates/track/src/router.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     budget::Budget,
+    digest::{Digest, Event, Happened, KEEP},
     lend::{Lender, Purse},
     numbers::Numbers,
     pressure::{Candidate, Figures, Pressure, RegionPressure, regions},
@@ -11,7 +12,8 @@
 };
 use arc_swap::ArcSwapOption;
 use gauge::{
-    Area, Clock, NodeId, Region, Revision, Service, Tick, http::Busy, jot, link::Lines, settings::Settings,
+    Area, Clock, NodeId, Region, Revision, Service, Tick, http::Busy, jot, journal::Journal, link::Lines,
+    settings::Settings,
 };
 use interlocking::{Ledger, member::Member};
 use std::{
@@ -58,6 +60,7 @@
     pub heard: Mutex<HashMap<NodeId, Tick>>,
     pub published: Mutex<Published>,
     pub numbers: Numbers,
+    pub journal: Journal<Event, Digest>,
     pub draining: AtomicBool,
     pub busy: Arc<Busy>,
     pub serial: AtomicU64,
@@ -87,6 +90,7 @@
             heard: Mutex::default(),
             published: Mutex::default(),
             numbers: Numbers::default(),
+            journal: Journal::new(Digest::default(), KEEP),
             draining: AtomicBool::new(false),
             busy: Arc::default(),
             serial: AtomicU64::new(0),
@@ -98,6 +102,10 @@
         self.clock.now()
     }
 
+    pub fn happened(&self, what: Happened) {
+        self.journal.append(Event { at: self.now(), what });
+    }
+
     pub fn ledger(&self) -> Arc<Ledger> {
         self.member.ledger.load_full()
     }
@@ -125,6 +133,7 @@
                             self.since.compare_exchange(0, self.now().0, Ordering::AcqRel, Ordering::Acquire);
                         self.member.governs.store(revision.0, Ordering::Release);
                         jot!(Info, "governs", "revision" => revision.0);
+                        self.happened(Happened::Governs(revision));
                     }
                     Err(f) => jot!(Error, "compile", "peer" => "core", "cause" => format!("{f:?}")),
                 }
--- a/crates/wheeltapper/src/main.rs
+++ b/crates/wheeltapper/src/main.rs
@@ -2,7 +2,7 @@
 
 use bpaf::Bpaf;
 use eyre::{Result, WrapErr, bail, ensure};
-use gauge::http::ask;
+use gauge::{fault::print, http::ask};
 use hyper::Method;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -68,15 +68,15 @@
 
 fn show(o: &Opts, f: &[Finding]) {
     if o.json {
-        println!("{}", serde_json::json!({"exit": exit_code(f), "findings": f}));
+        print(&format!("{}\n", serde_json::json!({"exit": exit_code(f), "findings": f})));
         return;
     }
     for x in f {
         let at = x.line.zip(x.column).map(|(l, c)| format!("{l}:{c}: ")).unwrap_or_default();
-        println!("{:?} ({}): {at}{}", x.weight, x.check, x.message);
+        print(&format!("{:?} ({}): {at}{}\n", x.weight, x.check, x.message));
     }
     if f.is_empty() {
-        println!("well");
+        print("well\n");
     }
 }
 
