Fleet traffic goes on while operators wait; a draining router finishes what reaches it

Cause of the lookups bounced in rolling restarts: the harness. Traffic stood still while it waited for a process to stop, and then sent what was due in one burst (longest gap between two lookups: 640 ms at 240 a second). Ruled out now: the waitlist's estimate, the split of free room.

A draining router now carries out what still reaches it, instead of bouncing it.

--- a/crates/track/src/edge.rs
+++ b/crates/track/src/edge.rs
@@ -90,9 +90,6 @@
         let Some(g) = self.governing.load_full() else {
             return no(StatusCode::SERVICE_UNAVAILABLE, "no configuration", 2);
         };
-        if self.draining.load(Ordering::Acquire) {
-            return no(StatusCode::SERVICE_UNAVAILABLE, "draining", 1);
-        }
         if self.cut_off() {
             let (why, s) = if self.member.caught_up() { ("cut off", 3) } else { ("joining", 1) };
             return no(StatusCode::SERVICE_UNAVAILABLE, why, s);
@@ -126,7 +123,9 @@
         };
         let plan = if inner.is_none() { plan.with_key(&head, &bytes) } else { plan };
         let sent = Plan::sent(&head, bytes);
-        Ok(self.carry(&plan, &sent, open).await)
+        // While it drains, a router finishes what still reaches it, and takes no more from there.
+        let res = self.carry(&plan, &sent, open).await;
+        Ok(if self.draining.load(Ordering::Acquire) { close(res) } else { res })
     }
 
     /// A node that has just started joins within a few beats: its first jobs wait for that, for
@@ -201,7 +200,7 @@
     }
 }
 
-/// The body was not read: the connection cannot carry another job.
+/// The connection cannot, or shall not, carry another job.
 fn close(mut r: Res) -> Res {
     r.headers_mut().insert("connection", "close".parse().expect("a fixed header"));
     r
--- a/crates/trainset/src/drive.rs
+++ b/crates/trainset/src/drive.rs
@@ -86,33 +86,49 @@
 }
 
 pub async fn ride(f: &mut Fleet, load: &Load, faults: &[Fault]) -> Result<Ride> {
-    let Load { secs, rate, seed, crowd } = load.clone();
-    let mut rng = SmallRng::seed_from_u64(seed);
     let dep = f.dep.clone();
-    let us = users(&dep, &mut rng);
     let routers: Vec<(SocketAddr, &'static str)> =
         f.nodes.iter().filter(|n| !n.core).map(|n| (n.http(), dep.region_of(n.area))).collect();
-    let net = f.net;
-    let begin = Instant::now();
-    let mut jobs: JoinSet<Heard> = JoinSet::new();
-    let mut acts = Vec::new();
+    let (net, begin) = (f.net, Instant::now());
+    // Traffic goes on while an operator waits or a process takes its time to stop.
+    let (heard, acts) =
+        tokio::join!(traffic(dep, routers, net, begin, load), happen(f, load.seed, begin, faults));
+    Ok(Ride { heard, acts })
+}
+
+async fn happen(f: &mut Fleet, seed: u64, begin: Instant, faults: &[Fault]) -> Vec<Act> {
     let mut due: Vec<Fault> = faults.to_vec();
     due.sort_by(|a, b| a.second.total_cmp(&b.second));
+    let mut acts = Vec::new();
+    for x in due {
+        tokio::time::sleep_until((begin + Duration::from_secs_f64(x.second)).into()).await;
+        acts.push(act(f, &x, seed).await);
+    }
+    acts
+}
+
+async fn traffic(
+    dep: Deployment,
+    routers: Vec<(SocketAddr, &'static str)>,
+    net: u8,
+    begin: Instant,
+    load: &Load,
+) -> Vec<Heard> {
+    let Load { secs, rate, seed, crowd } = load.clone();
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let us = users(&dep, &mut rng);
+    let mut jobs: JoinSet<Heard> = JoinSet::new();
     let mut next: Vec<f64> = dep.kinds.iter().map(|_| 0.0).collect();
     let (mut n, mut heard) = (0u64, Vec::new());
     loop {
         let now = begin.elapsed().as_secs_f64();
-        if now >= secs && due.is_empty() {
+        if now >= secs {
             break;
         }
-        while due.first().is_some_and(|x| x.second <= now) {
-            let x = due.remove(0);
-            acts.push(act(f, &x, seed).await);
-        }
         for (k, at) in dep.kinds.iter().zip(next.iter_mut()) {
-            while *at <= now && now < secs {
+            while *at <= now {
                 let gap: f64 = -(1.0 - rng.random::<f64>()).ln() / (k.rate * rate);
-                *at = at.max(now - 1.0) + gap;
+                *at += gap;
                 n += 1;
                 let mut u = us[rng.random_range(0..us.len())].clone();
                 // No caller sends what its tenant's homes rule out.
@@ -150,5 +166,5 @@
     while let Some(r) = jobs.join_next().await {
         heard.extend(r);
     }
-    Ok(Ride { heard, acts })
+    heard
 }
