A leader hands over before a planned stop; a starting router believes the membership

Cause: after SIGTERM of the leading signalbox the others waited out its silence, a second and more, before they stood.

--- a/crates/interlocking/src/core/mod.rs
+++ b/crates/interlocking/src/core/mod.rs
@@ -117,6 +117,13 @@
         self.carry_out(&mut g, fx);
     }
 
+    /// Hands the lead over before a planned stop, and waits for another to take it.
+    pub async fn yield_lead(self: &Arc<Self>) {
+        self.step(Ev::Yield);
+        let t = &self.set.timing;
+        tokio::time::sleep(Duration::from_millis(t.beat_ms() * 3)).await;
+    }
+
     fn carry_out(self: &Arc<Self>, g: &mut Inner, fx: Vec<Fx>) {
         for f in fx {
             match f {
--- a/crates/interlocking/src/seat/mod.rs
+++ b/crates/interlocking/src/seat/mod.rs
@@ -169,6 +169,7 @@
             _ if self.dead => {}
             Ev::Wakeup => self.on_wakeup(now, &mut fx),
             Ev::Propose(ch) => self.on_propose(ch, now, &mut fx),
+            Ev::Yield => self.on_stopping(now, &mut fx),
             Ev::Msg(from, m) => self.on_msg(from, m, now, &mut fx),
         }
         fx
@@ -194,6 +195,7 @@
                 self.on_census(from, holder, formed, (roster, idx), now, fx)
             }
             SeatMsg::Found { ledger } => self.on_found(ledger, now, fx),
+            SeatMsg::Yield { by, view } => self.on_yield(by, view, now),
             SeatMsg::Plea { holder } => self.on_plea(holder, now),
             SeatMsg::Canvass { by, view } => self.on_canvass(from, by, view, now, fx),
             SeatMsg::Canvassed { by, view } => self.on_canvassed(by, view, now, fx),
--- a/crates/interlocking/src/seat/msg.rs
+++ b/crates/interlocking/src/seat/msg.rs
@@ -60,6 +60,11 @@
     Plea {
         holder: Holder,
     },
+    /// A leader that is about to stop gives up its view: the others need not wait out its silence.
+    Yield {
+        by: Voter,
+        view: View,
+    },
     Canvass {
         by: Voter,
         view: View,
@@ -158,6 +163,8 @@
     Wakeup,
     Msg(SocketAddr, SeatMsg),
     Propose(Change),
+    /// The process is about to stop.
+    Yield,
     Synced(u64),
     SyncFailed,
 }
--- a/crates/interlocking/src/seat/view.rs
+++ b/crates/interlocking/src/seat/view.rs
@@ -51,6 +51,23 @@
         }
     }
 
+    /// A leader steps down before it says so: its lead ends here, whoever hears of it.
+    pub(super) fn on_stopping(&mut self, now: Tick, fx: &mut Vec<Fx>) {
+        if self.is_leader() {
+            self.post = Post::Follower { leader: None, heard: now };
+            self.tell_others(SeatMsg::Yield { by: self.voter(), view: self.promised }, fx);
+        }
+    }
+
+    /// Only the leader that is followed, in the view that it gives up, ends the wait for it.
+    pub(super) fn on_yield(&mut self, by: Voter, view: View, now: Tick) {
+        let followed = matches!(&self.post, Post::Follower { leader: Some(l), .. } if *l == by);
+        if followed && view == self.promised {
+            let heard = now - 10 * self.t.patience_ms();
+            self.post = Post::Follower { leader: None, heard };
+        }
+    }
+
     pub(super) fn tell_others(&self, msg: SeatMsg, fx: &mut Vec<Fx>) {
         fx.extend(self.others().into_iter().map(|h| Fx::Send { to: h.rail, msg: msg.clone() }));
     }
--- a/crates/interlocking/tests/seat.rs
+++ b/crates/interlocking/tests/seat.rs
@@ -222,3 +222,28 @@
     let fx = s.step(Ev::Msg(addr(1), feed), now);
     assert!(matches!(sent(&fx)[..], [SeatMsg::Held { installed: false, last: Index(0), .. }]));
 }
+
+/// A leader that is about to stop hands over: the others stand at once, and it leads no more.
+#[test]
+fn a_planned_stop_hands_the_lead_over() {
+    let (mut s, now) = leader();
+    s.step(held(1, View(4), 0, now, true), now);
+    assert!(s.leads(now));
+    let fx = s.step(Ev::Yield, now);
+    assert!(!s.leads(now) && matches!(sent(&fx)[..], [SeatMsg::Yield { .. }, SeatMsg::Yield { .. }]));
+    for (view, stands) in [(View(4), true), (View(3), false)] {
+        let mut f = formed(1);
+        let feed = SeatMsg::Feed {
+            by: voter(0),
+            to: 1,
+            view: View(4),
+            accepted: Index(0),
+            stamp: now,
+            body: Body::Ping,
+        };
+        f.step(Ev::Msg(addr(0), feed), now);
+        f.step(Ev::Msg(addr(0), SeatMsg::Yield { by: voter(0), view }), now);
+        let fx = f.step(Ev::Wakeup, now + 1);
+        assert_eq!(sent(&fx).iter().any(|m| matches!(m, SeatMsg::Canvass { .. })), stands);
+    }
+}
--- a/crates/signalbox/src/main.rs
+++ b/crates/signalbox/src/main.rs
@@ -70,8 +70,9 @@
         _ = tokio::signal::ctrl_c() => {}
     }
     jot!(Info, "stopping");
-    let _ = stop.send(true);
     member.leave().await;
+    core.yield_lead().await;
+    let _ = stop.send(true);
     for _ in 0..40 {
         if busy.open() == 0 {
             break;
--- a/crates/track/src/edge.rs
+++ b/crates/track/src/edge.rs
@@ -193,7 +193,9 @@
             .into_iter()
             .filter(|m| p.governing.table.region_of(&m.card.area) == Some(region))
             .filter(|m| !l.evacuated.contains(&m.card.area) && m.card.node != *self.node())
-            .filter(|m| !tried.contains(&m.card.node.to_string()) && self.hears(&m.card.node))
+            // One that has just started has heard nobody yet: it takes the members at their word.
+            .filter(|m| !tried.contains(&m.card.node.to_string()))
+            .filter(|m| self.starting() || self.hears(&m.card.node))
             .cloned()
             .collect();
         (!all.is_empty()).then(|| all[rand::random_range(0..all.len())].clone())
--- a/crates/trainset/src/sim/faults.rs
+++ b/crates/trainset/src/sim/faults.rs
@@ -110,6 +110,14 @@
                 self.seats[n].disk.mood = Mood::Failing;
                 self.push(ms, What::Heal(Box::new(Undo::Start(n))));
             }
+            11 => {
+                self.note(format!("planned stop of s{n}"));
+                self.seat_step(n, interlocking::seat::Ev::Yield)?;
+                if self.rng.random_bool(0.7) {
+                    self.crash(n);
+                    self.push(ms, What::Heal(Box::new(Undo::Start(n))));
+                }
+            }
             12 => self.lose_disk(n, ms),
             13 => self.replace(n, ms),
             _ => {
