Refuse a data folder of another form instead of taking it for damage

Cause: a folder written before a change of the frame's shape was moved aside as damaged; an upgrade of all three seats would have started blank. Seen by hand, now a test.

--- a/crates/interlocking/src/core/folder.rs
+++ b/crates/interlocking/src/core/folder.rs
@@ -44,6 +44,11 @@
             let me = Holder { seat: i.me.seat, inc: i.me.inc, ..blank(set) };
             Ok(Image { me, ..*i })
         }
+        Found::OtherForm => {
+            eyre::bail!(
+                "data: {dir:?} was written in another form; allowed: a folder of this version, or a blank one"
+            )
+        }
         Found::Damaged(why) => {
             let aside = dir.with_extension(format!("damaged-{}", gauge::clock::wall_ms()));
             jot!(Error, "data folder", "cause" => why, "moved_to" => aside.display().to_string());
--- a/crates/interlocking/src/disk.rs
+++ b/crates/interlocking/src/disk.rs
@@ -15,6 +15,8 @@
     /// Nothing was ever written here.
     Nothing,
     Image(Box<Image>),
+    /// Whole, but in a form that this version can't read: never written over.
+    OtherForm,
     /// Synced data is damaged: the seat counts as blank and must be readmitted.
     Damaged(String),
 }
--- a/crates/interlocking/src/store.rs
+++ b/crates/interlocking/src/store.rs
@@ -15,7 +15,7 @@
     path::{Path, PathBuf},
 };
 
-const MAGIC: &[u8; 8] = b"fshunt01";
+const MAGIC: &[u8; 8] = b"fshunt02";
 const HEAD: usize = 32;
 pub const SLOT_LEN: u64 = 4 << 20;
 pub const LOG_LEN: u64 = 2 << 20;
@@ -76,18 +76,32 @@
     Ok(())
 }
 
-/// A slot: `None` blank, `Some(Err)` damaged, else its sequence and image.
-fn slot(b: &[u8]) -> Option<Result<(u64, Image), ()>> {
+/// What became of reading a slot that holds something.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Bad {
+    Broken,
+    /// Its checksums hold, and what they guard can't be read here.
+    OtherForm,
+}
+
+/// A slot: `None` blank, else its sequence and image, or what is wrong with it.
+fn slot(b: &[u8]) -> Option<Result<(u64, Image), Bad>> {
     if b.iter().take(HEAD).all(|x| *x == 0) {
         return None;
     }
+    if b.starts_with(&MAGIC[..6]) && !b.starts_with(MAGIC) {
+        return Some(Err(Bad::OtherForm));
+    }
     let whole = || {
         let (seq, len, crc) = parse(b)?;
         let body = b.get(HEAD..HEAD.checked_add(len as usize)?)?;
-        (crc32fast::hash(body) == crc).then_some(())?;
-        Some((seq, wire::dec::<Image>(body).ok()?))
+        (crc32fast::hash(body) == crc).then_some((seq, body))
     };
-    Some(whole().ok_or(()))
+    Some(
+        whole()
+            .ok_or(Bad::Broken)
+            .and_then(|(seq, body)| wire::dec::<Image>(body).map(|i| (seq, i)).map_err(|_| Bad::OtherForm)),
+    )
 }
 
 /// The records of a log that are whole, how far they reach, and whether whole ones follow a gap.
@@ -123,6 +137,9 @@
         if slots.iter().all(|s| s.is_none()) {
             return Ok(Found::Nothing);
         }
+        if slots.iter().flatten().any(|s| matches!(s, Err(Bad::OtherForm))) {
+            return Ok(Found::OtherForm);
+        }
         let best = slots.iter().flatten().filter_map(|s| s.as_ref().ok()).max_by_key(|s| s.0);
         let Some((seq, img)) = best.cloned() else {
             return Ok(Found::Damaged("no slot is whole".into()));
--- a/crates/interlocking/tests/store.rs
+++ b/crates/interlocking/tests/store.rs
@@ -48,7 +48,7 @@
 fn records(b: &[u8]) -> Vec<usize> {
     let mut at = vec![];
     let mut pos = 32;
-    while b[pos..].starts_with(b"fshunt01") {
+    while b[pos..].starts_with(b"fshunt02") {
         at.push(pos);
         let len = u64::from_le_bytes(b[pos + 16..pos + 24].try_into().unwrap());
         pos += 32 + len as usize;
@@ -125,7 +125,7 @@
     let slot = newest(d.path(), "slot");
     let other = d.path().join(if slot.ends_with("slot-0") { "slot-1" } else { "slot-0" });
     edit(&other, |b| {
-        b[..8].copy_from_slice(b"fshunt01");
+        b[..8].copy_from_slice(b"fshunt02");
         b[8..40].fill(7);
     });
     assert_eq!(last(FileStore::load(d.path()).unwrap()), Some(2));
@@ -140,3 +140,25 @@
     }
     assert!(matches!(FileStore::load(d.path()).unwrap(), Found::Damaged(_)));
 }
+
+/// Whole data of another form is not damage: were it taken as such, an upgrade of all three seats
+/// would start a blank cluster.
+#[test]
+fn another_form_is_refused() {
+    let d = tempfile::tempdir().unwrap();
+    filled(d.path(), 1);
+    edit(&newest(d.path(), "slot"), |b| b[..8].copy_from_slice(b"fshunt01"));
+    assert_eq!(FileStore::load(d.path()).unwrap(), Found::OtherForm);
+    let d = tempfile::tempdir().unwrap();
+    filled(d.path(), 1);
+    edit(&newest(d.path(), "slot"), |b| {
+        // A body that its checksums guard and that is no image.
+        let body = b"not an image of this version";
+        b[16..24].copy_from_slice(&(body.len() as u64).to_le_bytes());
+        b[24..28].copy_from_slice(&crc32fast::hash(body).to_le_bytes());
+        let head = crc32fast::hash(&b[..28]);
+        b[28..32].copy_from_slice(&head.to_le_bytes());
+        b[32..32 + body.len()].copy_from_slice(body);
+    });
+    assert_eq!(FileStore::load(d.path()).unwrap(), Found::OtherForm);
+}
