Take out what stood twice, was dead, or sat at the wrong depth

Behaviour stays; found by reading the change once more. - A job's open-guard was taken by each go and given back after a failed one, in six places; carry now holds it, and each go shares it. - "Stands in a region, area not evacuated" stood in three places, the own region's replicas in two, the fence of all duties in three: one each now. - The floor under an owner's fence belongs to the table: Tab::admit, which the simulator calls as well instead of its own copy of the rule. - stationmaster and wheeltapper asked the seats by a loop each: ask_in_turn in gauge. wheeltapper read the status twice to find the leader. Its message now says "no seat", as stationmaster's does. - Both daemons bound their listeners and wrote their card by hand: Settings::bind and Card::of. - The fleet read every router's metrics twice for one counter. - Dead: a picked replica's capacity, three unused functions, a handler that nothing served, imports held by a constant, a path rule for tests that are not.

--- a/crates/gauge/src/http.rs
+++ b/crates/gauge/src/http.rs
@@ -16,8 +16,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use std::{
-    convert::Infallible,
-    net::{IpAddr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::Arc,
     sync::atomic::{AtomicUsize, Ordering},
     time::Duration,
@@ -182,7 +181,30 @@
         .map_err(|e| e.is::<http_body_util::LengthLimitError>())
 }
 
-/// A handler that never fails, for callers that need no broken connections.
-pub fn sure(r: Response<Body>) -> Result<Response<Body>, Infallible> {
-    Ok(r)
+/// Asks seats in turn until one gives an answer other than 503. What may have been sent and is
+/// not a mere question is not sent to another: that is undetermined.
+pub async fn ask_in_turn(
+    seats: &[SocketAddr],
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: Bytes,
+    ms: u64,
+) -> eyre::Result<(StatusCode, hyper::HeaderMap, Bytes)> {
+    eyre::ensure!(
+        !seats.is_empty(),
+        "--core: missing; allowed: the HTTP address of a signalbox, up to three times"
+    );
+    let (ip, mut last) = (IpAddr::V4(Ipv4Addr::UNSPECIFIED), String::new());
+    for to in seats {
+        match ask(ip, *to, method.clone(), path, headers, body.clone(), ms).await {
+            Ok((code, _, b)) if code == StatusCode::SERVICE_UNAVAILABLE => {
+                last = format!("{to}: {}", String::from_utf8_lossy(&b));
+            }
+            Ok(told) => return Ok(told),
+            Err(e) if e.step == "connect" || method == Method::GET => last = e.to_string(),
+            Err(e) => eyre::bail!("undetermined: {e}"),
+        }
+    }
+    eyre::bail!("no seat could answer; last: {last}")
 }
--- a/crates/gauge/src/settings.rs
+++ b/crates/gauge/src/settings.rs
@@ -1,13 +1,14 @@
 //! Node settings: a file, then the environment, then flags, read by figment (design 1.10).
 
 use crate::ids::good_name;
-use eyre::{Result, bail, ensure, eyre};
+use eyre::{Result, WrapErr, bail, ensure, eyre};
 use figment::{
     Figment,
     providers::{Env, Format, Serialized, Toml},
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, path::PathBuf};
+use tokio::net::TcpListener;
 
 /// What a node must be told, and nothing that it can learn.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -194,6 +195,13 @@
         self.http_advertise.unwrap_or(self.http)
     }
 
+    /// Binds both addresses; a taken one is named.
+    pub async fn bind(&self) -> Result<(TcpListener, TcpListener)> {
+        let rail = TcpListener::bind(self.rail).await.wrap_err_with(|| format!("rail: {}", self.rail))?;
+        let http = TcpListener::bind(self.http).await.wrap_err_with(|| format!("http: {}", self.http))?;
+        Ok((rail, http))
+    }
+
     pub fn me(&self) -> crate::link::Me {
         crate::link::Me {
             cluster: self.cluster.clone(),
--- a/crates/gauge/src/wire.rs
+++ b/crates/gauge/src/wire.rs
@@ -1,7 +1,7 @@
 //! musli over length-delimited frames, and the hello that opens each connection (design 1.8).
 
 use bytes::{Bytes, BytesMut};
-use musli::{Decode, Encode, alloc::Global, mode::Binary};
+use musli::{Decode, Encode};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{io, marker::PhantomData};
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
@@ -39,8 +39,6 @@
     Ok(v.v)
 }
 
-const _: PhantomData<(Binary, Global)> = PhantomData;
-
 /// tokio-util codec: frames of at most `MAX_FRAME` bytes, each one musli value.
 pub struct Codec<In, Out> {
     frames: LengthDelimitedCodec,
--- a/crates/interlocking/src/change.rs
+++ b/crates/interlocking/src/change.rs
@@ -1,6 +1,6 @@
 //! What the log can hold (design 2.1): every change of the shared state.
 
-use gauge::{Area, Incarnation, NodeId, OpId, ReplicaId, Revision, Service};
+use gauge::{Area, Incarnation, NodeId, OpId, ReplicaId, Revision, Service, settings::Settings};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -49,6 +49,20 @@
     pub http: SocketAddr,
 }
 
+impl Card {
+    pub fn of(set: &Settings, role: Role, inc: Incarnation) -> Self {
+        Self {
+            node: set.node.as_str().into(),
+            inc,
+            role,
+            lang: timetable::LANG,
+            area: set.area.as_str().into(),
+            rail: set.rail(),
+            http: set.http_told(),
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     Apply { op: OpId, base: Revision, text: String },
--- a/crates/interlocking/src/core/serve.rs
+++ b/crates/interlocking/src/core/serve.rs
@@ -9,7 +9,7 @@
     seat::Ev,
 };
 use gauge::{Epoch, Index, Revision, jot};
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 impl Core {
     pub(super) fn tenure_wakeup(self: &Arc<Self>) {
@@ -125,8 +125,4 @@
             Ask::Hail { .. } => Reply::Hailed { idx: self.lock().seat.accepted() },
         }
     }
-
-    pub fn leader_addr(&self) -> Option<SocketAddr> {
-        self.lock().seat.leader().map(|h| h.rail)
-    }
 }
--- a/crates/interlocking/src/member.rs
+++ b/crates/interlocking/src/member.rs
@@ -225,8 +225,4 @@
         }
         taken
     }
-
-    pub fn now(&self) -> Tick {
-        self.clock.now()
-    }
 }
--- a/crates/pointsman/src/main.rs
+++ b/crates/pointsman/src/main.rs
@@ -1,14 +1,14 @@
 //! The router daemon (design 1.1): takes callers' jobs and carries them out.
 
 use bpaf::Bpaf;
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use gauge::{
     Clock, Incarnation, http, jot,
     settings::{Flags, Settings, flags},
 };
 use interlocking::{Role, change::Card, member::Member};
 use std::{sync::atomic::Ordering, time::Duration};
-use tokio::{net::TcpListener, signal::unix, sync::watch};
+use tokio::{signal::unix, sync::watch};
 use track::router::Router;
 
 /// Router of a foldshunt cluster: serves callers by placements, homes and lending passes.
@@ -27,17 +27,8 @@
 async fn run() -> Result<()> {
     let set = Settings::read(&opts().run().flags)?;
     jot::start(&set.node, &set.log);
-    let rail = TcpListener::bind(set.rail).await.wrap_err_with(|| format!("rail: {}", set.rail))?;
-    let callers = TcpListener::bind(set.http).await.wrap_err_with(|| format!("http: {}", set.http))?;
-    let card = Card {
-        node: set.node.as_str().into(),
-        inc: Incarnation(rand::random::<u64>() >> 1),
-        role: Role::Router,
-        lang: interlocking::LANG,
-        area: set.area.as_str().into(),
-        rail: set.rail(),
-        http: set.http_told(),
-    };
+    let (rail, callers) = set.bind().await?;
+    let card = Card::of(&set, Role::Router, Incarnation(rand::random::<u64>() >> 1));
     let clock = Clock::default();
     let member = Member::new(set.clone(), card, clock.clone());
     let router = Router::new(set.clone(), member.clone(), clock);
--- a/crates/signalbox/src/main.rs
+++ b/crates/signalbox/src/main.rs
@@ -1,7 +1,7 @@
 //! The core daemon (design 1.1): one on each of the three disk machines.
 
 use bpaf::Bpaf;
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use gauge::{
     Clock, http, jot,
     settings::{Flags, Settings, flags},
@@ -13,7 +13,7 @@
     rail,
 };
 use std::{sync::Arc, time::Duration};
-use tokio::{net::TcpListener, sync::watch};
+use tokio::sync::watch;
 
 /// Core of a foldshunt cluster: keeps the order of changes on disk and serves operators.
 #[derive(Clone, Debug, Bpaf)]
@@ -31,18 +31,9 @@
 async fn run() -> Result<()> {
     let set = Settings::read(&opts().run().flags)?;
     jot::start(&set.node, &set.log);
-    let rail_lst = TcpListener::bind(set.rail).await.wrap_err_with(|| format!("rail: {}", set.rail))?;
-    let http_lst = TcpListener::bind(set.http).await.wrap_err_with(|| format!("http: {}", set.http))?;
+    let (rail_lst, http_lst) = set.bind().await?;
     let core = Core::start(set.clone())?;
-    let card = Card {
-        node: set.node.as_str().into(),
-        inc: core.view().me.inc,
-        role: Role::Core,
-        lang: interlocking::LANG,
-        area: set.area.as_str().into(),
-        rail: set.rail(),
-        http: set.http_told(),
-    };
+    let card = Card::of(&set, Role::Core, core.view().me.inc);
     let member = Member::new(set.clone(), card, Clock::default());
     // The core follows its own news, so that its tenure names what governs here.
     let m = member.clone();
--- a/crates/stationmaster/src/main.rs
+++ b/crates/stationmaster/src/main.rs
@@ -2,14 +2,10 @@
 
 use bpaf::Bpaf;
 use bytes::Bytes;
-use eyre::{Result, WrapErr, bail, ensure};
-use gauge::http::ask;
+use eyre::{Result, WrapErr, bail};
+use gauge::http::ask_in_turn;
 use hyper::{HeaderMap, Method};
-use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr},
-    path::PathBuf,
-    process::ExitCode,
-};
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
 /// Operates a foldshunt cluster through any of its signalboxes.
 ///
@@ -116,20 +112,9 @@
 type Answer = (u16, HeaderMap, Bytes);
 
 impl Station {
-    /// Tries the seats in turn. A change that may have been sent is never sent twice unless the
-    /// seat said that nothing was logged, or the operation has a name.
     async fn ask(&self, method: Method, path: &str, headers: &[(&str, &str)], body: Bytes) -> Result<Answer> {
-        let mut last = None;
-        for to in &self.0 {
-            let ip = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
-            match ask(ip, *to, method.clone(), path, headers, body.clone(), 70_000).await {
-                Ok((code, h, b)) if code.as_u16() != 503 => return Ok((code.as_u16(), h, b)),
-                Ok((_, _, b)) => last = Some(format!("{to}: {}", String::from_utf8_lossy(&b))),
-                Err(e) if e.step == "connect" || method == Method::GET => last = Some(e.to_string()),
-                Err(e) => bail!("undetermined: {e}"),
-            }
-        }
-        bail!("no seat could answer; last: {}", last.unwrap_or_default())
+        let (code, h, b) = ask_in_turn(&self.0, method, path, headers, body, 70_000).await?;
+        Ok((code.as_u16(), h, b))
     }
 
     async fn newest(&self) -> Result<u64> {
@@ -167,10 +152,6 @@
 }
 
 async fn run(o: Opts) -> Result<u8> {
-    ensure!(
-        !o.core.is_empty(),
-        "--core: missing; allowed: the HTTP address of a signalbox, up to three times"
-    );
     let st = Station(o.core);
     let none = Bytes::new();
     let (code, _, body) = match &o.cmd {
--- a/crates/timetable/src/table.rs
+++ b/crates/timetable/src/table.rs
@@ -129,10 +129,6 @@
             .collect()
     }
 
-    pub fn fenced(&self, e: &Entry, t: Option<&Tenant>) -> bool {
-        self.homes(e, t) != self.regions()
-    }
-
     pub fn policy(&self, e: &Entry) -> &Policy {
         &self.policies[e.policy]
     }
--- a/crates/track/src/away.rs
+++ b/crates/track/src/away.rs
@@ -33,7 +33,7 @@
         p: &Plan,
         sent: &Sent,
         past: &mut Past,
-        open: &mut Option<BusyGuard>,
+        open: &Arc<BusyGuard>,
         region: Region,
         stored: bool,
     ) -> Next {
@@ -74,19 +74,13 @@
         past.routers.push(peer.card.node.to_string());
         let own = self.pressure.own(&hop_id(&region, &p.entry.to));
         own.open.fetch_add(1, Ordering::AcqRel);
-        let kept = (OpenHop(own), open.take());
+        let kept = (OpenHop(own), open.clone());
         let extra = [(hop::HEADER, signed)];
         let to = peer.card.http;
         match go(self.set.rail.ip(), to, sent, &extra, self.set.timing.rail_ms, left, kept).await {
-            Outcome::Done(r) => self.hop_answer(p, r, past, open, region, &peer).await,
-            Outcome::NotRun(e) => {
-                self.reopen(open);
-                Next::NotRun(e)
-            }
-            Outcome::Unknown(e) => {
-                self.reopen(open);
-                Next::MayHaveRun(e)
-            }
+            Outcome::Done(r) => self.hop_answer(p, r, past, region, &peer).await,
+            Outcome::NotRun(e) => Next::NotRun(e),
+            Outcome::Unknown(e) => Next::MayHaveRun(e),
         }
     }
 
@@ -96,7 +90,6 @@
         p: &Plan,
         r: Response<Body>,
         past: &mut Past,
-        open: &mut Option<BusyGuard>,
         region: Region,
         peer: &Member,
     ) -> Next {
@@ -105,18 +98,14 @@
             "done" => Next::Answer(self.done(p, r)),
             "bounced" => {
                 let why = said("foldshunt-reason");
-                self.reopen(open);
-                if why.ends_with("revision") || why == "revision not here yet" {
+                if matches!(why.as_str(), "outdated revision" | "revision not here yet") {
                     tokio::time::sleep(Duration::from_millis(self.set.timing.beat_ms())).await;
                 } else {
                     past.avoid.insert(region);
                 }
                 Next::NotRun(Fault::new("hop", &peer.card.node, format!("bounced: {why}")))
             }
-            _ => {
-                self.reopen(open);
-                Next::MayHaveRun(Fault::new("hop", &peer.card.node, "outcome unknown there"))
-            }
+            _ => Next::MayHaveRun(Fault::new("hop", &peer.card.node, "outcome unknown there")),
         }
     }
 }
--- a/crates/track/src/carry.rs
+++ b/crates/track/src/carry.rs
@@ -53,7 +53,8 @@
             self.budget.earn(share);
         }
         let mut past = Past::default();
-        let mut open = Some(open);
+        // Each go keeps a part of it, so that the job counts as open once, to its last byte.
+        let open = Arc::new(open);
         loop {
             let first = past.goes == 0;
             // A process that was frozen must not act on what it knew before.
@@ -63,7 +64,7 @@
             if self.cut_off() {
                 return self.given_up(p, &past, "cut off", 3);
             }
-            match self.one_go(p, sent, &mut past, &mut open).await {
+            match self.one_go(p, sent, &mut past, &open).await {
                 Next::Answer(r) => return r,
                 Next::Again => {}
                 Next::NoRoom(false) => return self.given_up(p, &past, "no replica in reach", 2),
@@ -99,13 +100,7 @@
             && self.budget.spend()
     }
 
-    async fn one_go(
-        self: &Arc<Self>,
-        p: &Plan,
-        sent: &Sent,
-        past: &mut Past,
-        open: &mut Option<BusyGuard>,
-    ) -> Next {
+    async fn one_go(self: &Arc<Self>, p: &Plan, sent: &Sent, past: &mut Past, open: &Arc<BusyGuard>) -> Next {
         let own = self.own_region(&p.governing.table);
         let target = if p.inner {
             own.clone().map(|region| (region, true))
@@ -144,13 +139,7 @@
         }
     }
 
-    async fn local(
-        self: &Arc<Self>,
-        p: &Plan,
-        sent: &Sent,
-        past: &mut Past,
-        open: &mut Option<BusyGuard>,
-    ) -> Next {
+    async fn local(self: &Arc<Self>, p: &Plan, sent: &Sent, past: &mut Past, open: &Arc<BusyGuard>) -> Next {
         let t = &p.governing.table;
         let picked = match self.pick(t, &p.entry.to, p.entry.kind, p.key, &past.tried) {
             Ok(x) => x,
@@ -161,7 +150,7 @@
         let (addr, own, id) = (picked.addr, picked.own.clone(), picked.id.clone());
         let extra = [("foldshunt-job", p.job.to_string())];
         let left = p.deadline.since(self.now());
-        let kept = (picked, open.take());
+        let kept = (picked, open.clone());
         match go(self.set.rail.ip(), addr, sent, &extra, self.set.timing.rail_ms, left, kept).await {
             Outcome::Done(r) => {
                 self.note_load(&own, r.headers());
@@ -175,13 +164,9 @@
             Outcome::NotRun(e) => {
                 let until = self.now() + self.set.timing.check_ms;
                 own.shun.store(until.0, Ordering::Relaxed);
-                self.reopen(open);
                 Next::NotRun(e)
             }
-            Outcome::Unknown(e) => {
-                self.reopen(open);
-                Next::MayHaveRun(e)
-            }
+            Outcome::Unknown(e) => Next::MayHaveRun(e),
         }
     }
 
@@ -193,10 +178,6 @@
         }
     }
 
-    pub(crate) fn reopen(&self, open: &mut Option<BusyGuard>) {
-        open.get_or_insert_with(|| self.busy.enter());
-    }
-
     pub(crate) fn count_go(&self, past: &mut Past, kind: &str) {
         let kind = if past.goes == 0 { kind } else { "extra" };
         self.numbers.goes.with_label_values(&[kind]).inc();
--- a/crates/track/src/edge.rs
+++ b/crates/track/src/edge.rs
@@ -4,7 +4,7 @@
     digest::Happened,
     hop,
     plan::{Plan, header_of},
-    router::Router,
+    router::{Router, stands_in},
 };
 use gauge::{
     Fault, JobId,
@@ -191,8 +191,7 @@
         let all: Vec<Member> = l
             .routers()
             .into_iter()
-            .filter(|m| p.governing.table.region_of(&m.card.area) == Some(region))
-            .filter(|m| !l.evacuated.contains(&m.card.area) && m.card.node != *self.node())
+            .filter(|m| stands_in(&l, &p.governing.table, m, region) && m.card.node != *self.node())
             // One that has just started has heard nobody yet: it takes the members at their word.
             .filter(|m| !tried.contains(&m.card.node.to_string()))
             .filter(|m| self.starting() || self.hears(&m.card.node))
--- a/crates/track/src/lending.rs
+++ b/crates/track/src/lending.rs
@@ -3,9 +3,9 @@
 use crate::{
     lend::{Pass, Spent},
     rail::{Ask, Reply},
-    router::{Router, lock},
+    router::{Router, lock, stands_in},
 };
-use gauge::{Fence, NodeId, Region, Service};
+use gauge::{NodeId, Region, Service};
 use interlocking::{Member, duty};
 use std::{sync::Arc, time::Duration};
 use timetable::Table;
@@ -14,9 +14,7 @@
     /// The one router that lends for a region.
     pub fn lender_of(&self, t: &Table, region: &Region) -> Option<Member> {
         let l = self.ledger();
-        duty::line(&l, &format!("lender/{region}"), None)
-            .into_iter()
-            .find(|m| t.region_of(&m.card.area) == Some(region) && !l.evacuated.contains(&m.card.area))
+        duty::line(&l, &format!("lender/{region}"), None).into_iter().find(|m| stands_in(&l, t, m, region))
     }
 
     fn lends_here(&self, t: &Table) -> Option<Region> {
@@ -26,11 +24,11 @@
 
     /// Watches the own region while this node lends for it.
     pub async fn lend(self: Arc<Self>) {
-        let mut wakeup = tokio::time::interval(Duration::from_millis((self.set.timing.check_ms / 4).max(10)));
+        let mut wakeup = tokio::time::interval(Duration::from_millis(self.set.timing.look_ms()));
         loop {
             wakeup.tick().await;
             let Some(g) = self.governing.load_full() else { continue };
-            let fence = Fence(self.ledger().epoch.0);
+            let fence = self.fence();
             let holds = self.lends_here(&g.table).is_some();
             let well = holds
                 && self.member.tenured()
@@ -43,11 +41,6 @@
         }
     }
 
-    fn own_replicas(&self, t: &Table, s: &Service) -> Vec<crate::pressure::Candidate> {
-        let own = self.own_region(t);
-        self.usable(s).into_iter().filter(|c| t.region_of(&c.area) == own.as_ref()).collect()
-    }
-
     /// Grants from measured headroom; nothing until the region was well for a full set of checks.
     pub fn grant(&self, region: &Region, svc: &Service, node: &NodeId) -> Result<Option<Pass>, &'static str> {
         let g = self.governing.load_full().ok_or("no configuration")?;
--- a/crates/track/src/place.rs
+++ b/crates/track/src/place.rs
@@ -6,7 +6,7 @@
     plan::Plan,
     rail::{Ask, Reply},
     router::{Cached, Router, lock},
-    tab::{Copy, Settled, Tab, UserKey},
+    tab::{Copy, Settled, UserKey},
 };
 use gauge::{Region, Service, Tick};
 use interlocking::{Member, duty};
@@ -110,7 +110,7 @@
     ) -> Option<Settled> {
         let shard = key.shard(service);
         let owner = self.owners(shard).into_iter().next()?;
-        let fence = gauge::Fence(self.ledger().epoch.0);
+        let fence = self.fence();
         if owner.card.node == *self.node() {
             return self.settle_here(fence, key, service, stale, pick, ttl_ms).ok();
         }
@@ -139,9 +139,7 @@
         let now = self.now();
         let (res, row) = {
             let mut t = lock(&self.tab);
-            // A restarted owner counts anew: its own epoch keeps its versions apart from before.
-            let _ = t.fence(shard, gauge::Fence(self.ledger().epoch.0));
-            t.fence(shard, fence).map_err(|f| format!("stale fence: {f} is known"))?;
+            t.admit(shard, self.fence(), fence).map_err(|f| format!("stale fence: {f} is known"))?;
             let res = t.settle(key, service, stale, pick, ttl_ms, now);
             (res, t.one(key, service, now))
         };
@@ -195,6 +193,6 @@
     pub fn take_copies(&self, rows: Vec<Copy>) {
         let now: Tick = self.now();
         let mut t = lock(&self.tab);
-        rows.into_iter().for_each(|c| Tab::copy(&mut t, c, now));
+        rows.into_iter().for_each(|c| t.copy(c, now));
     }
 }
--- a/crates/track/src/replica.rs
+++ b/crates/track/src/replica.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     pressure::{Candidate, Own},
-    router::Router,
+    router::{Router, stands_in},
     tab::UserKey,
 };
 use gauge::{Region, Service, rank::stable_hash};
@@ -20,7 +20,6 @@
 pub struct Picked {
     pub addr: SocketAddr,
     pub id: gauge::ReplicaId,
-    pub capacity: f64,
     pub own: Arc<Own>,
     router: Arc<Router>,
 }
@@ -41,10 +40,7 @@
 }
 
 fn routers_of(l: &Ledger, t: &Table, region: &Region) -> Vec<String> {
-    let inside = |m: &&interlocking::Member| {
-        t.region_of(&m.card.area) == Some(region) && !l.evacuated.contains(&m.card.area)
-    };
-    l.routers().into_iter().filter(inside).map(|m| m.card.node.to_string()).collect()
+    l.routers().into_iter().filter(|m| stands_in(l, t, m, region)).map(|m| m.card.node.to_string()).collect()
 }
 
 /// Whether one more job may go to this replica from here (design 5.4). What a report shows as
@@ -77,11 +73,8 @@
         let region = self.own_region(t).ok_or(false)?;
         let l = self.ledger();
         let now = self.now();
-        let mut all: Vec<Candidate> = self
-            .usable(svc)
-            .into_iter()
-            .filter(|c| t.region_of(&c.area) == Some(&region) && !tried.contains(&c.gauge.id))
-            .collect();
+        let mut all: Vec<Candidate> =
+            self.own_replicas(t, svc).into_iter().filter(|c| !tried.contains(&c.gauge.id)).collect();
         if all.is_empty() {
             return Err(false);
         }
@@ -113,13 +106,7 @@
         let best = all.into_iter().find(|c| has_room(c, &line, self.node().as_str()));
         let c = best.ok_or(true)?;
         c.own.open.fetch_add(1, Ordering::AcqRel);
-        Ok(Picked {
-            addr: c.gauge.addr,
-            id: c.gauge.id,
-            capacity: c.gauge.capacity,
-            own: c.own,
-            router: self.clone(),
-        })
+        Ok(Picked { addr: c.gauge.addr, id: c.gauge.id, own: c.own, router: self.clone() })
     }
 }
 
--- a/crates/track/src/router.rs
+++ b/crates/track/src/router.rs
@@ -12,10 +12,10 @@
 };
 use arc_swap::ArcSwapOption;
 use gauge::{
-    Area, Clock, NodeId, Region, Revision, Service, Tick, http::Busy, jot, journal::Journal, link::Lines,
-    settings::Settings,
+    Area, Clock, Fence, NodeId, Region, Revision, Service, Tick, http::Busy, jot, journal::Journal,
+    link::Lines, settings::Settings,
 };
-use interlocking::{Ledger, member::Member};
+use interlocking::{Ledger, Member, member};
 use std::{
     collections::{BTreeMap, HashMap},
     sync::{
@@ -47,7 +47,7 @@
 pub struct Router {
     pub set: Settings,
     pub clock: Clock,
-    pub member: Arc<Member>,
+    pub member: Arc<member::Member>,
     pub lines: Lines<Ask, Reply>,
     pub governing: ArcSwapOption<Governing>,
     pub pressure: Pressure,
@@ -73,7 +73,7 @@
 }
 
 impl Router {
-    pub fn new(set: Settings, member: Arc<Member>, clock: Clock) -> Arc<Self> {
+    pub fn new(set: Settings, member: Arc<member::Member>, clock: Clock) -> Arc<Self> {
         Arc::new(Self {
             lines: Lines::new(set.me(), crate::rail::SERVICE),
             set,
@@ -144,6 +144,17 @@
         }
     }
 
+    /// The fence of all duties that this node knows of (design 3.2).
+    pub fn fence(&self) -> Fence {
+        Fence(self.ledger().epoch.0)
+    }
+
+    /// Replicas of the own region that may be given something now.
+    pub fn own_replicas(&self, t: &Table, svc: &Service) -> Vec<Candidate> {
+        let own = self.own_region(t);
+        self.usable(svc).into_iter().filter(|c| t.region_of(&c.area) == own.as_ref()).collect()
+    }
+
     pub fn own_region(&self, t: &Table) -> Option<Region> {
         t.region_of(self.area()).cloned()
     }
@@ -193,6 +204,11 @@
     }
 }
 
+/// Whether a router stands in a region, in an area that is not evacuated.
+pub fn stands_in(l: &Ledger, t: &Table, m: &Member, region: &Region) -> bool {
+    t.region_of(&m.card.area) == Some(region) && !l.evacuated.contains(&m.card.area)
+}
+
 /// Under this name own hops to a region are counted.
 pub fn hop_id(r: &Region, svc: &Service) -> gauge::ReplicaId {
     gauge::ReplicaId::new(format!("hop/{r}/{svc}"))
--- a/crates/track/src/tab.rs
+++ b/crates/track/src/tab.rs
@@ -67,6 +67,13 @@
         Ok(())
     }
 
+    /// The owner's look at an asker's fence. Its own is the floor: a restarted owner counts
+    /// versions anew, and must keep them apart from those of its earlier life.
+    pub fn admit(&mut self, shard: u16, own: Fence, asked: Fence) -> Result<(), Fence> {
+        let _ = self.fence(shard, own);
+        self.fence(shard, asked)
+    }
+
     /// The first writer wins. `stale` names the version that the asker found wanting: only that
     /// one may be replaced. A valid use refreshes the time to live.
     pub fn settle(
--- a/crates/trainset/src/chaos.rs
+++ b/crates/trainset/src/chaos.rs
@@ -13,7 +13,6 @@
 pub fn plan(seed: u64, secs: f64, dep: &Deployment) -> Vec<Fault> {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x0063_6861_6f73);
     let mut out = Vec::new();
-    let mut add = |second: f64, what: What, whom: String| out.push(Fault { second, what, whom });
     let mut gone: Vec<String> = Vec::new();
     let mut t = 4.0;
     while t < secs - QUIET {
@@ -23,64 +22,29 @@
         let router = format!("p{}", rng.random_range(1..=9));
         let replica = replica(dep, &mut rng);
         let alive = !gone.contains(&replica);
-        match rng.random_range(0..16) {
-            0 | 1 => {
-                add(t, What::Kill, router.clone());
-                add(t + span, What::Start, router);
-            }
-            2 => {
-                add(t, What::Freeze, router.clone());
-                add(t + span, What::Thaw, router);
-            }
-            3 => {
-                add(t, What::Stop, router.clone());
-                add(t + span, What::Start, router);
-            }
-            4 => {
-                add(t, What::Kill, core.clone());
-                add(t + span, What::Start, core);
-            }
-            5 => {
-                add(t, What::Freeze, core.clone());
-                add(t + span, What::Thaw, core);
-            }
-            6 => {
-                add(t, What::Kill, core.clone());
-                add(t + span, What::Blank, core);
-            }
-            7 => {
-                add(t, What::Cut, core.clone());
-                add(t + span, What::Mend, core);
-            }
-            8 => {
-                add(t, What::Cut, router.clone());
-                add(t + span, What::Mend, router);
-            }
-            9 => {
-                let out = format!("{router}>");
-                add(t, What::Cut, out.clone());
-                add(t + span, What::Mend, out);
-            }
-            10 => {
-                add(t, What::Evacuate, area.clone());
-                add(t + span, What::Restore, area);
-            }
-            11 if alive => {
-                add(t, What::Crash, replica.clone());
-                add(t + span, What::Cold, replica);
-            }
+        let fault = |second, what, whom| Fault { second, what, whom };
+        let both = |a, b, whom: String| vec![fault(t, a, whom.clone()), fault(t + span, b, whom)];
+        let acts = match rng.random_range(0..16) {
+            0 | 1 => both(What::Kill, What::Start, router),
+            2 => both(What::Freeze, What::Thaw, router),
+            3 => both(What::Stop, What::Start, router),
+            4 => both(What::Kill, What::Start, core),
+            5 => both(What::Freeze, What::Thaw, core),
+            6 => both(What::Kill, What::Blank, core),
+            7 => both(What::Cut, What::Mend, core),
+            8 => both(What::Cut, What::Mend, router),
+            9 => both(What::Cut, What::Mend, format!("{router}>")),
+            10 => both(What::Evacuate, What::Restore, area),
+            11 if alive => both(What::Crash, What::Cold, replica),
             12 if alive => {
-                add(t, What::Drain, replica.clone());
-                add(t + span, What::Remove, replica.clone());
-                gone.push(replica);
-            }
-            13 => add(t, What::Race, String::new()),
-            14 => {
-                add(t, What::KillArea, area.clone());
-                add(t + span, What::StartArea, area);
+                gone.push(replica.clone());
+                both(What::Drain, What::Remove, replica)
             }
-            _ => add(t, What::Apply, String::new()),
-        }
+            13 => vec![fault(t, What::Race, String::new())],
+            14 => both(What::KillArea, What::StartArea, area),
+            _ => vec![fault(t, What::Apply, String::new())],
+        };
+        out.extend(acts);
         t += span + rng.random_range(1.0..4.0);
     }
     out
--- a/crates/trainset/src/fleet.rs
+++ b/crates/trainset/src/fleet.rs
@@ -36,9 +36,6 @@
 impl Fleet {
     pub async fn start(dep: Deployment, dir: &Path, net: u8) -> Result<Fleet> {
         let bin = std::env::current_exe()?.parent().map(Path::to_path_buf).unwrap_or_default();
-        // Tests run from a folder below that of the programs.
-        let bin =
-            if bin.ends_with("deps") { bin.parent().map(Path::to_path_buf).unwrap_or(bin) } else { bin };
         let mut nodes = Vec::new();
         for (a, (area, _)) in dep.areas.iter().enumerate() {
             for n in 0..4u8 {
@@ -182,23 +179,6 @@
         res.is_ok_and(|r| r.0.is_success())
     }
 
-    /// Sum of one counter's rows that carry `label`, over all routers that answer.
-    pub async fn sum(&self, metric: &str, label: &str) -> f64 {
-        let mut sum = 0.0;
-        for n in self.nodes.iter().filter(|n| !n.core && n.runs()) {
-            if let Ok((_, _, b)) =
-                ask(self.caller_ip(), n.http(), Method::GET, "/metrics", &[], "", 2_000).await
-            {
-                sum += String::from_utf8_lossy(&b)
-                    .lines()
-                    .filter(|l| l.starts_with(metric) && l.contains(label))
-                    .filter_map(|l| l.rsplit(' ').next().and_then(|v| v.parse::<f64>().ok()))
-                    .sum::<f64>();
-            }
-        }
-        sum
-    }
-
     pub async fn stop(&mut self) {
         for n in &mut self.nodes {
             let _ = n.signal(Signal::SIGCONT);
--- a/crates/trainset/src/main.rs
+++ b/crates/trainset/src/main.rs
@@ -126,8 +126,9 @@
     let mut a = audit(&r, &f.backs, f.dep.replicas[0].0);
     a.placements = f.by_label("foldshunt_placements_total{").await;
     a.passes = f.by_label("foldshunt_passes_total{").await;
-    a.extra_goes = f.sum("foldshunt_goes_total", "extra").await;
-    a.hops = f.sum("foldshunt_goes_total", "hop").await;
+    let goes = f.by_label("foldshunt_goes_total{").await;
+    a.extra_goes = goes.get("extra").copied().unwrap_or(0.0);
+    a.hops = goes.get("hop").copied().unwrap_or(0.0);
     a.extra_share = a.extra_goes / a.jobs.max(1) as f64;
     let newest = r.acts.iter().rev().find_map(|x| x.text.clone());
     let want = newest.unwrap_or(f.dep.document.clone());
--- a/crates/trainset/src/sim/table.rs
+++ b/crates/trainset/src/sim/table.rs
@@ -61,8 +61,7 @@
         let fenced = self.broken != Some(BrokenData::NoFence);
         let epoch = Fence(self.nodes[to].ledger.epoch.0);
         let tab = &mut self.nodes[to].tab;
-        let _ = fenced.then(|| tab.fence(shard, epoch));
-        if fenced && tab.fence(shard, fence).is_err() {
+        if fenced && tab.admit(shard, epoch, fence).is_err() {
             return Ok(());
         }
         let last = tab.one(key, &svc(), now).map(|c| c.ver);
--- a/crates/wheeltapper/src/lib.rs
+++ b/crates/wheeltapper/src/lib.rs
@@ -4,7 +4,10 @@
 use gauge::{Area, Region, Service};
 use interlocking::Replica;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 use timetable::{Table, check_fleet, compile};
 
 /// The parts of `/v1/status` that the checks go by.
@@ -40,6 +43,8 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct RosterRow {
     pub node: String,
+    #[serde(default)]
+    pub http: Option<SocketAddr>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
--- a/crates/wheeltapper/src/main.rs
+++ b/crates/wheeltapper/src/main.rs
@@ -1,14 +1,10 @@
 //! `wheeltapper`: taps a document against the live fleet and changes nothing (design 4.9).
 
 use bpaf::Bpaf;
-use eyre::{Result, WrapErr, bail, ensure};
-use gauge::{fault::print, http::ask};
+use eyre::{Result, WrapErr, bail};
+use gauge::{fault::print, http::ask_in_turn};
 use hyper::Method;
-use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr},
-    path::PathBuf,
-    process::ExitCode,
-};
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 use wheeltapper::{Finding, Status, exit_code, tap};
 
 /// Checks a document against the fleet as it is, and changes nothing.
@@ -28,25 +24,15 @@
 }
 
 async fn get(core: &[SocketAddr], path: &str) -> Result<(u16, String)> {
-    let ip = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
-    let mut last = String::new();
-    for to in core {
-        match ask(ip, *to, Method::GET, path, &[], "", 5_000).await {
-            Ok((code, _, b)) if code.as_u16() != 503 => {
-                return Ok((code.as_u16(), String::from_utf8_lossy(&b).into_owned()));
-            }
-            Ok((_, _, b)) => last = format!("{to}: {}", String::from_utf8_lossy(&b)),
-            Err(e) => last = e.to_string(),
-        }
-    }
-    bail!("no signalbox could answer; last: {last}")
+    let (code, _, b) = ask_in_turn(core, Method::GET, path, &[], Default::default(), 5_000).await?;
+    Ok((code.as_u16(), String::from_utf8_lossy(&b).into_owned()))
+}
+
+async fn status(core: &[SocketAddr]) -> Result<Status> {
+    serde_json::from_str(&get(core, "/v1/status").await?.1).wrap_err("status")
 }
 
 async fn check(o: &Opts) -> Result<Vec<Finding>> {
-    ensure!(
-        !o.core.is_empty(),
-        "--core: missing; allowed: the HTTP address of a signalbox, up to three times"
-    );
     let src = match &o.file {
         Some(f) => std::fs::read_to_string(f).wrap_err_with(|| format!("{f:?}"))?,
         None => match get(&o.core, "/v1/configuration").await? {
@@ -55,13 +41,10 @@
         },
     };
     // The leader knows what governs where; the others only know who it is.
-    let (_, s) = get(&o.core, "/v1/status").await?;
-    let mut st: Status = serde_json::from_str(&s).wrap_err("status")?;
-    let v: serde_json::Value = serde_json::from_str(&s).wrap_err("status")?;
-    let lead = v["roster"].as_array().into_iter().flatten().find(|h| h["node"] == v["leader"]);
-    if let Some(at) = lead.and_then(|h| h["http"].as_str()).and_then(|a| a.parse().ok()) {
-        let (_, s) = get(&[at], "/v1/status").await?;
-        st = serde_json::from_str(&s).wrap_err("the leader's status")?;
+    let mut st = status(&o.core).await?;
+    let lead = st.roster.iter().find(|h| Some(&h.node) == st.leader.as_ref());
+    if let Some(at) = lead.and_then(|h| h.http) {
+        st = status(&[at]).await.wrap_err("the leader")?;
     }
     Ok(tap(&src, &st))
 }
