A clock that counts through suspension; an answer is as old as its question

Cause: the clock stood on Instant, which Linux stops while a machine is suspended, so a tenure could outlive itself; signs of life were stamped when an answer was read, so one that lay in the socket of a frozen router counted as heard now, and so did a hail from another node; figures were dated by the reader's clock at reading, a cached placement likewise. Between the look at the standing and the first byte lay a placement and a connect, with nothing looked at after them. Shown not to happen: a job on the waitlist across a leap was given up before too (the loop looks again). Ruled out: detecting freezes by late wakeups (a guess about scheduling; the question's time is exact). Change: CLOCK_BOOTTIME behind gauge::Clock; stamps from before the question; homes say how long a question waited; a last look before the first byte, also at drained, removed and evacuated replicas.

--- a/crates/gauge/src/clock.rs
+++ b/crates/gauge/src/clock.rs
@@ -3,7 +3,11 @@
 use serde::{Deserialize, Serialize};
 use std::{
     ops::{Add, Sub},
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 /// Milliseconds on the holder's own monotonic clock.
@@ -31,27 +35,49 @@
     }
 }
 
-/// The daemons' clock: counts from a start that lies a day back, so that `now - span` never
-/// underflows for the spans in use.
+/// The one clock of a process. The daemons' counts through suspension of the machine, as tenures
+/// must: a node that slept holds nothing of what it held before. Counts from a start that lies a
+/// day back, so that `now - span` never underflows for the spans in use.
 #[derive(Clone, Debug)]
-pub struct Clock {
-    start: Instant,
+pub struct Clock(Source);
+
+#[derive(Clone, Debug)]
+enum Source {
+    /// Linux counts suspension on this clock, and not on the one behind `Instant`.
+    Boot,
+    /// Moved by hand, for tests.
+    Hand(Arc<AtomicU64>),
 }
 
 const HEAD_START_MS: u64 = 86_400_000;
 
 impl Default for Clock {
     fn default() -> Self {
-        Self { start: Instant::now() }
+        Self(Source::Boot)
     }
 }
 
 impl Clock {
     pub fn now(&self) -> Tick {
-        Tick(HEAD_START_MS + self.start.elapsed().as_millis() as u64)
+        let ms = match &self.0 {
+            Source::Boot => boot_ms(),
+            Source::Hand(ms) => ms.load(Ordering::Acquire),
+        };
+        Tick(HEAD_START_MS + ms)
+    }
+
+    /// A clock that stands still until its hand is moved.
+    pub fn hand() -> (Self, Arc<AtomicU64>) {
+        let ms = Arc::new(AtomicU64::new(0));
+        (Self(Source::Hand(ms.clone())), ms)
     }
 }
 
+fn boot_ms() -> u64 {
+    let t = nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME);
+    t.map(|t| Duration::from(t).as_millis() as u64).expect("each Linux since 2.6.39 has this clock")
+}
+
 /// Wall time in milliseconds, for log lines and for unique names only.
 pub fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_millis() as u64
--- a/crates/track/src/answer.rs
+++ b/crates/track/src/answer.rs
@@ -13,10 +13,8 @@
 impl Router {
     pub async fn answer(self: Arc<Self>, node: String, ask: Ask) -> Reply {
         match ask {
-            Ask::Hail { .. } => {
-                lock(&self.heard).insert(node.as_str().into(), self.now());
-                Reply::Hailed { idx: self.ledger().idx }
-            }
+            // No sign of life by itself: it may have waited here while this node was frozen.
+            Ask::Hail { .. } => Reply::Hailed { idx: self.ledger().idx },
             Ask::News { have } => {
                 let l = self.ledger();
                 let base = l.idx;
@@ -71,7 +69,7 @@
         let b = self.pressure.board();
         let s = b.seen.get(&(svc.clone(), area.clone()))?;
         let age_ms = self.now().since(s.at);
-        (age_ms <= self.set.timing.stale_ms()).then(|| Figures { age_ms, ..s.fig.clone() })
+        (age_ms <= self.set.timing.stale_ms()).then(|| Figures { age_ms, waited_ms: 0, ..s.fig.clone() })
     }
 
     async fn tell_figures(
@@ -85,10 +83,13 @@
         let mut rx = lock(&self.published).get(&(svc.clone(), area.clone()))?.subscribe();
         let newer = |f: &Option<Figures>| f.as_ref().is_some_and(|f| f.fence != fence || f.seq > seq);
         let wait = Duration::from_millis(wait_ms.min(10_000));
+        let came = self.now();
         let _ = tokio::time::timeout(wait, rx.wait_for(newer)).await;
         let mut fig = rx.borrow().clone()?;
         let at = self.pressure.board().seen.get(&(svc, area)).map(|s| s.at);
-        fig.age_ms = at.map(|t| self.now().since(t)).unwrap_or(0);
+        let now = self.now();
+        fig.age_ms = at.map(|t| now.since(t)).unwrap_or(0);
+        fig.waited_ms = now.since(came);
         Some(fig)
     }
 
--- a/crates/track/src/away.rs
+++ b/crates/track/src/away.rs
@@ -77,7 +77,8 @@
         let kept = (OpenHop(own), open.clone());
         let extra = [(hop::HEADER, signed)];
         let to = peer.card.http;
-        match go(self.set.rail.ip(), to, sent, &extra, self.set.timing.rail_ms, left, kept).await {
+        let barred = || self.barred(p);
+        match go(self.way(p, to, &barred), sent, &extra, kept).await {
             Outcome::Done(r) => self.hop_answer(p, r, past, region, &peer).await,
             Outcome::NotRun(e) => Next::NotRun(e),
             Outcome::Unknown(e) => Next::MayHaveRun(e),
--- a/crates/track/src/carry.rs
+++ b/crates/track/src/carry.rs
@@ -3,7 +3,7 @@
 use crate::{
     again::{After, may_go_again},
     edge::{bounced, unknown},
-    go::{Outcome, Sent, go},
+    go::{Outcome, Sent, Way, go},
     plan::Plan,
     router::{Router, lock},
 };
@@ -15,6 +15,7 @@
 use hyper::Response;
 use std::{
     collections::BTreeSet,
+    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -58,11 +59,8 @@
         loop {
             let first = past.goes == 0;
             // A process that was frozen must not act on what it knew before.
-            if self.now() >= p.deadline {
-                return self.given_up(p, &past, "past its deadline", 1);
-            }
-            if self.cut_off() {
-                return self.given_up(p, &past, "cut off", 3);
+            if let Some(why) = self.barred(p) {
+                return self.given_up(p, &past, why, 2);
             }
             match self.one_go(p, sent, &mut past, &open).await {
                 Next::Answer(r) => return r,
@@ -94,6 +92,30 @@
         }
     }
 
+    /// Why nothing new may be done for a job: looked at before each go, and once more when its
+    /// connection is open.
+    pub(crate) fn barred(&self, p: &Plan) -> Option<&'static str> {
+        (self.now() >= p.deadline)
+            .then_some("past its deadline")
+            .or_else(|| self.cut_off().then_some("cut off"))
+    }
+
+    /// No more listed there, draining, or in an area that was evacuated since it was picked.
+    fn departed(&self, id: &ReplicaId, addr: SocketAddr) -> bool {
+        let l = self.ledger();
+        l.replicas.get(id).is_none_or(|r| r.draining || r.addr != addr || l.evacuated.contains(&r.area))
+    }
+
+    pub(crate) fn way<'a>(
+        &self,
+        p: &Plan,
+        to: SocketAddr,
+        barred: &'a (dyn Fn() -> Option<&'static str> + Send + Sync),
+    ) -> Way<'a> {
+        let (ip, connect_ms) = (self.set.rail.ip(), self.set.timing.rail_ms);
+        Way { ip, to, connect_ms, left_ms: p.deadline.since(self.now()), barred }
+    }
+
     fn again(&self, p: &Plan, past: &Past, after: After) -> bool {
         may_go_again(after, p.entry.repeatable, p.inner, past.goes)
             && self.now() < p.deadline
@@ -149,9 +171,9 @@
         past.tried.push(picked.id.clone());
         let (addr, own, id) = (picked.addr, picked.own.clone(), picked.id.clone());
         let extra = [("foldshunt-job", p.job.to_string())];
-        let left = p.deadline.since(self.now());
         let kept = (picked, open.clone());
-        match go(self.set.rail.ip(), addr, sent, &extra, self.set.timing.rail_ms, left, kept).await {
+        let barred = || self.barred(p).or_else(|| self.departed(&id, addr).then_some("replica departed"));
+        match go(self.way(p, addr, &barred), sent, &extra, kept).await {
             Outcome::Done(r) => {
                 self.note_load(&own, r.headers());
                 // Another may do better; this one says itself that it did not serve the job.
--- a/crates/track/src/cut.rs
+++ b/crates/track/src/cut.rs
@@ -12,7 +12,7 @@
 use std::{collections::HashMap, sync::Arc, sync::atomic::Ordering, time::Duration};
 
 impl Router {
-    /// Heard within a tenure's length.
+    /// Answered, within a tenure's length, a hail from here.
     pub fn hears(&self, n: &NodeId) -> bool {
         let now = self.now();
         lock(&self.heard).get(n).is_some_and(|t| now.since(*t) <= self.set.timing.tenure_ms)
@@ -42,6 +42,8 @@
             self.note_standing();
             for m in l.members.values().filter(|m| m.card.node != *self.node()) {
                 let (me, m, idx) = (self.clone(), m.clone(), l.idx);
+                // Counted from here: an answer may lie in a socket for as long as this node is frozen.
+                let asked = me.now();
                 tokio::spawn(async move {
                     let to = m.card.rail;
                     let idx = match m.card.role {
@@ -58,7 +60,7 @@
                         }
                     };
                     if let Some(idx) = idx {
-                        lock(&me.heard).insert(m.card.node.clone(), me.now());
+                        lock(&me.heard).insert(m.card.node.clone(), asked);
                         if m.card.role == Role::Router {
                             me.news_from(to, idx).await;
                         }
--- a/crates/track/src/go.rs
+++ b/crates/track/src/go.rs
@@ -61,17 +61,25 @@
     own.iter().for_each(|n| drop(h.remove(n)));
 }
 
+/// Where a go leads, and for how long it may take.
+pub struct Way<'a> {
+    pub ip: IpAddr,
+    pub to: SocketAddr,
+    pub connect_ms: u64,
+    pub left_ms: u64,
+    /// Looked at last, before the first byte is sent: why the go may not be made any more.
+    pub barred: &'a (dyn Fn() -> Option<&'static str> + Send + Sync),
+}
+
 /// One go over a fresh connection. `kept` lives until the last byte has passed through.
 pub async fn go<K: Send + Sync + Unpin + 'static>(
-    ip: IpAddr,
-    to: SocketAddr,
+    way: Way<'_>,
     sent: &Sent,
     extra: &[(&'static str, String)],
-    connect_ms: u64,
-    left_ms: u64,
     kept: K,
 ) -> Outcome {
     let step = "go";
+    let Way { ip, to, connect_ms, left_ms, barred } = way;
     let mut tx = match open(ip, to, connect_ms.min(left_ms.max(1))).await {
         Ok(tx) => tx,
         Err(e) => return Outcome::NotRun(e),
@@ -93,6 +101,10 @@
         Ok(r) => r,
         Err(e) => return Outcome::NotRun(e),
     };
+    // Much may have passed since the plan: this process was frozen, or the world went on.
+    if let Some(why) = barred() {
+        return Outcome::NotRun(Fault::new("last look", to, why));
+    }
     // From here on bytes may have left: every failure is "unknown".
     let res = match tokio::time::timeout(Duration::from_millis(left_ms), tx.send_request(req)).await {
         Ok(Ok(r)) => r,
--- a/crates/track/src/place.rs
+++ b/crates/track/src/place.rs
@@ -50,9 +50,10 @@
         }
         let pick = draw(&cands, rand::random());
         for _ in 0..2 {
+            let asked = self.now();
             match self.settle(key, &p.entry.to, stale, pick.clone(), pol.ttl_ms).await {
                 Some(Settled::Held { region, ver, won }) => {
-                    self.remember(key, &p.entry.to, &region, ver, pol.ttl_ms);
+                    self.remember(key, &p.entry.to, &region, ver, pol.ttl_ms, asked);
                     if won {
                         count(if stale.is_some() { "moved" } else { "drawn" });
                         return Some(Placed { region, stored: false });
@@ -89,8 +90,7 @@
         (now.since(c.heard) < fresh).then_some(c)
     }
 
-    fn remember(&self, key: UserKey, svc: &Service, region: &Region, ver: u64, ttl_ms: u64) {
-        let heard = self.now();
+    fn remember(&self, key: UserKey, svc: &Service, region: &Region, ver: u64, ttl_ms: u64, heard: Tick) {
         let c = Cached { region: region.clone(), ver, heard, until: heard + ttl_ms };
         let mut g = lock(&self.cache);
         if g.len() >= crate::tab::MAX_ROWS / 4 {
--- a/crates/track/src/pressure.rs
+++ b/crates/track/src/pressure.rs
@@ -31,9 +31,19 @@
     pub fence: Fence,
     pub seq: u64,
     pub age_ms: u64,
+    /// How long the question for them lay at the home before they were sent.
+    pub waited_ms: u64,
     pub replicas: Vec<Gauge>,
 }
 
+impl Figures {
+    /// When they were fresh, on the clock of whoever asked at `asked`: never later than they can
+    /// have been, however long the answer was on its way or lay unread.
+    pub fn fresh_at(&self, asked: Tick, now: Tick) -> Tick {
+        (asked + self.waited_ms).min(now) - self.age_ms
+    }
+}
+
 /// What this router itself knows of a replica (or of a region that it sends hops to).
 #[derive(Debug, Default)]
 pub struct Own {
@@ -116,7 +126,7 @@
     }
 
     /// Takes figures unless they are a past holder's, or older than those in hand.
-    pub fn take(&self, fig: Figures, now: Tick) -> bool {
+    pub fn take(&self, fig: Figures, asked: Tick, now: Tick) -> bool {
         let _w = self.write.lock().unwrap_or_else(|e| e.into_inner());
         let key = (fig.service.clone(), fig.area.clone());
         let mut b = Board::clone(&self.board.load());
@@ -131,7 +141,7 @@
                     let o = self.own(&g.id);
                     o.counted.store(o.open.load(Ordering::Relaxed), Ordering::Relaxed);
                 }
-                let at = now - fig.age_ms;
+                let at = fig.fresh_at(asked, now);
                 b.seen.insert(key, Seen { fig, at });
                 self.board.store(Arc::new(b));
             }
--- a/crates/track/src/probe.rs
+++ b/crates/track/src/probe.rs
@@ -72,10 +72,11 @@
         loop {
             let ask = Ask::Watch { service: service.clone(), area: area.clone(), seq, fence, wait_ms };
             let ms = wait_ms + self.set.timing.rail_ms;
+            let asked = self.now();
             match self.lines.call_within(ms, "watch", home.card.rail, ask).await {
                 Ok(Reply::Figures(f)) => {
                     (seq, fence) = (f.seq, f.fence);
-                    self.take_figures(f);
+                    self.take_figures(f, asked);
                 }
                 _ => tokio::time::sleep(Duration::from_millis(self.set.timing.beat_ms())).await,
             }
@@ -110,6 +111,7 @@
                 .map(|(id, r)| (id.clone(), r.clone()))
                 .collect();
             watched.retain(|id, _| mine.iter().any(|(m, _)| m == id));
+            let asked = self.now();
             let checks = mine.iter().map(|(_, r)| self.check(r));
             let found = futures::future::join_all(checks).await;
             let (now, tun) = (self.now(), &g.table.tuning);
@@ -136,8 +138,9 @@
             }
             seq += 1;
             let (service, area) = (service.clone(), area.clone());
-            let fig = Figures { service, area, fence: Fence(l.epoch.0), seq, age_ms: 0, replicas };
-            self.take_figures(fig.clone());
+            let fig =
+                Figures { service, area, fence: Fence(l.epoch.0), seq, age_ms: 0, waited_ms: 0, replicas };
+            self.take_figures(fig.clone(), asked);
             tx.send_replace(Some(fig));
         }
     }
@@ -148,7 +151,7 @@
         if self.last_figures(service, area).is_some() {
             return;
         }
-        let others = self.ledger();
+        let (others, asked) = (self.ledger(), self.now());
         let asks = others.routers().into_iter().filter(|m| m.card.node != *self.node()).map(|m| {
             let ask = Ask::Last { service: service.clone(), area: area.clone() };
             Box::pin(async move {
@@ -163,7 +166,7 @@
         if !asks.is_empty()
             && let Ok((f, _)) = futures::future::select_ok(asks).await
         {
-            self.take_figures(f);
+            self.take_figures(f, asked);
         }
     }
 
--- a/crates/track/src/router.rs
+++ b/crates/track/src/router.rs
@@ -191,9 +191,10 @@
         lock(&self.waitlist).free(self.now());
     }
 
-    pub fn take_figures(&self, f: Figures) {
+    /// `asked` is when they were asked for: from then on they age.
+    pub fn take_figures(&self, f: Figures, asked: Tick) {
         let (svc, area) = (f.service.clone(), f.area.clone());
-        if self.pressure.take(f, self.now())
+        if self.pressure.take(f, asked, self.now())
             && let Some(g) = self.governing.load().as_ref()
             && let Some(r) = g.table.region_of(&area)
         {
--- a/crates/track/tests/edge.rs
+++ b/crates/track/tests/edge.rs
@@ -1,142 +1,20 @@
 //! The callers' side, whole but for the core (design 5.2, 6.2, 6.4): one router with a document,
 //! figures and back ends made by the test, asked over real connections.
 
-use gauge::{
-    Clock, Epoch, Fence, Incarnation, Index, Tick, http,
-    settings::{Settings, Timing},
-};
-use interlocking::{Change, Ledger, ReplicaMove, Role, change::Card, member::Member, news::News};
+mod kit;
+
+use gauge::{Clock, Epoch, Index, Tick};
+use interlocking::{Ledger, member::Member, news::News};
+use kit::{Back, IP, back, card, hears_p9, post, router, say, settings};
 use rstest::rstest;
-use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr},
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-    sync::watch,
-};
-use track::{
-    pressure::{Figures, Gauge},
-    router::Router,
-};
+use std::sync::{Arc, atomic::Ordering};
+use tokio::net::TcpListener;
+use track::router::Router;
 
-const IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
-const DOC: &str = include_str!("../../../examples/bitacora.toml");
 const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
 const LOOKUP: &str = "GET /v1/contacts/7 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
 const CUT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ndo";
 
-/// A back end that says the same to each job, and counts how often it was asked.
-struct Back {
-    at: SocketAddr,
-    runs: Arc<AtomicUsize>,
-}
-
-async fn back(says: &'static str) -> Back {
-    let lst = TcpListener::bind((IP, 0)).await.unwrap();
-    let (at, runs) = (lst.local_addr().unwrap(), Arc::new(AtomicUsize::new(0)));
-    let count = runs.clone();
-    tokio::spawn(async move {
-        while let Ok((mut s, _)) = lst.accept().await {
-            let mut buf = vec![0u8; 65536];
-            let _ = s.read(&mut buf).await;
-            count.fetch_add(1, Ordering::AcqRel);
-            let _ = s.write_all(says.as_bytes()).await;
-        }
-    });
-    Back { at, runs }
-}
-
-fn settings() -> Settings {
-    Settings {
-        cluster: "bitacora".into(),
-        node: "p1".into(),
-        area: "centro-1".into(),
-        rail: (IP, 1).into(),
-        http: (IP, 1).into(),
-        rail_advertise: None,
-        http_advertise: None,
-        seeds: vec![],
-        data: None,
-        timing: Timing { tenure_ms: 60_000, check_ms: 60_000, ..Timing::default() },
-        log: "error".into(),
-    }
-}
-
-fn card(node: &str, area: &str) -> Card {
-    let addr = ([127, 0, 0, 9], 8080).into();
-    Card {
-        node: node.into(),
-        inc: Incarnation(1),
-        role: Role::Router,
-        lang: 1,
-        area: area.into(),
-        rail: addr,
-        http: addr,
-    }
-}
-
-/// A router in the centre, with these back ends for a service, and a peer in the north.
-async fn router(service: &str, backs: &[Back]) -> (Arc<Router>, SocketAddr) {
-    let clock = Clock::default();
-    let member = Member::new(settings(), card("p1", "centro-1"), clock.clone());
-    let mut l = Ledger::founded("bitacora", vec![]);
-    let mut add = |ch: Change| l.fold(l.idx.next(), &ch);
-    add(Change::Apply { op: "a".into(), base: Default::default(), text: DOC.into() });
-    for (n, b) in backs.iter().enumerate() {
-        let what = ReplicaMove::List { service: service.into(), area: "centro-1".into(), addr: b.at };
-        let id = format!("r{n}");
-        add(Change::Replica { op: id.as_str().into(), id: id.as_str().into(), what });
-    }
-    add(Change::Join(card("p9", "norte-1")));
-    add(Change::Join(card("p1", "centro-1")));
-    let fence = Fence(l.epoch.0);
-    member.hold(Epoch(l.idx.0), clock.now());
-    member.install(News::Frame(Box::new(l)), "test");
-    let r = Router::new(settings(), member, clock);
-    tokio::spawn(r.clone().govern());
-    while r.governing.load().is_none() {
-        tokio::task::yield_now().await;
-    }
-    let gauge = |(n, b): (usize, &Back)| Gauge {
-        id: format!("r{n}").as_str().into(),
-        addr: b.at,
-        healthy: true,
-        capacity: 8.0,
-        consumption: 0.0,
-        allowance: None,
-    };
-    let replicas = backs.iter().enumerate().map(gauge).collect();
-    let (service, area) = (service.into(), "centro-1".into());
-    r.take_figures(Figures { service, area, fence, seq: 1, age_ms: 0, replicas });
-    r.since.store(Tick(1).0, Ordering::Release);
-    let lst = TcpListener::bind((IP, 0)).await.unwrap();
-    let at = lst.local_addr().unwrap();
-    // Never told to stop: the sender is left alone.
-    let (h, (tx, rx)) = (r.clone(), watch::channel(false));
-    std::mem::forget(tx);
-    tokio::spawn(http::serve(lst, Arc::default(), rx, move |p, q| h.clone().handle(p, q)));
-    (r, at)
-}
-
-/// Sends these bytes and reads to the end of the connection.
-async fn say(at: SocketAddr, what: &str) -> String {
-    let mut s = TcpStream::connect(at).await.unwrap();
-    s.write_all(what.as_bytes()).await.unwrap();
-    let mut got = Vec::new();
-    let _ = s.read_to_end(&mut got).await;
-    String::from_utf8_lossy(&got).into_owned()
-}
-
-fn post(path: &str, more: &str, body: &str) -> String {
-    let n = body.len();
-    format!("POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{more}content-length: {n}\r\n\r\n{body}")
-}
-
 /// Conformance, design 6.4: told from the head, at once, with the body never sent.
 #[rstest]
 #[case::no_entry(
@@ -170,10 +48,6 @@
     assert_eq!(b.runs.load(Ordering::Acquire), 0);
 }
 
-fn hears_p9(r: &Router) {
-    track::router::lock(&r.heard).insert("p9".into(), r.now());
-}
-
 /// Conformance, design 6.2: how often a job reaches a back end, and what its caller is told.
 #[rstest]
 #[case::whole(&[WHOLE], true, "outcome: done", "done", 1)]
--- a/crates/track/tests/goes.rs
+++ b/crates/track/tests/goes.rs
@@ -8,7 +8,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
-use track::go::{Outcome, Sent, go, strip};
+use track::go::{Outcome, Sent, Way, go, strip};
 
 const IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
@@ -59,6 +59,10 @@
     at
 }
 
+fn way(to: SocketAddr, barred: &(dyn Fn() -> Option<&'static str> + Send + Sync)) -> Way<'_> {
+    Way { ip: IP, to, connect_ms: 5_000, left_ms: 5_000, barred }
+}
+
 fn sent() -> Sent {
     Sent {
         method: hyper::Method::POST,
@@ -71,7 +75,7 @@
 /// What became of it, in words: the outcome, and for answers how the body ended.
 async fn outcome(u: Upstream) -> String {
     let at = upstream(u).await;
-    match go(IP, at, &sent(), &[], 5_000, 5_000, ()).await {
+    match go(way(at, &|| None), &sent(), &[], ()).await {
         Outcome::NotRun(_) => "not run".into(),
         Outcome::Unknown(_) => "unknown".into(),
         Outcome::Done(r) => match r.into_body().collect().await {
@@ -122,3 +126,19 @@
     strip(&mut h);
     assert_eq!(h.keys().map(|k| k.as_str()).collect::<Vec<_>>(), ["x-two"]);
 }
+
+/// What came to light while the connection was being made still counts: not a byte is sent.
+#[tokio::test]
+async fn the_last_look_comes_before_the_first_byte() {
+    let lst = TcpListener::bind((IP, 0)).await.unwrap();
+    let at = lst.local_addr().unwrap();
+    let heard = tokio::spawn(async move {
+        let (mut s, _) = lst.accept().await.unwrap();
+        let mut got = Vec::new();
+        let _ = s.read_to_end(&mut got).await;
+        got.len()
+    });
+    let res = go(way(at, &|| Some("cut off")), &sent(), &[], ()).await;
+    assert!(matches!(res, Outcome::NotRun(e) if e.cause == "cut off" && e.step == "last look"));
+    assert_eq!(heard.await.unwrap(), 0);
+}
--- /dev/null
+++ b/crates/track/tests/kit/mod.rs
@@ -0,0 +1,145 @@
+//! One router with a document, figures and back ends made by the test (design 7.6).
+#![allow(dead_code)]
+
+use gauge::{
+    Clock, Epoch, Fence, Incarnation, Tick, http,
+    settings::{Settings, Timing},
+};
+use interlocking::{Change, Ledger, ReplicaMove, Role, change::Card, member::Member, news::News};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+use track::{
+    pressure::{Figures, Gauge},
+    router::Router,
+};
+
+pub const IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+pub const DOC: &str = include_str!("../../../../examples/bitacora.toml");
+
+/// A back end that says the same to each job, and counts how often it was asked.
+pub struct Back {
+    pub at: SocketAddr,
+    pub runs: Arc<AtomicUsize>,
+}
+
+pub async fn back(says: &'static str) -> Back {
+    let lst = TcpListener::bind((IP, 0)).await.unwrap();
+    let (at, runs) = (lst.local_addr().unwrap(), Arc::new(AtomicUsize::new(0)));
+    let count = runs.clone();
+    tokio::spawn(async move {
+        while let Ok((mut s, _)) = lst.accept().await {
+            let mut buf = vec![0u8; 65536];
+            let _ = s.read(&mut buf).await;
+            count.fetch_add(1, Ordering::AcqRel);
+            let _ = s.write_all(says.as_bytes()).await;
+        }
+    });
+    Back { at, runs }
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        cluster: "bitacora".into(),
+        node: "p1".into(),
+        area: "centro-1".into(),
+        rail: (IP, 1).into(),
+        http: (IP, 1).into(),
+        rail_advertise: None,
+        http_advertise: None,
+        seeds: vec![],
+        data: None,
+        timing: Timing { tenure_ms: 60_000, check_ms: 60_000, ..Timing::default() },
+        log: "error".into(),
+    }
+}
+
+pub fn card(node: &str, area: &str) -> Card {
+    let addr = ([127, 0, 0, 9], 8080).into();
+    Card {
+        node: node.into(),
+        inc: Incarnation(1),
+        role: Role::Router,
+        lang: 1,
+        area: area.into(),
+        rail: addr,
+        http: addr,
+    }
+}
+
+/// A router in the centre, with these back ends for a service, and a peer in the north.
+pub async fn router(service: &str, backs: &[Back]) -> (Arc<Router>, SocketAddr) {
+    router_at(Clock::default(), service, backs).await
+}
+
+pub async fn router_at(clock: Clock, service: &str, backs: &[Back]) -> (Arc<Router>, SocketAddr) {
+    let member = Member::new(settings(), card("p1", "centro-1"), clock.clone());
+    let mut l = Ledger::founded("bitacora", vec![]);
+    let mut add = |ch: Change| l.fold(l.idx.next(), &ch);
+    add(Change::Apply { op: "a".into(), base: Default::default(), text: DOC.into() });
+    for (n, b) in backs.iter().enumerate() {
+        let what = ReplicaMove::List { service: service.into(), area: "centro-1".into(), addr: b.at };
+        let id = format!("r{n}");
+        add(Change::Replica { op: id.as_str().into(), id: id.as_str().into(), what });
+    }
+    add(Change::Join(card("p9", "norte-1")));
+    add(Change::Join(card("p1", "centro-1")));
+    let fence = Fence(l.epoch.0);
+    member.hold(Epoch(l.idx.0), clock.now());
+    member.install(News::Frame(Box::new(l)), "test");
+    let r = Router::new(settings(), member, clock);
+    tokio::spawn(r.clone().govern());
+    while r.governing.load().is_none() {
+        tokio::task::yield_now().await;
+    }
+    r.take_figures(figures(service, backs, fence, 1, 0.0), r.now());
+    r.since.store(Tick(1).0, Ordering::Release);
+    let lst = TcpListener::bind((IP, 0)).await.unwrap();
+    let at = lst.local_addr().unwrap();
+    // Never told to stop: the sender is left alone.
+    let (h, (tx, rx)) = (r.clone(), watch::channel(false));
+    std::mem::forget(tx);
+    tokio::spawn(http::serve(lst, Arc::default(), rx, move |p, q| h.clone().handle(p, q)));
+    (r, at)
+}
+
+/// Sends these bytes and reads to the end of the connection.
+pub async fn say(at: SocketAddr, what: &str) -> String {
+    let mut s = TcpStream::connect(at).await.unwrap();
+    s.write_all(what.as_bytes()).await.unwrap();
+    let mut got = Vec::new();
+    let _ = s.read_to_end(&mut got).await;
+    String::from_utf8_lossy(&got).into_owned()
+}
+
+pub fn post(path: &str, more: &str, body: &str) -> String {
+    let n = body.len();
+    format!("POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{more}content-length: {n}\r\n\r\n{body}")
+}
+
+pub fn figures(service: &str, backs: &[Back], fence: Fence, seq: u64, consumption: f64) -> Figures {
+    let gauge = |(n, b): (usize, &Back)| Gauge {
+        id: format!("r{n}").as_str().into(),
+        addr: b.at,
+        healthy: true,
+        capacity: 8.0,
+        consumption,
+        allowance: None,
+    };
+    let replicas = backs.iter().enumerate().map(gauge).collect();
+    let (service, area) = (service.into(), "centro-1".into());
+    Figures { service, area, fence, seq, age_ms: 0, waited_ms: 0, replicas }
+}
+
+pub fn hears_p9(r: &Router) {
+    track::router::lock(&r.heard).insert("p9".into(), r.now());
+}
