A router that cannot follow the core takes no new work, and says why

Cause: a router that renewed its tenure and got no news, or could not compile the accepted document, went on by the old one for good; a document was checked against the signalbox's own language only. Ruled out: counting lag without a tenure. If the whole core dies right after it spoke of a place, no router could ever get that place, and an outage of the core alone would stop traffic (test an_outage_of_the_core_is_no_lag). Change: what the leader spoke of is kept with its time; half a tenure later the router bounces by name, is not ready, and shows it in metrics. Tables name the language they need; members that read less are named in a 422.

--- a/crates/interlocking/src/api/document.rs
+++ b/crates/interlocking/src/api/document.rs
@@ -60,21 +60,7 @@
 
     /// All flaws at once; nothing was logged, so nothing can take effect (design 4.2).
     fn check(&self, src: &str, l: &Ledger) -> Early<()> {
-        let listed: Vec<(Service, Area)> = l
-            .replicas
-            .values()
-            .filter(|r| !r.draining)
-            .map(|r| (r.service.clone(), r.area.clone()))
-            .collect();
-        let flaws = match timetable::compile(src) {
-            Ok(t) if t.cluster != self.core.set.cluster => vec![timetable::Flaw {
-                line: 1,
-                column: 1,
-                message: format!("cluster: {:?}; allowed: {:?}", t.cluster, self.core.set.cluster),
-            }],
-            Ok(t) => timetable::check_fleet(src, &t, &listed),
-            Err(f) => f,
-        };
+        let flaws = flaws(&self.core.set.cluster, src, l);
         if flaws.is_empty() {
             return Ok(());
         }
@@ -101,3 +87,28 @@
         self.put(src.as_bytes()).await
     }
 }
+
+/// Why a document is not to be logged, seen from the state as it is.
+pub fn flaws(cluster: &str, src: &str, l: &Ledger) -> Vec<timetable::Flaw> {
+    let listed: Vec<(Service, Area)> =
+        l.replicas.values().filter(|r| !r.draining).map(|r| (r.service.clone(), r.area.clone())).collect();
+    match timetable::compile(src) {
+        Ok(t) if t.cluster != cluster => vec![timetable::Flaw {
+            line: 1,
+            column: 1,
+            message: format!("cluster: {:?}; allowed: {:?}", t.cluster, cluster),
+        }],
+        Ok(t) => {
+            let old = l.members.values().filter(|m| m.card.lang < t.lang).map(|m| timetable::Flaw {
+                line: 1,
+                column: 1,
+                message: format!(
+                    "{} reads language version {}; this document needs {}",
+                    m.card.node, m.card.lang, t.lang
+                ),
+            });
+            timetable::check_fleet(src, &t, &listed).into_iter().chain(old).collect()
+        }
+        Err(f) => f,
+    }
+}
--- a/crates/interlocking/src/api/mod.rs
+++ b/crates/interlocking/src/api/mod.rs
@@ -3,6 +3,8 @@
 mod document;
 mod moves;
 
+pub use document::flaws;
+
 use crate::{
     change::{Holder, ReplicaMove},
     core::Core,
--- a/crates/interlocking/src/member.rs
+++ b/crates/interlocking/src/member.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwap;
 use gauge::{Clock, Epoch, Index, Revision, Tick, jot, settings::Settings};
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -33,8 +34,8 @@
     /// Revision whose compiled form is in use here.
     pub governs: AtomicU64,
     leader: Mutex<Option<SocketAddr>>,
-    /// Newest place that the leader spoke of.
-    told: AtomicU64,
+    /// Places that the leader spoke of and that are not held yet, each with when it was told.
+    told: Mutex<VecDeque<(Index, Tick)>>,
     /// A gap was found in the news: the next question asks for a frame.
     gap: AtomicBool,
     /// On its way out: renews no more.
@@ -54,7 +55,7 @@
             held: Mutex::default(),
             governs: AtomicU64::new(0),
             leader: Mutex::default(),
-            told: AtomicU64::new(0),
+            told: Mutex::default(),
             gap: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
         })
@@ -105,6 +106,23 @@
         h.epoch.0 > 0 && self.ledger.load().idx.0 >= h.epoch.0
     }
 
+    /// The leader spoke of a place; `at` is before it did.
+    pub fn told_of(&self, idx: Index, at: Tick) {
+        let mut g = self.told.lock().unwrap_or_else(|e| e.into_inner());
+        let newest = g.back().map(|t| t.0).unwrap_or_default().max(self.ledger.load().idx);
+        if idx > newest {
+            g.push_back((idx, at));
+        }
+    }
+
+    /// Renews its tenure, and has not had for half a tenure what the leader spoke of: it must not
+    /// go on by what it holds (design 3.6).
+    pub fn lags(&self) -> bool {
+        let g = self.told.lock().unwrap_or_else(|e| e.into_inner());
+        let late = |t: &(Index, Tick)| self.clock.now().since(t.1) > self.set.timing.patience_ms();
+        self.tenured() && g.front().is_some_and(late)
+    }
+
     /// The core's addresses: those of the roster where it is known, and the seeds.
     pub fn seats(&self) -> Vec<(SocketAddr, bool)> {
         let l = self.ledger.load();
@@ -138,7 +156,7 @@
             let ms = self.set.timing.renew_ms().min(self.set.timing.rail_ms);
             match self.lines.call_within(ms, "renew", to, ask).await {
                 Ok(Reply::Renewed { epoch, idx }) => {
-                    self.told.fetch_max(idx.0, Ordering::AcqRel);
+                    self.told_of(idx, sent);
                     self.hold(epoch, sent);
                     return self.set_hint(Some(to));
                 }
@@ -172,8 +190,8 @@
         let mut seats = self.seats();
         seats.sort_by_key(|(_, near)| !near);
         // A seat that is cut off from the others may have nothing newer to tell.
-        let lags = self.ledger.load().idx.0 < self.told.load(Ordering::Acquire);
-        if let Some(h) = self.hint().filter(|_| lags) {
+        let behind = !self.told.lock().unwrap_or_else(|e| e.into_inner()).is_empty();
+        if let Some(h) = self.hint().filter(|_| behind) {
             seats.sort_by_key(|(a, _)| *a != h);
         }
         let wait_ms = self.set.timing.renew_ms();
@@ -214,6 +232,7 @@
             Taken::Newer => {
                 let idx = own.idx;
                 self.ledger.store(Arc::new(own));
+                self.told.lock().unwrap_or_else(|e| e.into_inner()).retain(|t| t.0 > idx);
                 self.moved.send_replace(idx);
             }
             Taken::Gap => {
--- a/crates/timetable/src/compile.rs
+++ b/crates/timetable/src/compile.rs
@@ -68,6 +68,8 @@
     let services = doc.services.iter().map(|s| (Service::new(&s.name), s.kind)).collect();
     let mut tab = Table {
         cluster: doc.cluster.clone(),
+        // All there is came with the first version; what comes later raises this where it is used.
+        lang: 1,
         areas,
         services,
         tenant_header: doc.tenancy.header.to_ascii_lowercase(),
--- a/crates/timetable/src/table.rs
+++ b/crates/timetable/src/table.rs
@@ -85,6 +85,8 @@
 #[derive(Clone, Debug)]
 pub struct Table {
     pub cluster: String,
+    /// Version of the language that a node must read to compile this document.
+    pub lang: u32,
     pub areas: BTreeMap<Area, Region>,
     pub services: BTreeMap<Service, Kind>,
     pub tenant_header: String,
--- a/crates/track/src/carry.rs
+++ b/crates/track/src/carry.rs
@@ -95,9 +95,7 @@
     /// Why nothing new may be done for a job: looked at before each go, and once more when its
     /// connection is open.
     pub(crate) fn barred(&self, p: &Plan) -> Option<&'static str> {
-        (self.now() >= p.deadline)
-            .then_some("past its deadline")
-            .or_else(|| self.cut_off().then_some("cut off"))
+        (self.now() >= p.deadline).then_some("past its deadline").or_else(|| self.standing())
     }
 
     /// No more listed there, draining, or in an area that was evacuated since it was picked.
--- a/crates/track/src/cut.rs
+++ b/crates/track/src/cut.rs
@@ -33,6 +33,20 @@
         heard * 2 <= all
     }
 
+    /// Why this node takes no new work now (design 3.5, 3.6).
+    pub fn standing(&self) -> Option<&'static str> {
+        let l = self.ledger();
+        let newer = self.governing.load().as_ref().is_none_or(|g| g.revision < l.revision);
+        [
+            (!self.member.caught_up(), "joining"),
+            (self.cut_off(), "cut off"),
+            (self.member.lags(), "lags behind the core"),
+            (newer && self.unreadable.load(Ordering::Acquire) == l.revision.0, "document not readable"),
+        ]
+        .into_iter()
+        .find_map(|(no, why)| no.then_some(why))
+    }
+
     pub async fn hail(self: Arc<Self>) {
         let mut wakeup = tokio::time::interval(Duration::from_millis(self.set.timing.renew_ms()));
         wakeup.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -103,6 +117,8 @@
             (self.governing.load().is_none(), "no configuration"),
             (self.draining.load(Ordering::Acquire), "draining"),
             (self.cut_off(), "cut off"),
+            (self.member.lags(), "lags behind the core"),
+            (self.standing() == Some("document not readable"), "document not readable"),
             (l.evacuated.contains(self.area()), "area evacuated"),
         ]
         .into_iter()
@@ -121,6 +137,8 @@
         let vals: HashMap<&str, i64> = HashMap::from([
             ("tenured", i64::from(self.member.tenured())),
             ("cut_off", i64::from(self.cut_off())),
+            ("lags", i64::from(self.member.lags())),
+            ("unreadable", i64::from(self.standing() == Some("document not readable"))),
             ("index", l.idx.0 as i64),
             ("revision", self.member.governs.load(Ordering::Acquire) as i64),
             ("open_jobs", self.busy.open() as i64),
--- a/crates/track/src/edge.rs
+++ b/crates/track/src/edge.rs
@@ -90,9 +90,8 @@
         let Some(g) = self.governing.load_full() else {
             return no(StatusCode::SERVICE_UNAVAILABLE, "no configuration", 2);
         };
-        if self.cut_off() {
-            let (why, s) = if self.member.caught_up() { ("cut off", 3) } else { ("joining", 1) };
-            return no(StatusCode::SERVICE_UNAVAILABLE, why, s);
+        if let Some(why) = self.standing() {
+            return no(StatusCode::SERVICE_UNAVAILABLE, why, if why == "joining" { 1 } else { 3 });
         }
         let inner = header_of(&head)(hop::HEADER);
         let plan = match &inner {
--- a/crates/track/src/router.rs
+++ b/crates/track/src/router.rs
@@ -64,6 +64,8 @@
     pub draining: AtomicBool,
     pub busy: Arc<Busy>,
     pub serial: AtomicU64,
+    /// Revision of a document that was accepted and can't be read here; 0 where there is none.
+    pub unreadable: AtomicU64,
     /// When the first document governed here; figures arrive soon after.
     pub since: AtomicU64,
 }
@@ -94,6 +96,7 @@
             draining: AtomicBool::new(false),
             busy: Arc::default(),
             serial: AtomicU64::new(0),
+            unreadable: AtomicU64::new(0),
             since: AtomicU64::new(0),
         })
     }
@@ -135,7 +138,10 @@
                         jot!(Info, "governs", "revision" => revision.0);
                         self.happened(Happened::Governs(revision));
                     }
-                    Err(f) => jot!(Error, "compile", "peer" => "core", "cause" => format!("{f:?}")),
+                    Err(f) => {
+                        self.unreadable.store(l.revision.0, Ordering::Release);
+                        jot!(Error, "compile", "peer" => "core", "revision" => l.revision.0, "cause" => format!("{f:?}"));
+                    }
                 }
             }
             if moved.changed().await.is_err() {
--- /dev/null
+++ b/crates/track/tests/lag.rs
@@ -0,0 +1,107 @@
+//! A router that holds its tenure and cannot follow (design 3.6): it says so and takes nothing new.
+
+mod kit;
+
+use gauge::{Clock, Revision};
+use interlocking::{Change, Ledger, api::flaws, news::News};
+use kit::{Back, DOC, back, post, router_at, say};
+use rstest::rstest;
+use std::sync::{Arc, atomic::AtomicU64, atomic::Ordering};
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
+
+async fn asked(at: std::net::SocketAddr) -> (String, String, String) {
+    let get = |p: &str| format!("GET {p} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    let job = say(at, &post("/v1/verdicts", "", "{\"station\":\"x\"}")).await;
+    (job, say(at, &get("/readyz")).await, say(at, &get("/metrics")).await)
+}
+
+async fn one(b: &Back) -> (Arc<track::router::Router>, std::net::SocketAddr, Arc<AtomicU64>) {
+    let (clock, hand) = Clock::hand();
+    let (r, at) = router_at(clock, "verdict", std::slice::from_ref(b)).await;
+    (r, at, hand)
+}
+
+fn evacuated(l: &Ledger) -> Ledger {
+    let mut l = l.clone();
+    l.fold(l.idx.next(), &Change::Evacuate { op: "e".into(), area: "norte-1".into(), on: true });
+    l
+}
+
+#[rstest]
+#[case::not_for_long_yet(20_000, false, true)]
+#[case::for_half_a_tenure(31_000, false, false)]
+#[case::caught_up_again(31_000, true, true)]
+#[tokio::test]
+async fn what_the_leader_spoke_of_must_come(#[case] ms: u64, #[case] comes: bool, #[case] serves: bool) {
+    let b = back(WHOLE).await;
+    let (r, at, hand) = one(&b).await;
+    r.member.told_of(r.ledger().idx.next(), r.now());
+    hand.fetch_add(ms, Ordering::AcqRel);
+    r.member.hold(r.member.held().epoch, r.now());
+    if comes {
+        r.member.install(News::Frame(Box::new(evacuated(&r.ledger()))), "test");
+    }
+    // Later words of the same place do not start the count anew.
+    r.member.told_of(r.ledger().idx.next(), r.now());
+    let (job, ready, numbers) = asked(at).await;
+    assert_eq!(job.contains("outcome: done"), serves, "{job}");
+    assert_eq!(job.contains("lags behind the core"), !serves, "{job}");
+    assert_eq!(ready.contains("lags behind the core"), !serves, "{ready}");
+    assert_eq!(numbers.contains("{what=\"lags\"} 1"), !serves);
+}
+
+/// Without a tenure it is the core that may be out: then what it spoke of last is not waited for.
+#[tokio::test]
+async fn an_outage_of_the_core_is_no_lag() {
+    let b = back(WHOLE).await;
+    let (r, _, hand) = one(&b).await;
+    r.member.told_of(r.ledger().idx.next(), r.now());
+    hand.fetch_add(61_000, Ordering::AcqRel);
+    kit::hears_p9(&r);
+    assert_eq!(r.standing(), None);
+}
+
+#[tokio::test]
+async fn an_accepted_document_that_cannot_be_read_stops_new_work() {
+    let b = back(WHOLE).await;
+    let (r, at, _hand) = one(&b).await;
+    let mut l = (*r.ledger()).clone();
+    let later = Change::Apply { op: "b".into(), base: Revision(1), text: "cluster = what".into() };
+    l.fold(l.idx.next(), &later);
+    r.member.install(News::Frame(Box::new(l)), "test");
+    while r.unreadable.load(Ordering::Acquire) == 0 {
+        tokio::task::yield_now().await;
+    }
+    let (job, ready, numbers) = asked(at).await;
+    assert!(job.contains("document not readable") && job.contains("retry-after"), "{job}");
+    assert!(ready.starts_with("HTTP/1.1 503") && ready.contains("document not readable"), "{ready}");
+    assert!(numbers.contains("{what=\"unreadable\"} 1"));
+    assert_eq!(b.runs.load(Ordering::Acquire), 0);
+}
+
+/// Refused before it is logged, by the name of whoever could not read it.
+#[tokio::test]
+async fn a_member_of_an_older_language_is_named() {
+    let b = back(WHOLE).await;
+    let (r, _, _hand) = one(&b).await;
+    let mut l = (*r.ledger()).clone();
+    let list = |area: &str, service: &str| {
+        let what = interlocking::ReplicaMove::List { service: service.into(), area: area.into(), addr: b.at };
+        Change::Replica {
+            op: format!("{area}{service}").as_str().into(),
+            id: format!("{area}{service}").as_str().into(),
+            what,
+        }
+    };
+    for (area, service) in
+        [("centro-1", "contacts"), ("norte-1", "contacts"), ("norte-1", "verdict"), ("centro-1", "verdict")]
+    {
+        l.fold(l.idx.next(), &list(area, service));
+    }
+    assert_eq!(flaws("bitacora", DOC, &l), vec![]);
+    l.members.get_mut(&"p9".into()).unwrap().card.lang = 0;
+    let found = flaws("bitacora", DOC, &l);
+    assert_eq!(found.len(), 1);
+    assert!(found[0].message.contains("p9 reads language version 0"), "{found:?}");
+}
