One seam to network, tasks, chance and time; incarnations and operation ids are drawn

Tests no_two_incarnations_are_alike and no_two_operations_share_a_name fail with the old ways put back. Change: gauge::ground. A daemon stands on the machine; under a world in memory the same code stands on one thread with paused time, a seeded network (latency, cuts, refused and dark hosts, resets, backpressure) and hosts that freeze and die. Ruled out: a second model of the router, and a library for simulated hosts (none gives freezes of one host, one-way cuts and power loss without a close together). Also: signalbox kept no listener while it stopped; now it answers what waits, as pointsman does.

--- /dev/null
+++ b/crates/gauge/src/ground/host.rs
@@ -0,0 +1,153 @@
+//! A host of the world: its tasks stand still while it is frozen and end when it is killed.
+
+use super::{pipe::MemStream, world::lock};
+use std::{
+    cell::RefCell,
+    net::IpAddr,
+    pin::Pin,
+    sync::{Arc, Mutex},
+    task::{Context, Poll, Waker},
+};
+use tokio::task::{AbortHandle, JoinHandle};
+
+thread_local! {
+    static CURRENT: RefCell<Option<Arc<Host>>> = const { RefCell::new(None) };
+}
+
+/// The host whose task is being polled.
+pub(super) fn current() -> Option<Arc<Host>> {
+    CURRENT.with(|c| c.borrow().clone())
+}
+
+#[derive(Default)]
+struct Inner {
+    frozen: bool,
+    dark: bool,
+    parked: Vec<Waker>,
+    tasks: Vec<AbortHandle>,
+    swept: usize,
+    /// Ends of connections that were open when the power went: the others do not know yet.
+    orphans: Vec<MemStream>,
+}
+
+pub struct Host {
+    ip: IpAddr,
+    inner: Mutex<Inner>,
+}
+
+impl Host {
+    pub(super) fn new(ip: IpAddr) -> Arc<Self> {
+        Arc::new(Self { ip, inner: Mutex::default() })
+    }
+
+    pub(super) fn offset_ms(&self) -> u64 {
+        let IpAddr::V4(ip) = self.ip else { return 0 };
+        u64::from(u32::from(ip) % 9_973) * 1_000
+    }
+
+    pub(super) fn is_dark(&self) -> bool {
+        lock(&self.inner).dark
+    }
+
+    /// Runs a task on this host.
+    pub fn spawn<F>(self: &Arc<Self>, fut: F) -> JoinHandle<F::Output>
+    where
+        F: Future + Send + 'static,
+        F::Output: Send + 'static,
+    {
+        let t = tokio::spawn(Gate { fut: Box::pin(fut), host: self.clone() });
+        let mut g = lock(&self.inner);
+        g.tasks.push(t.abort_handle());
+        if g.tasks.len() > 2 * g.swept + 64 {
+            g.tasks.retain(|t| !t.is_finished());
+            g.swept = g.tasks.len();
+        }
+        t
+    }
+
+    pub fn freeze(&self) {
+        lock(&self.inner).frozen = true;
+    }
+
+    pub fn thaw(&self) {
+        let due = {
+            let mut g = lock(&self.inner);
+            g.frozen = false;
+            std::mem::take(&mut g.parked)
+        };
+        due.into_iter().for_each(Waker::wake);
+    }
+
+    /// The process ends at once; its machine closes what it had open.
+    pub fn kill(&self) {
+        let tasks = std::mem::take(&mut lock(&self.inner).tasks);
+        tasks.iter().for_each(AbortHandle::abort);
+        self.thaw();
+    }
+
+    /// The power goes: nothing is closed, and nothing answers until it is back.
+    pub fn darken(&self) {
+        lock(&self.inner).dark = true;
+        self.kill();
+    }
+
+    pub(super) fn set_light(&self) {
+        let orphans = {
+            let mut g = lock(&self.inner);
+            g.dark = false;
+            std::mem::take(&mut g.orphans)
+        };
+        drop(orphans);
+    }
+
+    pub(super) fn orphan(&self, s: MemStream) {
+        lock(&self.inner).orphans.push(s);
+    }
+}
+
+/// A task of a host: polled only while the host is not frozen.
+struct Gate<F> {
+    fut: Pin<Box<F>>,
+    host: Arc<Host>,
+}
+
+impl<F: Future> Future for Gate<F> {
+    type Output = F::Output;
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<F::Output> {
+        {
+            let mut g = lock(&self.host.inner);
+            if g.frozen {
+                g.parked.push(cx.waker().clone());
+                return Poll::Pending;
+            }
+        }
+        let was = CURRENT.with(|c| c.replace(Some(self.host.clone())));
+        let res = self.fut.as_mut().poll(cx);
+        CURRENT.with(|c| *c.borrow_mut() = was);
+        res
+    }
+}
+
+/// Spawns a task beside the one that asks: on its host, where there is one.
+pub fn spawn<F>(fut: F) -> JoinHandle<F::Output>
+where
+    F: Future + Send + 'static,
+    F::Output: Send + 'static,
+{
+    match current() {
+        Some(h) => h.spawn(fut),
+        None => tokio::spawn(fut),
+    }
+}
+
+/// Spawns a task on the host of an address.
+pub fn spawn_at<F>(ip: IpAddr, fut: F) -> JoinHandle<F::Output>
+where
+    F: Future + Send + 'static,
+    F::Output: Send + 'static,
+{
+    match super::world() {
+        Some(w) => w.host(ip).spawn(fut),
+        None => tokio::spawn(fut),
+    }
+}
--- a/crates/gauge/src/http.rs
+++ b/crates/gauge/src/http.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     fault::{At, Fault, within},
-    link::dial,
+    ground::{Listener, Stream, dial, spawn},
 };
 use bytes::Bytes;
 use futures::FutureExt;
@@ -21,10 +21,7 @@
     sync::atomic::{AtomicUsize, Ordering},
     time::Duration,
 };
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::watch,
-};
+use tokio::sync::watch;
 
 pub type BoxErr = Box<dyn std::error::Error + Send + Sync>;
 pub type Body = BoxBody<Bytes, BoxErr>;
@@ -78,28 +75,34 @@
 
 /// Serves until `stop` turns true. Then what already waits to be accepted is still taken, and
 /// each open connection may bring what is on its way, before it is closed in good order.
-pub async fn serve<F, Fut>(lst: TcpListener, conns: Arc<Busy>, mut stop: watch::Receiver<bool>, handler: F)
-where
+pub async fn serve<F, Fut>(
+    lst: impl Into<Listener>,
+    conns: Arc<Busy>,
+    mut stop: watch::Receiver<bool>,
+    handler: F,
+) where
     F: Fn(SocketAddr, Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Result<Response<Body>, BoxErr>> + Send + 'static,
 {
+    let lst = lst.into();
     loop {
         let (io, peer) = tokio::select! {
+            biased;
+            _ = async { let _ = stop.wait_for(|s| *s).await; } => break,
             r = lst.accept() => match r {
                 Ok(x) => x,
                 Err(_) => { tokio::time::sleep(Duration::from_millis(50)).await; continue }
             },
-            _ = async { let _ = stop.wait_for(|s| *s).await; } => break,
         };
-        tokio::spawn(one(io, peer, conns.enter(), stop.clone(), handler.clone()));
+        spawn(one(io, peer, conns.enter(), stop.clone(), handler.clone()));
     }
     while let Some(Ok((io, peer))) = lst.accept().now_or_never() {
-        tokio::spawn(one(io, peer, conns.enter(), stop.clone(), handler.clone()));
+        spawn(one(io, peer, conns.enter(), stop.clone(), handler.clone()));
     }
 }
 
 async fn one<F, Fut>(
-    io: TcpStream,
+    io: Stream,
     peer: SocketAddr,
     _guard: BusyGuard,
     mut stop: watch::Receiver<bool>,
@@ -108,7 +111,6 @@
     F: Fn(SocketAddr, Request<Incoming>) -> Fut,
     Fut: Future<Output = Result<Response<Body>, BoxErr>>,
 {
-    let _ = io.set_nodelay(true);
     let conn = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_secs(30))
@@ -120,6 +122,7 @@
         tokio::time::sleep(LAST_JOBS).await;
     };
     tokio::select! {
+        biased;
         _ = conn.as_mut() => {}
         _ = stopped => {
             conn.as_mut().graceful_shutdown();
@@ -136,7 +139,7 @@
     within(ms, "connect", to, async {
         let io = dial(ip, to).await.at("connect", to)?;
         let (tx, conn) = http1::handshake(TokioIo::new(io)).await.at("handshake", to)?;
-        tokio::spawn(async move {
+        spawn(async move {
             let _ = conn.await;
         });
         Ok::<_, Fault>(tx)
--- a/crates/gauge/src/lib.rs
+++ b/crates/gauge/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod fault;
+pub mod ground;
 pub mod http;
 pub mod ids;
 pub mod jot;
--- a/crates/gauge/src/link.rs
+++ b/crates/gauge/src/link.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     fault::{At, Fault, within},
+    ground::{Listener, Stream, dial, spawn},
     jot,
     wire::{Codec, PROTO},
 };
@@ -19,7 +20,6 @@
     context,
     server::{BaseChannel, Channel as _, serve},
 };
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio_util::codec::Framed;
 
 /// First message on each connection.
@@ -46,21 +46,13 @@
     pub wait_ms: u64,
 }
 
-/// Opens a connection bound to the node's own address.
-pub async fn dial(ip: IpAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
-    let sock = if to.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    if !ip.is_unspecified() && ip.is_ipv4() == to.is_ipv4() {
-        sock.bind(SocketAddr::new(ip, 0))?;
-    }
-    let s = sock.connect(to).await?;
-    s.set_nodelay(true)?;
-    Ok(s)
-}
-
-fn recode<A, B>(f: Framed<TcpStream, A>, codec: B) -> Framed<TcpStream, B> {
+fn recode<A, B>(f: Framed<Stream, A>, codec: B) -> Framed<Stream, B> {
     f.map_codec(|_| codec)
 }
 
+/// What a call outlives its own time-out by, at most, at the node that is asked.
+const SPARE: Duration = Duration::from_secs(600);
+
 type Cached<Q, R> = Mutex<HashMap<SocketAddr, Channel<Q, R>>>;
 
 /// Cached tarpc channels to the processes of one service.
@@ -88,7 +80,8 @@
         let res = within(ms, step, to, async {
             let ch = self.channel(to).await?;
             let mut ctx = context::current();
-            ctx.deadline = Instant::now() + Duration::from_millis(ms);
+            // The time-out around this decides; the library's own, on the machine's clock, comes later.
+            ctx.deadline = Instant::now() + Duration::from_millis(ms) + SPARE;
             ch.call(ctx, q).await.at(step, to)
         })
         .await;
@@ -117,7 +110,7 @@
             return Err(Fault::new("hello", to, why));
         }
         let new = client::new(client::Config::default(), recode(f, Codec::default()));
-        tokio::spawn(new.dispatch);
+        spawn(new.dispatch);
         self.lock().insert(to, new.client.clone());
         Ok(new.client)
     }
@@ -128,21 +121,21 @@
 }
 
 /// Answers calls of one service until the listener's task is dropped.
-pub async fn listen<Q, R, F, Fut>(lst: TcpListener, me: Me, service: &'static str, handler: F)
+pub async fn listen<Q, R, F, Fut>(lst: impl Into<Listener>, me: Me, service: &'static str, handler: F)
 where
     Q: RequestName + Serialize + DeserializeOwned + Send + 'static,
     R: Serialize + Send + 'static,
     F: Fn(String, Q) -> Fut + Clone + Send + 'static,
     Fut: Future<Output = R> + Send + 'static,
 {
+    let lst = lst.into();
     loop {
         let Ok((io, peer)) = lst.accept().await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
         let (me, h) = (me.clone(), handler.clone());
-        tokio::spawn(async move {
-            let _ = io.set_nodelay(true);
+        spawn(async move {
             if let Err(e) = answer(io, peer, me, service, h).await {
                 jot!(Warn, e.step, "peer" => e.peer, "cause" => e.cause);
             }
@@ -151,7 +144,7 @@
 }
 
 async fn answer<Q, R, F, Fut>(
-    io: TcpStream,
+    io: Stream,
     peer: SocketAddr,
     me: Me,
     service: &'static str,
@@ -183,7 +176,7 @@
     while let Some(job) = jobs.next().await {
         let job = job.at("read message", peer)?;
         let (h, node) = (h.clone(), hello.node.clone());
-        tokio::spawn(job.execute(serve(move |_, q| {
+        spawn(job.execute(serve(move |_, q| {
             let fut = h(node, q);
             async move { Ok(fut.await) }
         })));
--- a/crates/gauge/src/settings.rs
+++ b/crates/gauge/src/settings.rs
@@ -1,6 +1,9 @@
 //! Node settings: a file, then the environment, then flags, read by figment (design 1.10).
 
-use crate::ids::good_name;
+use crate::{
+    ground::{Listener, bind},
+    ids::good_name,
+};
 use eyre::{Result, WrapErr, bail, ensure, eyre};
 use figment::{
     Figment,
@@ -8,7 +11,6 @@
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, path::PathBuf};
-use tokio::net::TcpListener;
 
 /// What a node must be told, and nothing that it can learn.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -196,9 +198,9 @@
     }
 
     /// Binds both addresses; a taken one is named.
-    pub async fn bind(&self) -> Result<(TcpListener, TcpListener)> {
-        let rail = TcpListener::bind(self.rail).await.wrap_err_with(|| format!("rail: {}", self.rail))?;
-        let http = TcpListener::bind(self.http).await.wrap_err_with(|| format!("http: {}", self.http))?;
+    pub async fn bind(&self) -> Result<(Listener, Listener)> {
+        let rail = bind(self.rail).await.wrap_err_with(|| format!("rail: {}", self.rail))?;
+        let http = bind(self.http).await.wrap_err_with(|| format!("http: {}", self.http))?;
         Ok((rail, http))
     }
 
@@ -211,3 +213,14 @@
         }
     }
 }
+
+/// SIGTERM, or an interrupt from a terminal.
+pub fn told_to_stop() -> Result<impl Future<Output = ()>> {
+    let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    Ok(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = tokio::signal::ctrl_c() => {}
+        }
+    })
+}
--- a/crates/interlocking/src/api/mod.rs
+++ b/crates/interlocking/src/api/mod.rs
@@ -50,6 +50,12 @@
     area: String,
 }
 
+/// Two operators in the same moment must never share a verdict: each call without a name of its own
+/// gets one that is drawn.
+pub fn drawn_op() -> String {
+    format!("drawn-{:032x}", gauge::ground::draw::<u128>())
+}
+
 /// One operator's call, with what its headers and query say.
 struct Call<'a> {
     core: &'a Arc<Core>,
@@ -61,14 +67,7 @@
 pub async fn handle(core: Arc<Core>, _peer: SocketAddr, req: Request<Incoming>) -> Result<Res, BoxErr> {
     let (head, body) = req.into_parts();
     let header = |k: &str| head.headers.get(k).and_then(|v| v.to_str().ok()).map(str::to_string);
-    let op = header("foldshunt-op").unwrap_or_else(|| {
-        let mix = [
-            &gauge::clock::wall_ms().to_le_bytes()[..],
-            &core.clock.now().0.to_le_bytes(),
-            core.set.node.as_bytes(),
-        ];
-        format!("{}-{:x}", core.set.node, gauge::rank::stable_hash(&mix))
-    });
+    let op = header("foldshunt-op").unwrap_or_else(drawn_op);
     let query = head.uri.query().unwrap_or("");
     let wait_ms = query
         .split('&')
--- a/crates/interlocking/src/core/folder.rs
+++ b/crates/interlocking/src/core/folder.rs
@@ -9,12 +9,11 @@
 use gauge::{Incarnation, jot, settings::Settings};
 use std::path::Path;
 
-fn blank(set: &Settings) -> Holder {
-    let mix =
-        [&gauge::clock::wall_ms().to_le_bytes()[..], set.node.as_bytes(), &std::process::id().to_le_bytes()];
+/// The holder that a blank folder begins: its incarnation is drawn, so that no two are alike.
+pub fn blank(set: &Settings) -> Holder {
     Holder {
         seat: u8::MAX,
-        inc: Incarnation(gauge::rank::stable_hash(&mix) >> 1),
+        inc: Incarnation(gauge::ground::draw::<u64>() >> 1),
         node: set.node.as_str().into(),
         area: set.area.as_str().into(),
         rail: set.rail(),
--- a/crates/interlocking/src/core/mod.rs
+++ b/crates/interlocking/src/core/mod.rs
@@ -1,21 +1,23 @@
 //! The daemon around a seat (design 2.7): carries out effects, syncs off the async threads.
 
+mod drive;
 mod folder;
 mod serve;
 
+pub use drive::{Drive, MakeDrive, files};
+pub use folder::blank;
+
 use crate::{
     change::{Change, Holder, Verdict},
-    disk::Disk,
     ledger::Ledger,
     rail::{Ask, Proposed, Reply},
-    seat::{Ev, Fx, LogEntry, Rec, Seat},
-    store::FileStore,
+    seat::{Ev, Fx, Image, LogEntry, Seat},
     tenure::Tenures,
 };
 use gauge::{Clock, Index, NodeId, Revision, Tick, jot, link::Lines, settings::Settings};
 use std::{
-    collections::{BTreeMap, HashMap},
-    sync::{Arc, Mutex, MutexGuard, mpsc},
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 use tokio::sync::{oneshot, watch};
@@ -25,7 +27,7 @@
 struct Inner {
     seat: Seat,
     tenures: Tenures,
-    waiting: HashMap<Index, (Change, oneshot::Sender<Proposed>)>,
+    waiting: BTreeMap<Index, (Change, oneshot::Sender<Proposed>)>,
     /// What governs at each node, by its own last renewal.
     reports: BTreeMap<NodeId, (Index, Revision, Tick)>,
 }
@@ -35,7 +37,7 @@
     pub clock: Clock,
     pub lines: SignalLines,
     inner: Mutex<Inner>,
-    disk: mpsc::Sender<(u64, Rec)>,
+    disk: Box<dyn Drive>,
     moved: watch::Sender<Index>,
 }
 
@@ -51,13 +53,8 @@
 }
 
 impl Core {
-    pub fn start(set: Settings) -> eyre::Result<Arc<Core>> {
-        let dir = set
-            .data
-            .clone()
-            .ok_or_else(|| eyre::eyre!("data: missing; allowed: a folder of this node's own"))?;
-        let img = folder::take_up(&set, &dir)?;
-        let store = FileStore::open(&dir, &img)?;
+    /// Takes up a seat from what its disk held, and writes to the drive that is made for it.
+    pub fn start(set: Settings, img: Image, drive: MakeDrive) -> Arc<Core> {
         let clock = Clock::default();
         let mut seat = Seat::new(
             img.me.clone(),
@@ -67,16 +64,21 @@
             Some(img),
             clock.now(),
         );
-        seat.secret = rand::random();
-        let (tx, rx) = mpsc::channel();
+        seat.secret = gauge::ground::draw();
         let (moved, _) = watch::channel(seat.accepted());
         let inner =
-            Inner { seat, tenures: Tenures::default(), waiting: HashMap::new(), reports: BTreeMap::new() };
+            Inner { seat, tenures: Tenures::default(), waiting: BTreeMap::new(), reports: BTreeMap::new() };
         let lines = Lines::new(set.me(), crate::rail::SERVICE);
-        let core = Arc::new(Core { set, clock, lines, inner: Mutex::new(inner), disk: tx, moved });
-        core.disk_thread(store, rx);
+        let core = Arc::new_cyclic(|me| Core {
+            set,
+            clock,
+            lines,
+            inner: Mutex::new(inner),
+            disk: drive(me.clone()),
+            moved,
+        });
         let c = core.clone();
-        tokio::spawn(async move {
+        gauge::ground::spawn(async move {
             let mut wakeup =
                 tokio::time::interval(Duration::from_millis((c.set.timing.beat_ms() / 2).max(5)));
             loop {
@@ -85,26 +87,7 @@
                 c.tenure_wakeup();
             }
         });
-        Ok(core)
-    }
-
-    fn disk_thread(self: &Arc<Self>, mut store: FileStore, rx: mpsc::Receiver<(u64, Rec)>) {
-        let (core, rt) = (Arc::downgrade(self), tokio::runtime::Handle::current());
-        std::thread::spawn(move || {
-            for (tok, rec) in rx {
-                let res = store.write(&rec);
-                let Some(core) = core.upgrade() else { return };
-                let _in = rt.enter();
-                match res {
-                    Ok(()) => core.step(Ev::Synced(tok)),
-                    Err(e) => {
-                        jot!(Error, "sync", "peer" => core.set.node, "cause" => e.to_string());
-                        core.step(Ev::SyncFailed);
-                        return;
-                    }
-                }
-            }
-        });
+        core
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -129,17 +112,19 @@
             match f {
                 Fx::Send { to, msg } => {
                     let (c, from) = (self.clone(), self.set.rail());
-                    tokio::spawn(async move {
+                    gauge::ground::spawn(async move {
                         let _ = c.lines.call("seat", to, Ask::Seat { from, msg: Box::new(msg) }).await;
                     });
                 }
                 Fx::Persist { tok, rec } => {
-                    let _ = self.disk.send((tok, rec));
+                    self.disk.write(tok, rec);
                 }
                 Fx::Accepted { entry, verdict } => self.accepted(g, entry, verdict),
                 Fx::Framed => {
                     // Places passed over by a frame are not told one by one.
-                    g.waiting.drain().for_each(|(_, w)| drop(w.1.send(Proposed::Undetermined)));
+                    std::mem::take(&mut g.waiting)
+                        .into_iter()
+                        .for_each(|(_, w)| drop(w.1.send(Proposed::Undetermined)));
                     self.moved.send_replace(g.seat.accepted());
                 }
                 Fx::Lead { view } => {
--- /dev/null
+++ b/crates/interlocking/src/daemon.rs
@@ -0,0 +1,60 @@
+//! A signalbox from its start to its planned stop (design 1.1): the same in the program and under
+//! virtual time.
+
+use crate::{
+    change::{Card, Role},
+    core::{Core, MakeDrive},
+    member::Member,
+    rail,
+    seat::Image,
+};
+use gauge::{
+    Clock,
+    ground::{Listener, spawn},
+    http, jot,
+    settings::Settings,
+};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use tokio::sync::watch;
+
+pub async fn run(
+    set: Settings,
+    (rail_lst, http_lst): (Listener, Listener),
+    img: Image,
+    drive: MakeDrive,
+    stop: impl Future<Output = ()>,
+) {
+    let core = Core::start(set.clone(), img, drive);
+    let card = Card::of(&set, Role::Core, core.view().me.inc);
+    let member = Member::new(set.clone(), card, Clock::default());
+    // The core follows its own news, so that its tenure names what governs here.
+    let m = member.clone();
+    let mut moved = member.moved.subscribe();
+    spawn(async move {
+        while moved.changed().await.is_ok() {
+            m.governs.store(m.ledger.load().revision.0, Ordering::Release);
+        }
+    });
+    member.start();
+    spawn(rail::listen(rail_lst, set.me(), core.clone()));
+    let (tell, told) = watch::channel(false);
+    let (busy, c) = (Arc::new(http::Busy::default()), core.clone());
+    let serving =
+        http::serve(http_lst, busy.clone(), told, move |peer, req| crate::api::handle(c.clone(), peer, req));
+    jot!(Info, "started", "rail" => set.rail, "http" => set.http);
+    let serving = spawn(serving);
+    stop.await;
+    jot!(Info, "stopping");
+    member.leave().await;
+    core.yield_lead().await;
+    // What waits to be accepted is taken, and answered, before the end.
+    let _ = tell.send(true);
+    let _ = serving.await;
+    let end = core.clock.now() + set.timing.rail_ms * 4;
+    while busy.open() > 0 && core.clock.now() < end {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/interlocking/src/member.rs
+++ b/crates/interlocking/src/member.rs
@@ -63,7 +63,7 @@
 
     pub fn start(self: &Arc<Self>) {
         let me = self.clone();
-        tokio::spawn(async move {
+        gauge::ground::spawn(async move {
             // Without a tenure it asks with each beat: a joining is accepted within one or two.
             while !me.leaving.load(Ordering::Acquire) {
                 me.renew().await;
@@ -73,7 +73,7 @@
             }
         });
         let me = self.clone();
-        tokio::spawn(async move {
+        gauge::ground::spawn(async move {
             loop {
                 if !me.follow().await {
                     tokio::time::sleep(Duration::from_millis(me.set.timing.beat_ms())).await;
--- a/crates/interlocking/src/rail.rs
+++ b/crates/interlocking/src/rail.rs
@@ -86,7 +86,7 @@
 
 /// Answers all of it at a signalbox.
 pub async fn listen(
-    lst: tokio::net::TcpListener,
+    lst: gauge::ground::Listener,
     me: gauge::link::Me,
     core: std::sync::Arc<crate::core::Core>,
 ) {
--- /dev/null
+++ b/crates/interlocking/tests/drawn.rs
@@ -0,0 +1,37 @@
+//! What must never be alike by chance of time or process (design 2.5, 4.6).
+
+use gauge::settings::{Settings, Timing};
+use interlocking::{api::drawn_op, core::blank};
+use std::collections::BTreeSet;
+
+fn settings() -> Settings {
+    let at = "127.0.0.1:7100".parse().unwrap();
+    Settings {
+        cluster: "c".into(),
+        node: "s1".into(),
+        area: "a".into(),
+        rail: at,
+        http: at,
+        rail_advertise: None,
+        http_advertise: None,
+        seeds: vec![],
+        data: None,
+        timing: Timing::default(),
+        log: "info".into(),
+    }
+}
+
+/// Folders that begin in the same millisecond and process, as after a restart with a reset clock.
+#[test]
+fn no_two_incarnations_are_alike() {
+    let all: BTreeSet<_> = (0..1_000).map(|_| blank(&settings()).inc).collect();
+    assert_eq!(all.len(), 1_000);
+}
+
+/// Two operators at one seat in one millisecond: the second was answered with the first one's verdict.
+#[test]
+fn no_two_operations_share_a_name() {
+    let all: BTreeSet<_> = (0..1_000).map(|_| drawn_op()).collect();
+    assert_eq!(all.len(), 1_000);
+    assert!(all.iter().all(|o| gauge::good_name(o)));
+}
--- a/crates/track/src/answer.rs
+++ b/crates/track/src/answer.rs
@@ -8,7 +8,6 @@
 use gauge::{Area, Fence, Service, jot, settings::Settings};
 use interlocking::{news, seat::Room};
 use std::{collections::VecDeque, sync::Arc, time::Duration};
-use tokio::net::TcpListener;
 
 impl Router {
     pub async fn answer(self: Arc<Self>, node: String, ask: Ask) -> Reply {
@@ -94,16 +93,16 @@
     }
 
     /// Starts all standing work of a router.
-    pub fn start(self: &Arc<Self>, set: &Settings, rail: TcpListener) {
+    pub fn start(self: &Arc<Self>, set: &Settings, rail: gauge::ground::Listener) {
         self.member.start();
-        tokio::spawn(self.clone().govern());
-        tokio::spawn(self.clone().hail());
-        tokio::spawn(self.clone().watch_all());
-        tokio::spawn(self.clone().lend());
-        tokio::spawn(self.clone().fill_purse());
-        tokio::spawn(self.clone().gather());
+        gauge::ground::spawn(self.clone().govern());
+        gauge::ground::spawn(self.clone().hail());
+        gauge::ground::spawn(self.clone().watch_all());
+        gauge::ground::spawn(self.clone().lend());
+        gauge::ground::spawn(self.clone().fill_purse());
+        gauge::ground::spawn(self.clone().gather());
         let me = self.clone();
-        tokio::spawn(gauge::link::listen(rail, set.me(), crate::rail::SERVICE, move |node, ask| {
+        gauge::ground::spawn(gauge::link::listen(rail, set.me(), crate::rail::SERVICE, move |node, ask| {
             me.clone().answer(node, ask)
         }));
     }
--- a/crates/track/src/carry.rs
+++ b/crates/track/src/carry.rs
@@ -152,7 +152,7 @@
                     let open =
                         |r: &Region| !avoid.contains(r) && lock(&self.purse).has(r, &p.entry.to, self.now());
                     let c = crate::choose::candidates(&seen, &p.homes, t.policy(&p.entry), &open);
-                    crate::choose::draw(&c, rand::random())
+                    crate::choose::draw(&c, gauge::ground::draw())
                 })
                 .map(|r| (r, false))
             }
--- a/crates/track/src/cut.rs
+++ b/crates/track/src/cut.rs
@@ -58,7 +58,7 @@
                 let (me, m, idx) = (self.clone(), m.clone(), l.idx);
                 // Counted from here: an answer may lie in a socket for as long as this node is frozen.
                 let asked = me.now();
-                tokio::spawn(async move {
+                gauge::ground::spawn(async move {
                     let to = m.card.rail;
                     let idx = match m.card.role {
                         Role::Router => match me.lines.call("hail", to, Ask::Hail { idx }).await {
--- /dev/null
+++ b/crates/track/src/daemon.rs
@@ -0,0 +1,43 @@
+//! A pointsman from its start to the end of its drain (design 1.1, 6.5): the same in the program and
+//! under virtual time.
+
+use crate::router::Router;
+use gauge::{
+    Clock, Incarnation,
+    ground::{Listener, draw, spawn},
+    http, jot,
+    settings::Settings,
+};
+use interlocking::{Role, change::Card, member::Member};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use tokio::sync::watch;
+
+pub async fn run(set: Settings, (rail, callers): (Listener, Listener), stop: impl Future<Output = ()>) {
+    let card = Card::of(&set, Role::Router, Incarnation(draw::<u64>() >> 1));
+    let clock = Clock::default();
+    let member = Member::new(set.clone(), card, clock.clone());
+    let router = Router::new(set.clone(), member.clone(), clock.clone());
+    router.start(&set, rail);
+    let (tell, told) = watch::channel(false);
+    let (conns, r) = (Arc::new(http::Busy::default()), router.clone());
+    let serving =
+        spawn(http::serve(callers, conns.clone(), told, move |peer, req| r.clone().handle(peer, req)));
+    jot!(Info, "started", "rail" => set.rail, "http" => set.http);
+    stop.await;
+    // Not ready first, and duties given back, so that callers and the other routers go
+    // elsewhere; then no more is accepted; what was read is finished (design 6.5).
+    jot!(Info, "draining", "open" => router.busy.open());
+    router.draining.store(true, Ordering::Release);
+    member.leave().await;
+    tokio::time::sleep(Duration::from_millis(set.timing.renew_ms())).await;
+    let _ = tell.send(true);
+    let _ = serving.await;
+    let end = clock.now() + set.timing.drain_ms;
+    while (router.busy.open() > 0 || conns.open() > 0) && clock.now() < end {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    jot!(Info, "stopped", "open" => router.busy.open());
+}
--- a/crates/track/src/edge.rs
+++ b/crates/track/src/edge.rs
@@ -196,7 +196,7 @@
             .filter(|m| self.starting() || self.hears(&m.card.node))
             .cloned()
             .collect();
-        (!all.is_empty()).then(|| all[rand::random_range(0..all.len())].clone())
+        (!all.is_empty()).then(|| all[gauge::ground::draw_in(0..all.len())].clone())
     }
 }
 
--- a/crates/track/src/lend.rs
+++ b/crates/track/src/lend.rs
@@ -3,7 +3,7 @@
 
 use gauge::{Fence, NodeId, Region, Service, Tick};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pass {
@@ -38,9 +38,9 @@
     pub fence: Fence,
     serial: u64,
     well_since: Option<Tick>,
-    grants: HashMap<(Service, NodeId), Grant>,
+    grants: BTreeMap<(Service, NodeId), Grant>,
     /// Passes used lately: room that is spoken for but not yet in the figures.
-    used: HashMap<Service, Vec<Tick>>,
+    used: BTreeMap<Service, Vec<Tick>>,
 }
 
 impl Lender {
@@ -116,7 +116,7 @@
 
 /// What a router has in hand.
 #[derive(Clone, Debug, Default)]
-pub struct Purse(HashMap<(Region, Service), (Pass, Tick)>);
+pub struct Purse(BTreeMap<(Region, Service), (Pass, Tick)>);
 
 impl Purse {
     /// `asked` is when the pass was asked for: life is counted from before it was granted.
--- a/crates/track/src/lending.rs
+++ b/crates/track/src/lending.rs
@@ -109,7 +109,7 @@
                 for svc in g.table.services.keys() {
                     let (me, region, svc) = (self.clone(), region.clone(), svc.clone());
                     let to = lender.card.rail;
-                    tokio::spawn(async move {
+                    gauge::ground::spawn(async move {
                         let asked = me.now();
                         let ask = Ask::Passes {
                             region: region.clone(),
--- a/crates/track/src/lib.rs
+++ b/crates/track/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod carry;
 pub mod choose;
 pub mod cut;
+pub mod daemon;
 pub mod digest;
 pub mod edge;
 pub mod go;
--- a/crates/track/src/place.rs
+++ b/crates/track/src/place.rs
@@ -37,7 +37,7 @@
         let count = |how: &str| self.numbers.placements.with_label_values(&[how]).inc();
         let Some(key) = p.key else {
             count("no key");
-            return draw(&cands, rand::random()).map(|region| Placed { region, stored: false });
+            return draw(&cands, gauge::ground::draw()).map(|region| Placed { region, stored: false });
         };
         let good = |r: &Region| p.homes.contains(r) && !avoid.contains(r) && passes(seen.get(r), pol);
         let mut stale = None;
@@ -48,7 +48,7 @@
             }
             stale = Some(c.ver);
         }
-        let pick = draw(&cands, rand::random());
+        let pick = draw(&cands, gauge::ground::draw());
         for _ in 0..2 {
             let asked = self.now();
             match self.settle(key, &p.entry.to, stale, pick.clone(), pol.ttl_ms).await {
@@ -155,7 +155,7 @@
             owners.into_iter().skip(1).partition(|m| m.card.area != *self.area());
         for m in far.into_iter().chain(near).take(2) {
             let (me, rows) = (self.clone(), vec![row.clone()]);
-            tokio::spawn(async move {
+            gauge::ground::spawn(async move {
                 let ask = Ask::Copy { fence, shard, rows };
                 let _ = me.lines.call("copy", m.card.rail, ask).await;
             });
@@ -176,7 +176,7 @@
                 }
                 for m in owners.into_iter().skip(1).take(3) {
                     let (me, to) = (self.clone(), m.card.rail);
-                    tokio::spawn(async move {
+                    gauge::ground::spawn(async move {
                         if let Ok(Reply::Rows(rows)) = me.lines.call("fetch", to, Ask::Fetch { shard }).await
                         {
                             me.take_copies(rows);
--- a/crates/track/src/pressure.rs
+++ b/crates/track/src/pressure.rs
@@ -104,7 +104,7 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Board {
-    pub seen: HashMap<(Service, Area), Seen>,
+    pub seen: BTreeMap<(Service, Area), Seen>,
 }
 
 /// Figures of all homes, and the own open jobs beside them.
--- a/crates/track/src/probe.rs
+++ b/crates/track/src/probe.rs
@@ -11,7 +11,7 @@
 use gauge::{Area, Fence, ReplicaId, Service, Tick, http::ask, jot};
 use hyper::Method;
 use interlocking::{Member, Replica, duty};
-use std::{collections::HashMap, sync::Arc, sync::atomic::Ordering, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, sync::atomic::Ordering, time::Duration};
 use timetable::Table;
 use tokio::{sync::watch, task::JoinHandle};
 
@@ -30,7 +30,7 @@
 
     /// Keeps one task for each service and area: the home probes, the others subscribe.
     pub async fn watch_all(self: Arc<Self>) {
-        let mut tasks: HashMap<Key, (String, JoinHandle<()>)> = HashMap::new();
+        let mut tasks: BTreeMap<Key, (String, JoinHandle<()>)> = BTreeMap::new();
         let mut wakeup = tokio::time::interval(Duration::from_millis(self.set.timing.beat_ms()));
         loop {
             wakeup.tick().await;
@@ -55,9 +55,9 @@
                 tasks.entry(k.clone()).or_insert_with(|| {
                     let (me, holder) = (self.clone(), m.card.node.to_string());
                     let task = if m.card.node == *self.node() {
-                        tokio::spawn(me.probe(k))
+                        gauge::ground::spawn(me.probe(k))
                     } else {
-                        tokio::spawn(me.subscribe(k, m))
+                        gauge::ground::spawn(me.subscribe(k, m))
                     };
                     (holder, task)
                 });
@@ -171,7 +171,7 @@
     }
 
     /// A new home goes on from the figures of the last one: what was warm stays warm.
-    fn inherited(&self, service: &Service, area: &Area) -> HashMap<ReplicaId, Watched> {
+    fn inherited(&self, service: &Service, area: &Area) -> BTreeMap<ReplicaId, Watched> {
         let b = self.pressure.board();
         let now = self.now();
         let from = |g: &Gauge| Watched {
--- a/crates/track/src/tab.rs
+++ b/crates/track/src/tab.rs
@@ -123,7 +123,8 @@
     }
 
     pub fn rows_of(&self, shard: u16, now: Tick) -> Vec<Copy> {
-        self.rows
+        let mut out: Vec<Copy> = self
+            .rows
             .iter()
             .filter(|((k, s), r)| r.until > now && k.shard(s) == shard)
             .map(|((key, s), r)| Copy {
@@ -133,7 +134,9 @@
                 ver: r.ver,
                 ttl_ms: r.until.since(now),
             })
-            .collect()
+            .collect();
+        out.sort_by(|a, b| (a.key, &a.service).cmp(&(b.key, &b.service)));
+        out
     }
 
     pub fn one(&self, key: UserKey, service: &Service, now: Tick) -> Option<Copy> {
--- a/crates/trainset/src/acts.rs
+++ b/crates/trainset/src/acts.rs
@@ -6,7 +6,7 @@
 };
 use eyre::Result;
 use nix::sys::signal::Signal;
-use std::time::Instant;
+use tokio::time::Instant;
 
 /// What operators did and saw during the run.
 #[derive(Clone, Debug)]
--- a/crates/trainset/src/audit.rs
+++ b/crates/trainset/src/audit.rs
@@ -9,6 +9,7 @@
 };
 use serde::Serialize;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use tokio::time::Instant;
 
 #[derive(Debug, Default, Serialize)]
 pub struct Audit {
@@ -78,7 +79,7 @@
     }
     departures(&mut a, ride, backs);
     a.prefix_hit_ratio = a.prefix_hits as f64 / a.model_runs.max(1) as f64;
-    let mut begun: BTreeMap<&str, Vec<std::time::Instant>> = BTreeMap::new();
+    let mut begun: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
     for h in ride.heard.iter().filter(|h| h.told == Told::Done) {
         begun.entry(h.call.entry).or_default().push(h.at);
     }
--- a/crates/trainset/src/caller.rs
+++ b/crates/trainset/src/caller.rs
@@ -7,8 +7,9 @@
 use hyper::{Method, Request, Response, body::Incoming};
 use std::{
     net::{IpAddr, SocketAddr},
-    time::{Duration, Instant},
+    time::Duration,
 };
+use tokio::time::Instant;
 
 #[derive(Clone, Debug)]
 pub struct Call {
--- a/crates/trainset/src/drive.rs
+++ b/crates/trainset/src/drive.rs
@@ -9,11 +9,9 @@
 };
 use eyre::Result;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, time::Duration};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 pub struct Ride {
     pub heard: Vec<Heard>,
@@ -101,7 +99,7 @@
     due.sort_by(|a, b| a.second.total_cmp(&b.second));
     let mut acts = Vec::new();
     for x in due {
-        tokio::time::sleep_until((begin + Duration::from_secs_f64(x.second)).into()).await;
+        tokio::time::sleep_until(begin + Duration::from_secs_f64(x.second)).await;
         acts.push(act(f, &x, seed).await);
     }
     acts
--- a/crates/trainset/src/standin.rs
+++ b/crates/trainset/src/standin.rs
@@ -3,22 +3,24 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
-use gauge::http::{Body, BoxErr, json, text};
+use gauge::{
+    ground::{bind, spawn, spawn_at},
+    http::{Body, BoxErr, json, text},
+};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     Request, Response, StatusCode,
     body::{Frame, Incoming},
 };
+use hyper_util::rt::TokioIo;
 use std::{
     collections::{HashMap, VecDeque},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
-    time::{Duration, Instant},
-};
-use tokio::{
-    net::TcpListener,
-    sync::{Semaphore, watch},
+    time::Duration,
 };
+use tokio::sync::{Semaphore, watch};
+use tokio::time::Instant;
 
 /// One run of a job at a replica.
 #[derive(Clone, Debug)]
@@ -109,17 +111,17 @@
 
     /// Comes up, with an empty cache: a cold start.
     pub async fn start(self: &Arc<Self>) -> std::io::Result<()> {
-        let lst = TcpListener::bind(self.addr).await?;
+        let lst = bind(self.addr).await?;
         self.lock().cache.clear();
         let me = self.clone();
-        let task = tokio::spawn(async move {
+        let task = spawn_at(self.addr.ip(), async move {
             loop {
                 let Ok((io, _)) = lst.accept().await else { continue };
                 let me2 = me.clone();
-                let conn = tokio::spawn(async move {
+                let conn = spawn(async move {
                     let svc = hyper::service::service_fn(|r| me2.clone().serve(r));
                     let _ = hyper::server::conn::http1::Builder::new()
-                        .serve_connection(hyper_util_io(io), svc)
+                        .serve_connection(TokioIo::new(io), svc)
                         .await;
                 });
                 me.keep(conn);
@@ -224,11 +226,6 @@
     }
 }
 
-fn hyper_util_io(io: tokio::net::TcpStream) -> hyper_util::rt::TokioIo<tokio::net::TcpStream> {
-    let _ = io.set_nodelay(true);
-    hyper_util::rt::TokioIo::new(io)
-}
-
 /// Runs by job id over all replicas.
 pub fn by_job(all: &[Arc<StandIn>]) -> HashMap<String, Vec<(Arc<StandIn>, Run)>> {
     let mut out: HashMap<String, Vec<(Arc<StandIn>, Run)>> = HashMap::new();
