trainset world: the daemons' own code as whole fleets under virtual time, by seed

Change: a node of a fleet is a process or the same code on a host of a world; stand-ins, callers, operators, faults and the audit serve both. Disks in a world keep what was synced, and fail by mood.

--- a/crates/trainset/src/acts.rs
+++ b/crates/trainset/src/acts.rs
@@ -5,7 +5,6 @@
     fleet::Fleet,
 };
 use eyre::Result;
-use nix::sys::signal::Signal;
 use tokio::time::Instant;
 
 /// What operators did and saw during the run.
@@ -37,10 +36,10 @@
                 f.node(whom)?.wipe()?;
                 f.start_node(whom)?;
             }
-            What::Freeze => f.node(whom)?.signal(Signal::SIGSTOP)?,
-            What::Thaw => f.node(whom)?.signal(Signal::SIGCONT)?,
-            What::Cut => f.relays.cut(f.pairs(whom)),
-            What::Mend => f.relays.mend(&f.pairs(whom)),
+            What::Freeze => f.node(whom)?.freeze()?,
+            What::Thaw => f.node(whom)?.thaw()?,
+            What::Cut => f.cut(whom),
+            What::Mend => f.mend(whom),
             What::KillArea => {
                 for n in &area {
                     f.node(n)?.kill().await?;
--- a/crates/trainset/src/fleet.rs
+++ b/crates/trainset/src/fleet.rs
@@ -3,19 +3,20 @@
 
 use crate::{
     deployment::Deployment,
-    node::{HTTP, Node, RAIL},
+    node::{HTTP, Node, RAIL, Yard},
     operator::Operator,
     relay::{Cuts, Relays},
+    sim::disk::SimDisk,
     standin::{Shape, StandIn},
 };
 use eyre::{Result, eyre};
-use gauge::http::ask;
+use gauge::{ground::World, http::ask};
 use hyper::Method;
-use nix::sys::signal::Signal;
+use interlocking::seat::Room;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
-    sync::Arc,
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -24,7 +25,7 @@
     pub nodes: Vec<Node>,
     pub backs: Vec<Arc<StandIn>>,
     pub dir: PathBuf,
-    bin: PathBuf,
+    yard: Yard,
     pub net: u8,
     pub relays: Relays,
 }
@@ -34,30 +35,52 @@
 }
 
 impl Fleet {
+    /// Real processes, with relays between them so that links can be cut.
     pub async fn start(dep: Deployment, dir: &Path, net: u8) -> Result<Fleet> {
         let bin = std::env::current_exe()?.parent().map(Path::to_path_buf).unwrap_or_default();
+        Self::start_in(Yard::Programs(bin), dep, dir, net).await
+    }
+
+    /// The same nodes on hosts of a world.
+    pub async fn hosted(w: Arc<World>, dep: Deployment) -> Result<Fleet> {
+        Self::start_in(Yard::World(w), dep, Path::new("nowhere"), 10).await
+    }
+
+    async fn start_in(yard: Yard, dep: Deployment, dir: &Path, net: u8) -> Result<Fleet> {
+        let relayed = matches!(yard, Yard::Programs(_));
         let mut nodes = Vec::new();
         for (a, (area, _)) in dep.areas.iter().enumerate() {
             for n in 0..4u8 {
                 let core = n == 0;
                 let num = if core { a + 1 } else { a * 3 + n as usize };
                 let name = format!("{}{num}", if core { "s" } else { "p" });
-                let (told, ip) = (ip(net, a as u8 + 51, n + 1), ip(net, a as u8 + 1, n + 1));
-                nodes.push(Node { dir: dir.join(&name), name, area, core, ip, told, child: None });
+                let own = ip(net, a as u8 + 1, n + 1);
+                let told = if relayed { ip(net, a as u8 + 51, n + 1) } else { own };
+                nodes.push(Node {
+                    dir: dir.join(&name),
+                    name,
+                    area,
+                    core,
+                    ip: own,
+                    told,
+                    cluster: dep.name,
+                    seeds: Vec::new(),
+                    life: None,
+                    disk: Arc::new(Mutex::new(SimDisk::new(None, Room::default()))),
+                });
             }
         }
         let seeds: Vec<SocketAddr> =
             nodes.iter().filter(|n| n.core).map(|n| SocketAddr::new(n.told, RAIL)).collect();
         let relays = Relays::default();
-        for n in &nodes {
+        for n in nodes.iter().filter(|_| relayed) {
             for port in [RAIL, HTTP] {
                 relays.put(SocketAddr::new(n.told, port), SocketAddr::new(n.ip, port)).await?;
             }
         }
         for n in &mut nodes {
-            std::fs::create_dir_all(&n.dir)?;
-            std::fs::write(n.dir.join("node.toml"), n.settings(dep.name, &seeds))?;
-            n.start(&bin)?;
+            n.seeds = seeds.clone();
+            n.start(&yard)?;
         }
         let mut backs = Vec::new();
         for (svc, per_area) in &dep.replicas {
@@ -84,7 +107,7 @@
         for b in &backs {
             b.start().await?;
         }
-        Ok(Fleet { dep, nodes, backs, dir: dir.into(), bin, net, relays })
+        Ok(Fleet { dep, nodes, backs, dir: dir.into(), yard, net, relays })
     }
 
     pub fn operator(&self) -> Operator {
@@ -109,6 +132,20 @@
         out.iter().flat_map(|(x, y)| [Some((*x, *y)), back.then_some((*y, *x))]).flatten().collect()
     }
 
+    pub fn cut(&self, whom: &str) {
+        match &self.yard {
+            Yard::Programs(_) => self.relays.cut(self.pairs(whom)),
+            Yard::World(w) => w.cut(self.pairs(whom)),
+        }
+    }
+
+    pub fn mend(&self, whom: &str) {
+        match &self.yard {
+            Yard::Programs(_) => self.relays.mend(&self.pairs(whom)),
+            Yard::World(w) => w.mend(&self.pairs(whom)),
+        }
+    }
+
     pub fn caller_ip(&self) -> IpAddr {
         ip(self.net, 200, 1)
     }
@@ -122,8 +159,11 @@
     }
 
     pub fn start_node(&mut self, name: &str) -> Result<()> {
-        let bin = self.bin.clone();
-        self.node(name)?.start(&bin)
+        let yard = self.yard.clone();
+        if let Yard::World(w) = &yard {
+            w.light(self.node(name)?.ip);
+        }
+        self.node(name)?.start(&yard)
     }
 
     /// Lists the replicas, applies the document, and waits until all routers are ready.
@@ -181,7 +221,7 @@
 
     pub async fn stop(&mut self) {
         for n in &mut self.nodes {
-            let _ = n.signal(Signal::SIGCONT);
+            let _ = n.thaw();
             let _ = n.kill().await;
         }
         self.backs.iter().for_each(|b| b.crash());
--- /dev/null
+++ b/crates/trainset/src/hosted.rs
@@ -0,0 +1,130 @@
+//! A node's own code on a host of a world (design 7.2): the daemons' whole lives, with a disk that
+//! keeps only what was synced.
+
+use crate::{
+    node::Node,
+    sim::disk::{Mood, SimDisk},
+};
+use gauge::ground::{Host, World, bind, spawn_at};
+use interlocking::{
+    core::{Core, Drive, blank},
+    seat::{Ev, Image, Rec, Seat},
+};
+use rand::Rng;
+use std::{
+    net::IpAddr,
+    sync::{Arc, Mutex, MutexGuard, Weak},
+    time::Duration,
+};
+use tokio::{sync::oneshot, task::JoinHandle, time::sleep};
+
+pub struct Hosted {
+    pub host: Arc<Host>,
+    world: Arc<World>,
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+}
+
+fn lock(d: &Mutex<SimDisk>) -> MutexGuard<'_, SimDisk> {
+    d.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl Hosted {
+    pub fn start(w: &Arc<World>, n: &Node) -> Hosted {
+        let (stop, told) = oneshot::channel();
+        let (set, core, disk) = (n.settings(), n.core, n.disk.clone());
+        let (ip, world) = (n.ip, w.clone());
+        let told = async move { drop(told.await) };
+        let task = w.host(n.ip).spawn(async move {
+            let bound = match (bind(set.rail).await, bind(set.http).await) {
+                (Ok(r), Ok(h)) => (r, h),
+                _ => return,
+            };
+            if core {
+                let img = take_up(&set, &disk);
+                let drive = Box::new(move |core| -> Box<dyn Drive> {
+                    Box::new(WorldDrive { core, disk, ip, world })
+                });
+                interlocking::daemon::run(set, bound, img, drive, told).await
+            } else {
+                track::daemon::run(set, bound, told).await
+            }
+        });
+        Hosted { host: w.host(n.ip), world: w.clone(), stop, task }
+    }
+
+    /// Of what was not synced yet, some had reached the disk.
+    fn crash(&self, disk: &Mutex<SimDisk>) {
+        let mut d = lock(disk);
+        let n = d.pending.len();
+        let reached = if n == 0 { 0 } else { self.world.chance().random_range(0..=n) };
+        d.crash(reached);
+    }
+
+    pub async fn kill(self, disk: &Mutex<SimDisk>) {
+        self.host.kill();
+        self.crash(disk);
+        // The tasks are dropped when they are next looked at; then the ports are free.
+        sleep(Duration::from_millis(1)).await;
+    }
+
+    pub async fn darken(self, disk: &Mutex<SimDisk>) {
+        self.host.darken();
+        self.crash(disk);
+        sleep(Duration::from_millis(1)).await;
+    }
+
+    pub async fn stop(self, disk: &Mutex<SimDisk>) {
+        let _ = self.stop.send(());
+        let _ = self.task.await;
+        self.host.kill();
+        lock(disk).crash(usize::MAX);
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+fn take_up(set: &gauge::settings::Settings, disk: &Mutex<SimDisk>) -> Image {
+    let mut d = lock(disk);
+    let img = d.kept.clone().unwrap_or_else(|| Seat::blank_image(&blank(set)));
+    d.kept = Some(img.clone());
+    img
+}
+
+struct WorldDrive {
+    core: Weak<Core>,
+    disk: Arc<Mutex<SimDisk>>,
+    ip: IpAddr,
+    world: Arc<World>,
+}
+
+impl Drive for WorldDrive {
+    fn write(&self, tok: u64, rec: Rec) {
+        let ms = {
+            let mut d = lock(&self.disk);
+            if let Err(e) = d.write(tok, rec) {
+                panic!("{e}");
+            }
+            match d.mood {
+                Mood::Slow => self.world.chance().random_range(100..900),
+                _ => self.world.chance().random_range(1..8),
+            }
+        };
+        let (core, disk) = (self.core.clone(), self.disk.clone());
+        spawn_at(self.ip, async move {
+            sleep(Duration::from_millis(ms)).await;
+            while lock(&disk).mood == Mood::Stalled {
+                sleep(Duration::from_millis(40)).await;
+            }
+            let ev = {
+                let mut d = lock(&disk);
+                match d.mood {
+                    Mood::Failing => Some(Ev::SyncFailed),
+                    _ => d.sync_one().map(Ev::Synced),
+                }
+            };
+            if let (Some(core), Some(ev)) = (core.upgrade(), ev) {
+                core.step(ev);
+            }
+        });
+    }
+}
--- a/crates/trainset/src/main.rs
+++ b/crates/trainset/src/main.rs
@@ -1,19 +1,20 @@
 //! `trainset`: stand-ins, fleets and the simulator (design 7).
 
 use bpaf::Bpaf;
-use eyre::{Result, WrapErr, ensure, eyre};
+use eyre::{Result, ensure, eyre};
 use std::path::PathBuf;
 use trainset::{
-    audit::audit,
     chaos::plan,
     deployment::{Firm, deployment},
-    drive::{Load, ride},
+    drive::Load,
     fault::Fault,
     fleet::Fleet,
+    run::{run, told},
     sim::{
         Broken,
         sweep::{sweep, sweep_data},
     },
+    world::{Variant, WorldPlan, sweep_worlds},
 };
 
 /// Proof of foldshunt on one machine.
@@ -56,6 +57,35 @@
         #[bpaf(argument("FROM=>TO"))]
         replace: Vec<String>,
     },
+    /// Runs whole fleets, the daemons' own code, under virtual time over many seeds of faults
+    #[bpaf(command)]
+    World {
+        /// bitacora or rinaldi; both in turn without it
+        #[bpaf(argument("FIRM"))]
+        firm: Option<Firm>,
+        /// First seed
+        #[bpaf(argument("N"), fallback(1))]
+        from: u64,
+        /// How many seeds
+        #[bpaf(argument("N"), fallback(16))]
+        seeds: u64,
+        /// Seconds of traffic (virtual)
+        #[bpaf(argument("N"), fallback(60.0))]
+        seconds: f64,
+        /// Traffic, as a multiple of the firm's own
+        #[bpaf(argument("X"), fallback(0.5))]
+        rate: f64,
+        /// Faults besides those drawn by the seed; may be given many times
+        #[bpaf(long("fault"), argument("FAULT"))]
+        faults: Vec<Fault>,
+        /// No faults drawn by the seed
+        calm: bool,
+        /// Prints each run's audit
+        verbose: bool,
+        /// Runs a deliberately broken variant, which a check must catch
+        #[bpaf(argument("NAME"))]
+        broken: Option<Variant>,
+    },
     /// Runs placement and lending under virtual time over many seeds
     #[bpaf(command("sim-data"))]
     SimData {
@@ -83,10 +113,10 @@
 
 #[tokio::main]
 async fn main() -> std::process::ExitCode {
-    gauge::fault::ended(run().await)
+    gauge::fault::ended(go().await)
 }
 
-async fn run() -> Result<()> {
+async fn go() -> Result<()> {
     match opts().run() {
         Opts::Fleet { firm, seconds, rate, seed, settle, net, dir, mut faults, chaos, crowd, replace } => {
             ensure!((1.0..=86_400.0).contains(&seconds), "--seconds: {seconds}; allowed: 1 to 86400");
@@ -104,9 +134,16 @@
                 faults.extend(plan(seed, seconds, &f.dep));
             }
             let load = Load { secs: seconds, rate, seed, crowd };
-            let res = fleet(&mut f, &load, settle, &faults).await;
+            let res = run(&mut f, &load, settle, &faults).await;
             f.stop().await;
-            res
+            told(&res?)
+        }
+        Opts::World { firm, from, seeds, seconds, rate, faults, calm, verbose, broken } => {
+            ensure!((1..=10_000_000).contains(&seeds), "--seeds: {seeds}; allowed: 1 to 10000000");
+            ensure!((20.0..=3_600.0).contains(&seconds), "--seconds: {seconds}; allowed: 20 to 3600");
+            ensure!((0.01..=100.0).contains(&rate), "--rate: {rate}; allowed: 0.01 to 100");
+            let plan = WorldPlan { firm, seconds, rate, faults, calm, broken };
+            tokio::task::spawn_blocking(move || sweep_worlds(&plan, from, seeds, verbose)).await?
         }
         Opts::SimData { from, seeds } => {
             ensure!((1..=10_000_000).contains(&seeds), "--seeds: {seeds}; allowed: 1 to 10000000");
@@ -118,23 +155,3 @@
         }
     }
 }
-
-async fn fleet(f: &mut Fleet, load: &Load, settle: f64, faults: &[Fault]) -> Result<()> {
-    f.open().await.wrap_err("opening the fleet")?;
-    tokio::time::sleep(std::time::Duration::from_secs_f64(settle)).await;
-    let r = ride(f, load, faults).await?;
-    let mut a = audit(&r, &f.backs, f.dep.replicas[0].0);
-    a.placements = f.by_label("foldshunt_placements_total{").await;
-    a.passes = f.by_label("foldshunt_passes_total{").await;
-    let goes = f.by_label("foldshunt_goes_total{").await;
-    a.extra_goes = goes.get("extra").copied().unwrap_or(0.0);
-    a.hops = goes.get("hop").copied().unwrap_or(0.0);
-    a.extra_share = a.extra_goes / a.jobs.max(1) as f64;
-    let newest = r.acts.iter().rev().find_map(|x| x.text.clone());
-    let want = newest.unwrap_or(f.dep.document.clone());
-    a.read_back_exact = f.operator().shown().await.map(|s| s == want);
-    println!("{}", serde_json::to_string_pretty(&a)?);
-    let bad = a.violations();
-    ensure!(bad.is_empty(), "what must never happen did: {bad:?}");
-    Ok(())
-}
--- a/crates/trainset/src/node.rs
+++ b/crates/trainset/src/node.rs
@@ -1,6 +1,8 @@
-//! One node of a fleet as a real process (design 7.2).
+//! One node of a fleet: a real process, or the same code on a host of a world (design 7.2).
 
+use crate::{hosted::Hosted, sim::disk::SimDisk};
 use eyre::{Result, WrapErr, bail, eyre};
+use gauge::settings::{Settings, Timing};
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
@@ -10,13 +12,28 @@
     net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
     process::Stdio,
-    time::{Duration, Instant},
+    sync::{Arc, Mutex},
+    time::Duration,
 };
 use tokio::process::{Child, Command};
 
 pub const RAIL: u16 = 7100;
 pub const HTTP: u16 = 8080;
 
+/// How a node lives while it runs.
+pub enum Life {
+    Process(Child),
+    Hosted(Hosted),
+}
+
+/// Where nodes are started.
+#[derive(Clone)]
+pub enum Yard {
+    /// As processes, from the programs in this folder.
+    Programs(PathBuf),
+    World(Arc<gauge::ground::World>),
+}
+
 pub struct Node {
     pub name: String,
     pub area: &'static str,
@@ -25,7 +42,11 @@
     /// Where its relay stands: what the others are told.
     pub told: IpAddr,
     pub dir: PathBuf,
-    pub child: Option<Child>,
+    pub cluster: &'static str,
+    pub seeds: Vec<SocketAddr>,
+    pub life: Option<Life>,
+    /// In a world: its disk, which outlives the process.
+    pub disk: Arc<Mutex<SimDisk>>,
 }
 
 impl Node {
@@ -33,22 +54,40 @@
         SocketAddr::new(self.ip, HTTP)
     }
 
-    pub fn settings(&self, cluster: &str, seeds: &[SocketAddr]) -> String {
-        let seeds: Vec<String> = seeds.iter().map(|s| format!("{s:?}").replace('"', "")).collect();
-        let data = if self.core { format!("data = {:?}\n", self.dir.join("data")) } else { String::new() };
-        format!(
-            "cluster = {cluster:?}\nnode = {:?}\narea = {:?}\nrail = \"{}:{RAIL}\"\nhttp = \"{}:{HTTP}\"\nrail_advertise = \"{}:{RAIL}\"\nhttp_advertise = \"{}:{HTTP}\"\nseeds = {seeds:?}\n{data}",
-            self.name, self.area, self.ip, self.ip, self.told, self.told
-        )
+    pub fn settings(&self) -> Settings {
+        let advertise = |port| (self.told != self.ip).then_some(SocketAddr::new(self.told, port));
+        Settings {
+            cluster: self.cluster.into(),
+            node: self.name.clone(),
+            area: self.area.into(),
+            rail: SocketAddr::new(self.ip, RAIL),
+            http: self.http(),
+            rail_advertise: advertise(RAIL),
+            http_advertise: advertise(HTTP),
+            seeds: self.seeds.clone(),
+            data: self.core.then(|| self.dir.join("data")),
+            timing: Timing::default(),
+            log: "info".into(),
+        }
     }
 
-    pub fn start(&mut self, bin: &Path) -> Result<()> {
-        if self.child.is_some() {
+    pub fn start(&mut self, yard: &Yard) -> Result<()> {
+        if self.life.is_some() {
             bail!("{} runs already", self.name);
         }
+        self.life = Some(match yard {
+            Yard::Programs(bin) => Life::Process(self.process(bin)?),
+            Yard::World(w) => Life::Hosted(Hosted::start(w, self)),
+        });
+        Ok(())
+    }
+
+    fn process(&self, bin: &Path) -> Result<Child> {
+        std::fs::create_dir_all(&self.dir)?;
+        std::fs::write(self.dir.join("node.toml"), toml::to_string(&self.settings())?)?;
         let prog = bin.join(if self.core { "signalbox" } else { "pointsman" });
         let log = File::options().create(true).append(true).open(self.dir.join("log"))?;
-        let child = Command::new(&prog)
+        Command::new(&prog)
             .arg("--config")
             .arg(self.dir.join("node.toml"))
             .stdin(Stdio::null())
@@ -56,41 +95,90 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()
-            .wrap_err_with(|| format!("start {prog:?} (built with: cargo build --workspace)"))?;
-        self.child = Some(child);
-        Ok(())
+            .wrap_err_with(|| format!("start {prog:?} (built with: cargo build --workspace)"))
     }
 
-    pub fn signal(&self, s: Signal) -> Result<()> {
-        let pid =
-            self.child.as_ref().and_then(|c| c.id()).ok_or_else(|| eyre!("{} does not run", self.name))?;
-        Ok(kill(Pid::from_raw(pid as i32), s)?)
+    fn signal(&self, s: Signal) -> Result<()> {
+        match &self.life {
+            Some(Life::Process(c)) => {
+                let pid = c.id().ok_or_else(|| eyre!("{} has ended", self.name))?;
+                Ok(kill(Pid::from_raw(pid as i32), s)?)
+            }
+            _ => bail!("{} does not run", self.name),
+        }
+    }
+
+    pub fn freeze(&self) -> Result<()> {
+        match &self.life {
+            Some(Life::Hosted(h)) => {
+                h.host.freeze();
+                Ok(())
+            }
+            _ => self.signal(Signal::SIGSTOP),
+        }
+    }
+
+    pub fn thaw(&self) -> Result<()> {
+        match &self.life {
+            Some(Life::Hosted(h)) => {
+                h.host.thaw();
+                Ok(())
+            }
+            _ => self.signal(Signal::SIGCONT),
+        }
     }
 
     pub async fn kill(&mut self) -> Result<()> {
-        if let Some(mut c) = self.child.take() {
-            c.kill().await?;
+        match self.life.take() {
+            Some(Life::Process(mut c)) => c.kill().await?,
+            Some(Life::Hosted(h)) => h.kill(&self.disk).await,
+            None => {}
         }
         Ok(())
     }
 
+    /// The machine loses its power; a real process can only be killed.
+    pub async fn darken(&mut self) -> Result<()> {
+        match self.life.take() {
+            Some(Life::Hosted(h)) => {
+                h.darken(&self.disk).await;
+                Ok(())
+            }
+            life => {
+                self.life = life;
+                self.kill().await
+            }
+        }
+    }
+
     /// SIGTERM, then waits for the end; how long that took.
     pub async fn stop(&mut self) -> Result<Duration> {
-        self.signal(Signal::SIGTERM)?;
-        let at = Instant::now();
-        if let Some(mut c) = self.child.take() {
-            tokio::time::timeout(Duration::from_secs(90), c.wait())
-                .await
-                .wrap_err("no end after SIGTERM")??;
+        let at = tokio::time::Instant::now();
+        let most = Duration::from_secs(90);
+        match self.life.take() {
+            Some(Life::Process(mut c)) => {
+                let pid = c.id().ok_or_else(|| eyre!("{} has ended", self.name))?;
+                kill(Pid::from_raw(pid as i32), Signal::SIGTERM)?;
+                tokio::time::timeout(most, c.wait()).await.wrap_err("no end after SIGTERM")??;
+            }
+            Some(Life::Hosted(h)) => {
+                tokio::time::timeout(most, h.stop(&self.disk)).await.wrap_err("no end after the stop")?
+            }
+            None => bail!("{} does not run", self.name),
         }
         Ok(at.elapsed())
     }
 
     pub fn runs(&self) -> bool {
-        self.child.is_some()
+        self.life.is_some()
     }
 
     pub fn wipe(&self) -> Result<()> {
-        Ok(std::fs::remove_dir_all(self.dir.join("data"))?)
+        self.disk.lock().unwrap_or_else(|e| e.into_inner()).lose();
+        let dir = self.dir.join("data");
+        if dir.exists() {
+            std::fs::remove_dir_all(dir)?;
+        }
+        Ok(())
     }
 }
--- a/crates/trainset/src/sim/disk.rs
+++ b/crates/trainset/src/sim/disk.rs
@@ -1,7 +1,7 @@
 //! A disk that only keeps what was synced (design 7.1).
 
-use super::nodes::{ROOM, fits};
-use interlocking::seat::{Image, Rec};
+use super::nodes::fits;
+use interlocking::seat::{Image, Rec, Room};
 use std::collections::VecDeque;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,11 +21,12 @@
     pub mood: Mood,
     /// Bytes in the short log.
     used: usize,
+    room: Room,
 }
 
 impl SimDisk {
-    pub fn new(img: Option<Image>) -> Self {
-        Self { kept: img, pending: VecDeque::new(), mood: Mood::Well, used: 0 }
+    pub fn new(img: Option<Image>, room: Room) -> Self {
+        Self { kept: img, pending: VecDeque::new(), mood: Mood::Well, used: 0, room }
     }
 
     /// Takes a record, if it fits where the files of the daemon would have to put it.
@@ -33,10 +34,10 @@
         match &rec {
             Rec::Image(i) => {
                 self.used = 32;
-                fits("a slot", i, ROOM.slot())?;
+                fits("a slot", i, self.room.slot())?;
             }
             r => {
-                fits("a record", r, ROOM.log.saturating_sub(self.used))?;
+                fits("a record", r, self.room.log.saturating_sub(self.used))?;
                 self.used += gauge::wire::enc(r).map_or(0, |b| b.len() + 32);
             }
         }
--- a/crates/trainset/src/sim/nodes.rs
+++ b/crates/trainset/src/sim/nodes.rs
@@ -81,7 +81,7 @@
         };
         Self {
             seat: None,
-            disk: SimDisk::new(None),
+            disk: SimDisk::new(None, ROOM),
             me,
             clock,
             tenures: Tenures::default(),
--- /dev/null
+++ b/crates/trainset/src/world.rs
@@ -0,0 +1,137 @@
+//! Whole fleets under virtual time (design 7.2): the daemons' own code, by seed.
+
+use crate::{
+    audit::Audit,
+    chaos::plan,
+    deployment::{Firm, deployment},
+    drive::Load,
+    fault::Fault,
+    fleet::Fleet,
+    run::run,
+};
+use eyre::{Result, bail};
+use gauge::ground::World;
+use std::{
+    str::FromStr,
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+/// Deliberately broken variants of the daemons, each with the check that must catch it.
+pub const VARIANTS: &[(&str, &str)] = &[];
+
+#[derive(Clone, Debug)]
+pub struct Variant(pub &'static str);
+
+impl FromStr for Variant {
+    type Err = String;
+    fn from_str(s: &str) -> Result<Self, String> {
+        VARIANTS.iter().find(|v| v.0 == s).map(|v| Variant(v.0)).ok_or_else(|| {
+            let all: Vec<&str> = VARIANTS.iter().map(|v| v.0).collect();
+            format!("{s:?}; allowed: {}", all.join(", "))
+        })
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct WorldPlan {
+    pub firm: Option<Firm>,
+    pub seconds: f64,
+    pub rate: f64,
+    pub faults: Vec<Fault>,
+    pub calm: bool,
+    pub broken: Option<Variant>,
+}
+
+/// One run from one seed. The same seed gives the same run again.
+pub fn one(p: &WorldPlan, seed: u64) -> Result<Audit> {
+    let both = if seed.is_multiple_of(2) { Firm::Rinaldi } else { Firm::Bitacora };
+    let dep = deployment(p.firm.unwrap_or(both));
+    let mut faults = p.faults.clone();
+    if !p.calm {
+        faults.extend(plan(seed, p.seconds, &dep));
+    }
+    let load = Load { secs: p.seconds, rate: p.rate, seed, crowd: None };
+    let broken = p.broken.as_ref().map(|b| b.0.to_string());
+    World::run(seed, broken, |w| async move {
+        let mut f = Fleet::hosted(w, dep).await?;
+        let res = run(&mut f, &load, 11.0, &faults).await;
+        f.stop().await;
+        res
+    })
+}
+
+/// Runs many seeds on all cores; the first violation ends it, with its seed and what happened.
+pub fn sweep_worlds(p: &WorldPlan, from: u64, seeds: u64, verbose: bool) -> Result<()> {
+    let (next, stop) = (AtomicU64::new(from), AtomicBool::new(false));
+    let (sum, found) = (Mutex::new(Vec::new()), Mutex::new(Vec::new()));
+    let cores = std::thread::available_parallelism().map(|n| n.get()).unwrap_or(2);
+    std::thread::scope(|s| {
+        for _ in 0..cores {
+            s.spawn(|| {
+                while !stop.load(Ordering::Acquire) {
+                    let seed = next.fetch_add(1, Ordering::AcqRel);
+                    if seed >= from + seeds {
+                        return;
+                    }
+                    let res = one(p, seed);
+                    if verbose && let Ok(a) = &res {
+                        println!("seed {seed}: {}", serde_json::to_string_pretty(a).unwrap_or_default());
+                    }
+                    match res {
+                        Ok(a) if a.violations().is_empty() => {
+                            sum.lock().unwrap_or_else(|e| e.into_inner()).push(a)
+                        }
+                        Ok(a) => {
+                            stop.store(true, Ordering::Release);
+                            let what = format!("{:?}", a.violations());
+                            let trace = [a.acts.clone(), a.examples.clone()].concat();
+                            found.lock().unwrap_or_else(|e| e.into_inner()).push((seed, what, trace));
+                        }
+                        Err(e) => {
+                            stop.store(true, Ordering::Release);
+                            let what = format!("{e:#}");
+                            found.lock().unwrap_or_else(|e| e.into_inner()).push((seed, what, vec![]));
+                        }
+                    }
+                }
+            });
+        }
+    });
+    let all = sum.into_inner().unwrap_or_else(|e| e.into_inner());
+    println!("{}", told(&all));
+    let mut found = found.into_inner().unwrap_or_else(|e| e.into_inner());
+    found.sort();
+    match found.into_iter().next() {
+        Some((seed, what, trace)) => {
+            bail!(
+                "violation\nseed {seed}: {what}\n  {}\nreplay: the same command with --from {seed} --seeds 1",
+                trace.join("\n  ")
+            )
+        }
+        None => Ok(()),
+    }
+}
+
+fn told(all: &[Audit]) -> String {
+    let sum = |f: &dyn Fn(&Audit) -> usize| all.iter().map(f).sum::<usize>();
+    let most = |f: &dyn Fn(&Audit) -> u128| all.iter().map(f).max().unwrap_or(0);
+    let extra: f64 = all.iter().map(|a| a.extra_goes).sum();
+    format!(
+        "{} whole runs: {} jobs, {} done, {} bounced, {} unknown, {} broken, {} not asked; extra goes {:.3} % (most in a run {:.2} %); \
+         longest gap {} ms, slowest bounce {} ms",
+        all.len(),
+        sum(&|a| a.jobs),
+        sum(&|a| a.done),
+        sum(&|a| a.bounced),
+        sum(&|a| a.unknown),
+        sum(&|a| a.broken),
+        sum(&|a| a.not_asked),
+        100.0 * extra / sum(&|a| a.jobs).max(1) as f64,
+        all.iter().map(|a| 100.0 * a.extra_share).fold(0.0, f64::max),
+        most(&|a| a.longest_gap_ms.values().copied().max().unwrap_or(0)),
+        most(&|a| a.slowest_bounce_ms),
+    )
+}
