--- a/crates/wheeltapper/src/lib.rs
+++ b/crates/wheeltapper/src/lib.rs
@@ -92,6 +92,7 @@
             }
             let live: Vec<(Service, Area)> = live(st).map(|r| (r.service.clone(), r.area.clone())).collect();
             out.extend(flawed("homes", check_fleet(src, &t, &live)));
+            out.extend(homeless(&t));
             out.extend(strays(&t, st));
             out.extend(losses(&t, st));
             out.extend(routers(&t, st));
@@ -107,6 +108,19 @@
     st.replicas.values().filter(|r| !r.draining && !st.evacuated.contains(&r.area))
 }
 
+/// Pairs of tenant and entry that can be served nowhere: told here, not first by a caller's 403.
+fn homeless(t: &Table) -> Vec<Finding> {
+    let pairs = t.entries.iter().flat_map(|e| t.tenants.keys().map(move |n| (e, n)));
+    pairs
+        .filter(|(e, n)| t.homes(e, Some(n)).is_empty())
+        .map(|(e, n)| {
+            let msg =
+                format!("tenant '{n}' and entry '{}' have no home in common: such jobs get 403", e.name);
+            found(Weight::Note, "no common home", msg)
+        })
+        .collect()
+}
+
 /// Replicas that the document has no place for.
 fn strays(t: &Table, st: &Status) -> Vec<Finding> {
     let odd =
--- a/crates/wheeltapper/tests/tap.rs
+++ b/crates/wheeltapper/tests/tap.rs
@@ -64,3 +64,15 @@
     let at = DOC.lines().position(|l| l.contains("to contacts;")).unwrap() + 1;
     assert_eq!((x.weight, x.line), (Weight::Fault, Some(at)));
 }
+
+/// A tenant fenced in one region and an entry fenced in another: found before a caller is told 403.
+#[test]
+fn a_pair_without_a_common_home_is_told() {
+    let src = include_str!("../../../examples/rinaldi.toml");
+    let told = wheeltapper::tap(src, &Default::default());
+    let pairs: Vec<_> = told.iter().filter(|f| f.check == "no common home").collect();
+    assert_eq!(pairs.len(), 1, "{pairs:?}");
+    assert!(pairs[0].message.contains("cordoba-register") && pairs[0].message.contains("claimant-replies"));
+    let other = include_str!("../../../examples/bitacora.toml");
+    assert!(wheeltapper::tap(other, &Default::default()).iter().all(|f| f.check != "no common home"));
+}
