Take out what was dead or copied for each job

Read again: the line of routers in figures was copied for each job at each area; it is shared once for each figures now. A wrapper that added nothing, an unused function, a broken variant with no name and a condition that could be derived are gone.

--- a/crates/track/src/carry.rs
+++ b/crates/track/src/carry.rs
@@ -98,9 +98,6 @@
     /// Why nothing new may be done for a job: looked at before each go, and once more when its
     /// connection is open.
     pub(crate) fn barred(&self, p: &Plan) -> Option<&'static str> {
-        if gauge::ground::broken("no-last-look") {
-            return None;
-        }
         (self.now() >= p.deadline).then_some("past its deadline").or_else(|| self.standing())
     }
 
--- a/crates/track/src/pressure.rs
+++ b/crates/track/src/pressure.rs
@@ -65,6 +65,8 @@
 #[derive(Clone, Debug)]
 pub struct Seen {
     pub fig: Figures,
+    /// Its line, shared by all that is picked by these figures.
+    pub line: Arc<[NodeId]>,
     /// When these figures were fresh, on the own clock.
     pub at: Tick,
 }
@@ -148,7 +150,8 @@
                     o.counted.store(o.open.load(Ordering::Relaxed), Ordering::Relaxed);
                 }
                 let at = fig.fresh_at(asked, now);
-                b.seen.insert(key, Seen { fig, at });
+                let line = fig.line.clone().into();
+                b.seen.insert(key, Seen { fig, line, at });
                 self.board.store(Arc::new(b));
             }
         }
@@ -167,18 +170,15 @@
         b.seen
             .iter()
             .filter(|((s, _), seen)| s == svc && now.since(seen.at) <= stale_ms)
-            .flat_map(|((_, area), seen)| {
-                let line: Arc<[NodeId]> = seen.fig.line.clone().into();
-                seen.fig.replicas.iter().map(move |g| (g, area, seen, line.clone()))
-            })
-            .filter(|(g, area, _, _)| g.healthy && usable(g, area))
-            .map(|(g, area, seen, line)| Candidate {
+            .flat_map(|((_, area), seen)| seen.fig.replicas.iter().map(move |g| (g, area, seen)))
+            .filter(|(g, area, _)| g.healthy && usable(g, area))
+            .map(|(g, area, seen)| Candidate {
                 gauge: g.clone(),
                 area: area.clone(),
                 own: self.own(&g.id),
                 at: seen.at,
                 seq: seen.fig.seq,
-                line,
+                line: seen.line.clone(),
             })
             .collect()
     }
--- a/crates/trainset/src/acts.rs
+++ b/crates/trainset/src/acts.rs
@@ -8,7 +8,6 @@
     standin::StandIn,
 };
 use eyre::{Result, eyre};
-use gauge::ground;
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
@@ -144,8 +143,3 @@
     }
     Ok(true)
 }
-
-/// Whether links can be cut and disks can sulk here: only a world has those.
-pub fn in_world() -> bool {
-    ground::world().is_some()
-}
--- a/crates/trainset/src/checks.rs
+++ b/crates/trainset/src/checks.rs
@@ -132,7 +132,7 @@
             What::Evacuate | What::EvacuateAndPatch => (EVACUATED, later(What::Restore)),
             _ => continue,
         };
-        let evacuated = until.is_some() || span == EVACUATED;
+        let evacuated = span == EVACUATED;
         let there = |b: &&Arc<StandIn>| if evacuated { b.shape.area == whom } else { b.id == whom };
         let runs: Vec<Instant> = backs
             .iter()
--- a/crates/trainset/src/papers.rs
+++ b/crates/trainset/src/papers.rs
@@ -36,13 +36,8 @@
     format!("{doc}\n# change at {} number {tag}\n", x.second)
 }
 
-async fn base(op: &Operator) -> Option<(String, u64)> {
-    let (doc, rev) = op.shown_at().await?;
-    Some((doc, rev))
-}
-
 pub async fn apply(op: &Operator, x: &Fault, seed: u64, out: &mut Act) {
-    let Some((doc, base)) = base(op).await else {
+    let Some((doc, base)) = op.shown_at().await else {
         out.ok = false;
         return;
     };
@@ -57,7 +52,7 @@
 
 pub async fn burst(op: &Operator, x: &Fault, seed: u64, out: &mut Act) {
     for n in 1..=3 {
-        let Some((doc, base)) = base(op).await else {
+        let Some((doc, base)) = op.shown_at().await else {
             out.ok = false;
             return;
         };
@@ -69,7 +64,7 @@
 }
 
 pub async fn race(op: &Operator, x: &Fault, seed: u64, out: &mut Act) {
-    let Some((doc, base)) = base(op).await else {
+    let Some((doc, base)) = op.shown_at().await else {
         out.ok = false;
         return;
     };
@@ -86,7 +81,7 @@
 
 /// One evacuates while the other changes a value of the document.
 pub async fn evacuate_and_patch(op: &Operator, x: &Fault, seed: u64, out: &mut Act) {
-    let Some((doc, base)) = base(op).await else {
+    let Some((doc, base)) = op.shown_at().await else {
         out.ok = false;
         return;
     };
