Routes by host and prefix, and the seam through which a document is read

The platform's operators send routes rather than the small language. The compiled form is the product's; how a document is written is behind one trait, so that an adapter can read another notation without the product knowing its names. No behaviour changes yet.

--- a/crates/timetable/src/lib.rs
+++ b/crates/timetable/src/lib.rs
@@ -10,9 +10,11 @@
 pub mod lang;
 pub mod lex;
 pub mod place;
+pub mod routes;
 pub mod table;
 
 pub use compile::compile;
 pub use fleet::check_fleet;
 pub use place::Flaw;
+pub use routes::{Backend, Engine, Notation, RequestLimits, Route, RouteKind, RouteMap};
 pub use table::{Entry, KeyPart, Kind, Policy, Table};
