Serving by routes: boards of replicas by area, choice, attempts, streams, directory

Cause: the platform's clients send routes by host and path to batch engines, which the relay by entries cannot carry. Change: rooms of the data plane under track::serving, along the way of a request; the relay by entries stays as it is. Figures come from one home an area, taken up by whoever is asked; the user table is settled behind the request; streams pass event by event and are resumed only where the route allows it. Sockets end after two seconds of silence.

--- a/crates/gauge/src/ground/net.rs
+++ b/crates/gauge/src/ground/net.rs
@@ -18,6 +18,9 @@
     time::sleep,
 };
 
+/// How long a peer may leave bytes or probes without a sign before its connection ends.
+const SILENT: std::time::Duration = std::time::Duration::from_secs(2);
+
 pub enum Stream {
     Tcp(TcpStream),
     Mem(MemStream),
@@ -88,6 +91,11 @@
     }
     let s = sock.connect(to).await?;
     s.set_nodelay(true)?;
+    // A peer that lost its power, or is cut off, answers nothing: what waits for it must end.
+    let opts = socket2::SockRef::from(&s);
+    let _ = opts.set_tcp_user_timeout(Some(SILENT));
+    let alive = socket2::TcpKeepalive::new().with_time(SILENT / 2).with_interval(SILENT / 4).with_retries(2);
+    let _ = opts.set_tcp_keepalive(&alive);
     Ok(Stream::Tcp(s))
 }
 
--- a/crates/track/src/answer.rs
+++ b/crates/track/src/answer.rs
@@ -50,6 +50,9 @@
                 Ok(p) => Reply::Pass(p),
                 Err(why) => Reply::Bounced(why.into()),
             },
+            Ask::Board { area, seq, wait_ms } => {
+                Reply::Board(self.tell_board(area, seq, wait_ms).await.map(Box::new))
+            }
             Ask::Redeem { spent } => match self.redeem_here(&spent) {
                 Ok(()) => Reply::Done,
                 Err(why) => self.no("redeem", &node, why.into()),
@@ -100,6 +103,17 @@
         gauge::ground::spawn(self.clone().watch_all());
         gauge::ground::spawn(self.clone().lend());
         gauge::ground::spawn(self.clone().fill_purse());
+        self.start_listening(set, rail);
+    }
+
+    /// Starts the standing work of a router that serves by routes.
+    pub fn start_serving(self: &Arc<Self>, set: &Settings, rail: gauge::ground::Listener) {
+        self.member.start();
+        gauge::ground::spawn(self.clone().hail());
+        self.start_listening(set, rail);
+    }
+
+    fn start_listening(self: &Arc<Self>, set: &Settings, rail: gauge::ground::Listener) {
         gauge::ground::spawn(self.clone().gather());
         let me = self.clone();
         gauge::ground::spawn(gauge::link::listen(rail, set.me(), crate::rail::SERVICE, move |node, ask| {
--- a/crates/track/src/lib.rs
+++ b/crates/track/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod rail;
 pub mod replica;
 pub mod router;
+pub mod serving;
 pub mod tab;
 pub mod waitlist;
 pub mod watched;
--- a/crates/track/src/place.rs
+++ b/crates/track/src/place.rs
@@ -100,7 +100,7 @@
     }
 
     /// Asks the owner of the shard; `None` where it can't be reached within the small bound.
-    async fn settle(
+    pub(crate) async fn settle(
         self: &Arc<Self>,
         key: UserKey,
         service: &Service,
--- a/crates/track/src/rail.rs
+++ b/crates/track/src/rail.rs
@@ -3,6 +3,7 @@
 use crate::{
     lend::{Pass, Spent},
     pressure::Figures,
+    serving::board::Board,
     tab::{Copy, Settled, UserKey},
 };
 use gauge::{Area, Fence, Incarnation, Index, NodeId, Region, Service};
@@ -59,6 +60,12 @@
     Redeem {
         spent: Spent,
     },
+    /// What this node publishes of an area's replicas; being asked makes it publish.
+    Board {
+        area: Area,
+        seq: u64,
+        wait_ms: u64,
+    },
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -73,6 +80,7 @@
     Rows(Vec<Copy>),
     Figures(Figures),
     Pass(Option<Pass>),
+    Board(Option<Box<Board>>),
     Done,
     /// Not done, for a named reason.
     Bounced(String),
@@ -90,6 +98,7 @@
             Ask::Last { .. } => "points.last",
             Ask::Passes { .. } => "points.passes",
             Ask::Redeem { .. } => "points.redeem",
+            Ask::Board { .. } => "points.board",
         }
     }
 }
--- a/crates/track/src/router.rs
+++ b/crates/track/src/router.rs
@@ -7,6 +7,7 @@
     numbers::Numbers,
     pressure::{Candidate, Figures, Pressure, RegionPressure, regions},
     rail::{Ask, Reply},
+    serving::board::Board,
     tab::{Tab, UserKey},
     waitlist::Waitlist,
 };
@@ -44,6 +45,12 @@
 /// Figures of the homes that this node holds.
 pub type Published = BTreeMap<(Service, Area), watch::Sender<Option<Figures>>>;
 
+/// What this node publishes of an area, and when it was asked for it last.
+pub struct Publication {
+    pub tx: watch::Sender<Option<(Arc<Board>, Tick)>>,
+    pub asked: Tick,
+}
+
 pub struct Router {
     pub set: Settings,
     pub clock: Clock,
@@ -59,6 +66,7 @@
     pub waitlist: Mutex<Waitlist>,
     pub heard: Mutex<HashMap<NodeId, Tick>>,
     pub published: Mutex<Published>,
+    pub boards: Mutex<BTreeMap<Area, Publication>>,
     pub numbers: Numbers,
     pub journal: Journal<Event, Digest>,
     pub draining: AtomicBool,
@@ -91,6 +99,7 @@
             waitlist: Mutex::default(),
             heard: Mutex::default(),
             published: Mutex::default(),
+            boards: Mutex::default(),
             numbers: Numbers::default(),
             journal: Journal::new(Digest::default(), KEEP),
             draining: AtomicBool::new(false),
--- /dev/null
+++ b/crates/track/src/serving/board.rs
@@ -0,0 +1,107 @@
+//! Figures of the replicas of one area, as its home publishes them (design 9.3). Pure data.
+
+use super::dialect::{EngineReport, Listed};
+use gauge::{Area, Fence, Service, Tick};
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, net::SocketAddr};
+
+/// One replica of an area.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    pub id: gauge::ReplicaId,
+    pub service: Service,
+    pub addr: SocketAddr,
+    pub slots: u32,
+    pub draining: bool,
+    /// Milliseconds that it stays cold, counted from when the figures were fresh.
+    pub cold_left_ms: u64,
+    pub well: bool,
+    pub running: u32,
+    pub waiting: u32,
+    pub memory_used: u64,
+    pub memory_total: u64,
+}
+
+/// All replicas of an area, numbered by their publisher.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Board {
+    pub area: Area,
+    pub publisher: gauge::NodeId,
+    pub fence: Fence,
+    pub seq: u64,
+    /// How old the figures were when they were sent, and how long the question lay before that.
+    pub age_ms: u64,
+    pub waited_ms: u64,
+    pub rows: Vec<Row>,
+    /// Lending passes: requests that one router of another region may have open here, by service
+    /// (design 5.5).
+    pub lends: BTreeMap<Service, u32>,
+}
+
+impl Board {
+    /// When the figures were fresh on the clock of whoever asked at `asked`, at the latest.
+    pub fn fresh_at(&self, asked: Tick, now: Tick) -> Tick {
+        (asked + self.waited_ms).min(now) - self.age_ms
+    }
+}
+
+/// What the publisher remembers of a replica between looks.
+#[derive(Clone, Debug, Default)]
+pub struct Watched {
+    pub fails: u32,
+    pub gone: bool,
+    pub report: EngineReport,
+}
+
+/// What came of one probe.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Probed {
+    Told(EngineReport),
+    /// It says itself that it is unwell or leaving.
+    Unwell,
+    Silent,
+    /// Nothing listens there.
+    Refused,
+}
+
+impl Watched {
+    /// Folds one probe in: a refusal counts at once, silence after `fails` looks.
+    pub fn fold(&mut self, p: Probed, fails: u32) {
+        match p {
+            Probed::Told(r) => *self = Watched { report: r, ..Watched::default() },
+            Probed::Unwell => (self.fails, self.gone) = (fails, false),
+            Probed::Refused => (self.fails, self.gone) = (fails, true),
+            Probed::Silent => self.fails = (self.fails + 1).min(fails),
+        }
+    }
+
+    pub fn well(&self, fails: u32) -> bool {
+        self.fails < fails
+    }
+
+    pub fn row(&self, l: &Listed, fails: u32) -> Row {
+        Row {
+            id: l.id.clone(),
+            service: l.service.clone(),
+            addr: l.addr,
+            slots: l.slots,
+            draining: l.draining || l.time_left_ms.is_some(),
+            cold_left_ms: l.cold_left_ms,
+            well: self.well(fails),
+            running: self.report.running,
+            waiting: self.report.waiting,
+            memory_used: self.report.memory_used,
+            memory_total: self.report.memory_total,
+        }
+    }
+}
+
+/// Passes for each router of other regions: a share of the measured headroom of what is warm.
+pub fn lends(rows: &[Row], share: f64, askers: usize) -> BTreeMap<Service, u32> {
+    let mut room: BTreeMap<Service, f64> = BTreeMap::new();
+    for r in rows.iter().filter(|r| r.well && !r.draining && r.cold_left_ms == 0) {
+        let used = f64::from(r.running + r.waiting);
+        *room.entry(r.service.clone()).or_default() += (f64::from(r.slots) * 0.95 - used).max(0.0);
+    }
+    room.into_iter().map(|(s, r)| (s, (r * share / askers.max(1) as f64) as u32)).collect()
+}
--- /dev/null
+++ b/crates/track/src/serving/daemon.rs
@@ -0,0 +1,84 @@
+//! A router that serves by routes, from its start to the end of its drain (design 9.7): the same in
+//! the program and under virtual time.
+
+use super::{
+    dialect::Dialect,
+    state::{Serving, Site},
+};
+use crate::router::Router;
+use gauge::{
+    Clock, Incarnation,
+    ground::{Listener, bind, draw, spawn},
+    http, jot,
+    settings::Settings,
+};
+use interlocking::{Role, change::Card, member::Member};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use timetable::Notation;
+use tokio::sync::watch;
+
+/// What a serving router is made of, besides its settings.
+pub struct Parts {
+    pub site: Site,
+    pub dialect: Arc<dyn Dialect>,
+    pub notation: Arc<dyn Notation>,
+}
+
+pub async fn run(
+    set: Settings,
+    (rail, clients): (Listener, Listener),
+    parts: Parts,
+    stop: impl Future<Output = ()>,
+) -> eyre::Result<()> {
+    let card = Card::of(&set, Role::Router, Incarnation(draw::<u64>() >> 1));
+    let clock = Clock::default();
+    let member = Member::new(set.clone(), card, clock.clone());
+    let router = Router::new(set.clone(), member.clone(), clock.clone());
+    let Parts { site, dialect, notation } = parts;
+    let extra: Vec<_> = site.readiness.into_iter().chain(site.directory).collect();
+    let grace_ms = site.bounds.grace_ms;
+    let keep_ms = site.bounds.keep_ms;
+    let s = Serving::new(router.clone(), dialect, notation, site);
+    router.start_serving(&set, rail);
+    spawn(s.clone().govern());
+    s.watch_all();
+    let (tell, told) = watch::channel(false);
+    let (end, ended) = watch::channel(false);
+    for at in extra {
+        let lst = bind(at).await?;
+        let me = s.clone();
+        spawn(http::serve(lst, Arc::default(), ended.clone(), move |peer, req| me.clone().asked(peer, req)));
+    }
+    let (conns, me) = (Arc::new(http::Busy::default()), s.clone());
+    let serving =
+        spawn(http::serve(clients, conns.clone(), told, move |peer, req| me.clone().serve(peer, req)));
+    let me = s.clone();
+    spawn(async move {
+        loop {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            me.pool.sweep(me.now());
+        }
+    });
+    jot!(Info, "started", "rail" => set.rail, "http" => set.http);
+    stop.await;
+    // Not ready and out of the directories first; clients that hold an older answer are served
+    // until it has run out; what was read is finished (design 9.7).
+    jot!(Info, "draining", "open" => router.busy.open());
+    let began = clock.now();
+    router.draining.store(true, Ordering::Release);
+    member.leave().await;
+    let linger = (keep_ms * 3 + set.timing.renew_ms()).min(grace_ms / 2);
+    tokio::time::sleep(Duration::from_millis(linger.saturating_sub(clock.now().since(began)))).await;
+    let _ = tell.send(true);
+    let _ = serving.await;
+    let until = began + grace_ms * 15 / 16;
+    while (router.busy.open() > 0 || conns.open() > 0) && clock.now() < until {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let _ = end.send(true);
+    jot!(Info, "stopped", "open" => router.busy.open());
+    Ok(())
+}
--- /dev/null
+++ b/crates/track/src/serving/directory.rs
@@ -0,0 +1,87 @@
+//! Where clients are sent (design 9.7): routers that are heard and fit, near ones first. And what
+//! the platform asks of this one.
+
+use super::state::Serving;
+use gauge::{
+    Area, Region,
+    http::{Body, BoxErr, json, text},
+};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use std::{net::SocketAddr, sync::Arc};
+
+/// Routers that an area needs before its clients are kept inside it.
+const ENOUGH: usize = 2;
+/// Most addresses in an answer.
+const MOST: usize = 64;
+
+/// A router that clients may be sent to.
+#[derive(Clone, Debug)]
+pub struct Edge {
+    pub addr: SocketAddr,
+    pub area: Area,
+    pub region: Option<Region>,
+}
+
+/// Those of the asker's area, else of its region, else all: the first group that is large enough.
+pub fn nearest(all: &[Edge], area: &str, region: &str) -> Vec<SocketAddr> {
+    let groups: [Vec<SocketAddr>; 3] = [
+        all.iter().filter(|e| e.area.as_str() == area).map(|e| e.addr).collect(),
+        all.iter()
+            .filter(|e| e.region.as_ref().is_some_and(|r| r.as_str() == region))
+            .map(|e| e.addr)
+            .collect(),
+        all.iter().map(|e| e.addr).collect(),
+    ];
+    let [_, _, every] = &groups;
+    let picked = groups.iter().find(|g| g.len() >= ENOUGH).unwrap_or(every);
+    picked.iter().take(MOST).copied().collect()
+}
+
+impl Serving {
+    fn edges(&self) -> Vec<Edge> {
+        let r = &self.router;
+        let l = r.ledger();
+        let mine = self.unfit().is_none();
+        let fit = |n: &gauge::NodeId| if n == r.node() { mine } else { r.hears(n) };
+        let all = l.routers().into_iter().filter(|m| fit(&m.card.node));
+        all.map(|m| Edge {
+            addr: m.card.http,
+            area: m.card.area.clone(),
+            region: self.site.areas.get(&m.card.area).cloned(),
+        })
+        .collect()
+    }
+
+    /// The directory's and the platform's questions.
+    pub async fn asked(
+        self: Arc<Self>,
+        _peer: SocketAddr,
+        req: Request<Incoming>,
+    ) -> Result<Response<Body>, BoxErr> {
+        let names = self.dialect.names();
+        let path = req.uri().path();
+        if req.method() != Method::GET {
+            return Ok(text(StatusCode::METHOD_NOT_ALLOWED, "allowed: GET\n"));
+        }
+        if path == names.ready_path {
+            let why = self.unfit();
+            let code = if why.is_none() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            return Ok(json(code, &serde_json::json!({"ready": why.is_none(), "why": why})));
+        }
+        if path == names.lookup_path {
+            let q = self.dialect.lookup(req.uri().query().unwrap_or(""));
+            let addrs = nearest(&self.edges(), &q.area, &q.region);
+            if addrs.is_empty() {
+                return Ok(text(StatusCode::SERVICE_UNAVAILABLE, "no router is known to be fit\n"));
+            }
+            let mut r = text(StatusCode::OK, self.dialect.places(&addrs, self.site.bounds.keep_ms));
+            r.headers_mut()
+                .insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
+            return Ok(r);
+        }
+        if path == "/metrics" {
+            return Ok(text(StatusCode::OK, self.router.metrics()));
+        }
+        Ok(text(StatusCode::NOT_FOUND, "no such call\n"))
+    }
+}
--- /dev/null
+++ b/crates/track/src/serving/events.rs
@@ -0,0 +1,210 @@
+//! Streams on their way to the client (design 9.8): event by event, counted by id, taken up at
+//! another replica only where the route allows it, and never ended as whole where they were cut.
+
+use super::{
+    attempt::{Open, Outcome},
+    carry::Past,
+    plan::Plan,
+    state::Serving,
+};
+use bytes::{Bytes, BytesMut};
+use gauge::{
+    Fault,
+    http::{Body, BoxErr, BusyGuard, Sender},
+    jot,
+};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    Response,
+    body::{Frame, Incoming},
+    http::response::Parts,
+};
+use std::{sync::Arc, time::Duration};
+use tokio::sync::mpsc;
+
+type Out = mpsc::Sender<Result<Frame<Bytes>, BoxErr>>;
+
+/// Cuts whole events out of what has come so far.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buf: BytesMut,
+    pub last: Option<String>,
+}
+
+impl Splitter {
+    pub fn push(&mut self, b: &[u8]) {
+        self.buf.extend_from_slice(b);
+    }
+
+    /// All whole events that wait, as one piece.
+    pub fn whole(&mut self) -> Option<Bytes> {
+        let end = self.buf.windows(2).rposition(|w| w == b"\n\n")? + 2;
+        let out = self.buf.split_to(end).freeze();
+        if let Some(id) = last_id(&out) {
+            self.last = Some(id);
+        }
+        Some(out)
+    }
+
+    /// What is left behind the last whole event.
+    pub fn rest(&mut self) -> Bytes {
+        self.buf.split().freeze()
+    }
+
+    /// Forgets half an event: its whole comes from elsewhere.
+    pub fn forget(&mut self) {
+        self.buf.clear();
+    }
+}
+
+fn last_id(events: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(events).ok()?;
+    text.lines().rev().find_map(|l| l.strip_prefix("id:")).map(|v| v.trim().to_string())
+}
+
+/// How an upstream ended.
+enum Ended {
+    Whole,
+    Cut(String),
+    /// The client has gone.
+    Left,
+}
+
+/// Passes a stream on from its own task; the answer keeps the head of its first replica.
+pub fn relay(
+    s: &Arc<Serving>,
+    p: Arc<Plan>,
+    past: Past,
+    open: Open,
+    busy: Arc<BusyGuard>,
+    (head, body, tx): (Parts, Incoming, Sender),
+) -> Response<Body> {
+    let (out, mut rx) = mpsc::channel(4);
+    let s = s.clone();
+    gauge::ground::spawn(async move {
+        let _busy = busy;
+        run(s, p, past, open, (body, tx), out).await;
+    });
+    let stream = futures::stream::poll_fn(move |cx| rx.poll_recv(cx));
+    Response::from_parts(head, BodyExt::boxed(StreamBody::new(SyncStream(std::sync::Mutex::new(stream)))))
+}
+
+/// A body must be shareable between threads; nobody but its connection ever reads it.
+struct SyncStream<S>(std::sync::Mutex<S>);
+
+impl<S: futures::Stream + Unpin> futures::Stream for SyncStream<S> {
+    type Item = S::Item;
+    fn poll_next(
+        self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<S::Item>> {
+        let mut g = self.0.lock().unwrap_or_else(|e| e.into_inner());
+        std::pin::Pin::new(&mut *g).poll_next(cx)
+    }
+}
+
+async fn run(
+    s: Arc<Serving>,
+    p: Arc<Plan>,
+    mut past: Past,
+    mut open: Open,
+    up: (Incoming, Sender),
+    out: Out,
+) {
+    let mut parts = Splitter::default();
+    let (mut body, mut tx) = up;
+    loop {
+        match forward(&s, &p, &open, &mut body, &mut parts, &out).await {
+            Ended::Whole => {
+                let rest = parts.rest();
+                if !rest.is_empty() {
+                    let _ = out.send(Ok(Frame::data(rest))).await;
+                }
+                s.learn(&p.service, s.now().since(p.came) as f64);
+                s.keep(&open.at, tx);
+                return;
+            }
+            Ended::Left => return,
+            Ended::Cut(why) => {
+                parts.forget();
+                jot!(Info, "stream", "peer" => open.at.addr, "cause" => why, "after" => parts.last);
+                drop((body, tx));
+                match resumed(&s, &p, &mut past, open, parts.last.as_deref()).await {
+                    Some((o, b, t)) => (open, body, tx) = (o, b, t),
+                    None => {
+                        let _ = out.send(Err(why.into())).await;
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+async fn forward(
+    s: &Serving,
+    p: &Plan,
+    open: &Open,
+    body: &mut Incoming,
+    parts: &mut Splitter,
+    out: &Out,
+) -> Ended {
+    loop {
+        let frame = tokio::select! {
+            f = body.frame() => f,
+            () = out.closed() => return Ended::Left,
+            () = tokio::time::sleep(silence(s, p)) => return Ended::Cut("the replica fell silent".into()),
+        };
+        match frame {
+            None => return Ended::Whole,
+            Some(Err(e)) => return Ended::Cut(e.to_string()),
+            Some(Ok(f)) => {
+                let Some(data) = f.data_ref() else { continue };
+                parts.push(data);
+                open.read();
+                open.at.own.hear(s.now());
+                if let Some(events) = parts.whole()
+                    && out.send(Ok(Frame::data(events))).await.is_err()
+                {
+                    return Ended::Left;
+                }
+            }
+        }
+    }
+}
+
+/// How long a silence is borne: twice the pause that keeps an answer in time where another replica
+/// can go on, else until the client itself gives up.
+fn silence(s: &Serving, p: &Plan) -> Duration {
+    let left = p.left_ms(s.now()).max(1_000);
+    let ms = match p.route.gap_target_ms {
+        Some(g) if p.repeatable() => (g * 2).min(left),
+        _ => left,
+    };
+    Duration::from_millis(ms)
+}
+
+/// Takes a cut stream up at another replica, behind the last event that went out.
+async fn resumed(
+    s: &Arc<Serving>,
+    p: &Plan,
+    past: &mut Past,
+    open: Open,
+    last: Option<&str>,
+) -> Option<(Open, Incoming, Sender)> {
+    drop(open);
+    if !p.repeatable() {
+        return None;
+    }
+    while s.now() < p.deadline && past.may_go_again(s, p) {
+        let c = s.pick(p, past).ok()?;
+        let open = Open::new(s, p, c.clone());
+        match s.attempt(p, &c, last).await {
+            Outcome::Answer(head, body, tx) if head.status.is_success() => return Some((open, body, tx)),
+            Outcome::NotSent(e) => past.failed(s, p, &c, e),
+            Outcome::Declined(e) | Outcome::MayHaveRun(e) => past.ran(e),
+            Outcome::Answer(head, ..) => past.ran(Fault::new("resume", c.addr, head.status)),
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/track/src/serving/fleet.rs
@@ -0,0 +1,174 @@
+//! The replicas as this router sees them (design 9.3): the homes' figures, and what it has open
+//! itself. Read by read-copy-update on a request's way; knows no request.
+
+use super::{board::Board, cold::Bucket};
+use gauge::{Area, Region, ReplicaId, Service, Tick};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicI64, AtomicU64, Ordering},
+    },
+};
+
+/// What this router itself has at a replica; lives as long as the replica is listed.
+#[derive(Debug, Default)]
+pub struct Own {
+    pub open: AtomicI64,
+    /// Prompt tokens that were sent and whose first event has not come.
+    pub reading: AtomicI64,
+    /// Own failures: not to be used until then, where there is another.
+    pub shun: AtomicU64,
+    /// When it last said anything here.
+    pub heard: AtomicU64,
+    pub bucket: Mutex<Bucket>,
+}
+
+impl Own {
+    pub fn shunned(&self, now: Tick) -> bool {
+        self.shun.load(Ordering::Relaxed) > now.0
+    }
+
+    pub fn shun_until(&self, t: Tick) {
+        self.shun.fetch_max(t.0, Ordering::Relaxed);
+    }
+
+    pub fn hear(&self, now: Tick) {
+        self.heard.fetch_max(now.0, Ordering::Relaxed);
+        self.shun.store(0, Ordering::Relaxed);
+    }
+}
+
+/// One replica that may be chosen.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    pub id: ReplicaId,
+    pub service: Service,
+    pub addr: SocketAddr,
+    pub area: Area,
+    pub region: Region,
+    pub slots: u32,
+    pub draining: bool,
+    pub well: bool,
+    pub cold_until: Tick,
+    /// What all others had there when the figures were fresh.
+    pub others: i64,
+    pub waiting: u32,
+    pub memory_used: u64,
+    pub memory_total: u64,
+    pub own: Arc<Own>,
+}
+
+impl Candidate {
+    pub fn load(&self) -> f64 {
+        (self.others + self.own.open.load(Ordering::Relaxed).max(0)) as f64
+    }
+}
+
+/// A region's figures for one service, in slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RegionLoad {
+    pub capacity: f64,
+    pub consumption: f64,
+}
+
+impl RegionLoad {
+    pub fn passes(&self, overload: f64) -> bool {
+        self.capacity > 0.0 && self.consumption / self.capacity <= overload
+    }
+}
+
+/// One area's figures as they came.
+#[derive(Clone, Debug)]
+pub struct Heard {
+    pub board: Board,
+    pub at: Tick,
+}
+
+/// All that may be chosen, by service; made anew with each board.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub by_service: HashMap<Service, Vec<Candidate>>,
+    /// Passes that each region's figures carry, by region and service, and until when they count.
+    pub lends: HashMap<(Region, Service), (u32, Tick)>,
+}
+
+/// Owns what outlives single boards.
+#[derive(Default)]
+pub struct Folds {
+    pub heard: BTreeMap<Area, Heard>,
+    owns: HashMap<ReplicaId, Arc<Own>>,
+}
+
+impl Folds {
+    /// Takes a board unless it is older than what is held.
+    pub fn take(&mut self, board: Board, at: Tick) -> bool {
+        let older = self
+            .heard
+            .get(&board.area)
+            .is_some_and(|h| h.at > at || (h.board.publisher == board.publisher && h.board.seq >= board.seq));
+        if !older {
+            self.heard.insert(board.area.clone(), Heard { board, at });
+        }
+        !older
+    }
+
+    /// Folds all boards into what may be chosen. `valid_ms` is how long figures lend.
+    pub fn fleet(&mut self, areas: &BTreeMap<Area, Region>, valid_ms: u64) -> Fleet {
+        let mut out = Fleet::default();
+        for (area, h) in &self.heard {
+            let Some(region) = areas.get(area) else { continue };
+            for r in &h.board.rows {
+                let own = self.owns.entry(r.id.clone()).or_default().clone();
+                let mine = own.open.load(Ordering::Relaxed).max(0);
+                let all = i64::from(r.running) + i64::from(r.waiting);
+                out.by_service.entry(r.service.clone()).or_default().push(Candidate {
+                    id: r.id.clone(),
+                    service: r.service.clone(),
+                    addr: r.addr,
+                    area: area.clone(),
+                    region: region.clone(),
+                    slots: r.slots.max(1),
+                    draining: r.draining,
+                    well: r.well,
+                    cold_until: h.at + r.cold_left_ms,
+                    others: (all - mine).max(0),
+                    waiting: r.waiting,
+                    memory_used: r.memory_used,
+                    memory_total: r.memory_total,
+                    own,
+                });
+            }
+            for (svc, n) in &h.board.lends {
+                let e = out.lends.entry((region.clone(), svc.clone())).or_insert((0, h.at + valid_ms));
+                e.0 += n;
+                e.1 = e.1.min(h.at + valid_ms);
+            }
+        }
+        let listed = |id: &ReplicaId| out.by_service.values().flatten().any(|c| c.id == *id);
+        self.owns.retain(|id, o| listed(id) || o.open.load(Ordering::Relaxed) > 0);
+        out
+    }
+}
+
+impl Fleet {
+    pub fn of(&self, svc: &Service) -> &[Candidate] {
+        self.by_service.get(svc).map_or(&[], Vec::as_slice)
+    }
+
+    /// Capacity and consumption of each region, from replicas that `usable` lets through.
+    pub fn regions(
+        &self,
+        svc: &Service,
+        usable: &dyn Fn(&Candidate) -> bool,
+    ) -> BTreeMap<Region, RegionLoad> {
+        let mut out: BTreeMap<Region, RegionLoad> = BTreeMap::new();
+        for c in self.of(svc).iter().filter(|c| usable(c)) {
+            let e = out.entry(c.region.clone()).or_default();
+            e.capacity += f64::from(c.slots);
+            e.consumption += c.load();
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/track/src/serving/front.rs
@@ -0,0 +1,116 @@
+//! The clients' side (design 9.2): from the head to the answer.
+
+use super::{
+    plan::{Plan, deadline, user_key},
+    state::Serving,
+};
+use crate::go::strip;
+use gauge::{
+    http::{Body, BoxErr, read_body},
+    jot,
+};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+type Res = Response<Body>;
+
+fn close(mut r: Res) -> Res {
+    r.headers_mut().insert("connection", hyper::header::HeaderValue::from_static("close"));
+    r
+}
+
+impl Serving {
+    pub async fn serve(self: Arc<Self>, peer: SocketAddr, req: Request<Incoming>) -> Result<Res, BoxErr> {
+        let busy = Arc::new(self.router.busy.enter());
+        let draining = || self.router.draining.load(Ordering::Acquire);
+        let names = self.dialect.names();
+        let id = req.headers().get(&names.request_id).cloned();
+        let plan = self.plan(req, peer).await;
+        let mut res = match plan {
+            Ok(p) => self.carry(Arc::new(p), busy).await,
+            Err(r) => *r,
+        };
+        if let Some(v) = id {
+            res.headers_mut().entry(names.request_id.clone()).or_insert(v);
+        }
+        Ok(if draining() { close(res) } else { res })
+    }
+
+    /// A node that has just started learns within a few beats what is in force; its first requests
+    /// wait for that, within a quarter of a seat's patience.
+    async fn await_fit(&self) -> Option<&'static str> {
+        let until = self.now() + self.router.set.timing.patience_ms() / 4;
+        while let Some(why) = self.unfit().filter(|w| *w != "draining") {
+            if self.now() >= until {
+                return Some(why);
+            }
+            tokio::time::sleep(Duration::from_millis(self.router.set.timing.beat_ms() / 4)).await;
+        }
+        None
+    }
+
+    async fn plan(&self, req: Request<Incoming>, peer: SocketAddr) -> Result<Plan, Box<Res>> {
+        let came = self.now();
+        let no = |code, why, back: Option<u64>| Err(Box::new(self.refused(code, why, back)));
+        if let Some(why) = self.await_fit().await {
+            return no(StatusCode::SERVICE_UNAVAILABLE, why, Some(250));
+        }
+        let Some(map) = self.map.load_full() else {
+            return no(StatusCode::SERVICE_UNAVAILABLE, "no configuration", Some(250));
+        };
+        let (head, body) = req.into_parts();
+        let host = head.headers.get("host").and_then(|v| v.to_str().ok());
+        let host = host.or_else(|| head.uri.host()).unwrap_or("");
+        let Some(route) = map.find(host, head.uri.path()).cloned() else {
+            return no(StatusCode::NOT_FOUND, "no route", None);
+        };
+        let service = route.service(gauge::ground::draw()).cloned();
+        let Some((service, backend)) = service.and_then(|s| map.backends.get(&s).cloned().map(|b| (s, b)))
+        else {
+            return no(StatusCode::NOT_FOUND, "the route has no service", None);
+        };
+        let deadline = deadline(self.dialect.names(), &head.headers, &route, came);
+        let long = head.headers.get("content-length").and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
+        if long.is_some_and(|n| n > map.limits.max_body_bytes) {
+            return no(StatusCode::PAYLOAD_TOO_LARGE, "body over the limit", None)
+                .map_err(|r| Box::new(close(*r)));
+        }
+        let left = Duration::from_millis(deadline.since(self.now()).max(1));
+        let body = match tokio::time::timeout(left, read_body(body, map.limits.max_body_bytes)).await {
+            Ok(Ok(b)) => b,
+            Ok(Err(true)) => {
+                return no(StatusCode::PAYLOAD_TOO_LARGE, "body over the limit", None)
+                    .map_err(|r| Box::new(close(*r)));
+            }
+            Ok(Err(false)) => {
+                jot!(Debug, "read body", "peer" => peer, "cause" => "it broke off");
+                return no(StatusCode::BAD_REQUEST, "body broke off", None).map_err(|r| Box::new(close(*r)));
+            }
+            Err(_) => return no(StatusCode::REQUEST_TIMEOUT, "body not here in time", None),
+        };
+        let prompt = self.dialect.prompt(&head.headers);
+        let key = user_key(&route, &service, &prompt, &self.site.region);
+        let mut headers = head.headers;
+        strip(&mut headers);
+        headers.remove("content-length");
+        let request_id = headers.get(&self.dialect.names().request_id).cloned();
+        Ok(Plan {
+            route,
+            service,
+            backend,
+            prompt,
+            key,
+            came,
+            deadline,
+            method: head.method,
+            uri: head.uri,
+            headers,
+            body,
+            request_id,
+        })
+    }
+}
--- /dev/null
+++ b/crates/track/src/serving/plan.rs
@@ -0,0 +1,53 @@
+//! What is to be done with a request, as data (design 9.2): made from its head, then carried out.
+
+use super::dialect::{Names, Prompt};
+use crate::tab::UserKey;
+use bytes::Bytes;
+use gauge::{Region, Service, Tick, rank::stable_hash};
+use hyper::{HeaderMap, Method, Uri};
+use std::sync::Arc;
+use timetable::{Backend, Route};
+
+pub struct Plan {
+    pub route: Arc<Route>,
+    pub service: Service,
+    pub backend: Arc<Backend>,
+    pub prompt: Prompt,
+    /// What shares a long prefix, seen from one region, shares a placement.
+    pub key: Option<UserKey>,
+    pub came: Tick,
+    /// Nothing is done for the request after this.
+    pub deadline: Tick,
+    pub method: Method,
+    pub uri: Uri,
+    /// As they came, without those of one connection.
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub request_id: Option<hyper::header::HeaderValue>,
+}
+
+impl Plan {
+    pub fn left_ms(&self, now: Tick) -> u64 {
+        self.deadline.since(now)
+    }
+
+    pub fn repeatable(&self) -> bool {
+        self.route.repeatable()
+    }
+}
+
+/// Milliseconds that the caller waits, as it says; the route's hold bounds it.
+pub fn deadline(names: &Names, head: &HeaderMap, route: &Route, came: Tick) -> Tick {
+    let said = head.get(&names.time_left).and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse().ok());
+    came + said.unwrap_or(route.hold_ms).min(route.hold_ms)
+}
+
+/// The user key: the shared parts of the prompt in their order, and the region it was sent in.
+pub fn user_key(route: &Route, service: &Service, prompt: &Prompt, region: &Region) -> Option<UserKey> {
+    let shared = prompt.shared();
+    if !route.sticky || shared.is_empty() {
+        return None;
+    }
+    let ids: Vec<u8> = shared.iter().flat_map(|p| p.0.to_le_bytes()).collect();
+    Some(UserKey(stable_hash(&[service.as_str().as_bytes(), region.as_str().as_bytes(), &ids])))
+}
--- /dev/null
+++ b/crates/track/src/serving/state.rs
@@ -0,0 +1,160 @@
+//! A router's state for serving by routes, in one struct that is passed down by reference (design
+//! 9.2).
+
+use super::{
+    dialect::Dialect,
+    fleet::{Candidate, Fleet, Folds},
+    pool::Pool,
+    retries::Retries,
+};
+use crate::router::{Router, lock};
+use arc_swap::{ArcSwap, ArcSwapOption};
+use gauge::{Area, NodeId, Region, Service, Tick, jot};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex, atomic::Ordering},
+};
+use timetable::{Backend, Notation, RouteMap};
+
+/// The bounds that all routers keep together, as the platform tells them.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    pub cold_overrun: f64,
+    pub cold_slack: f64,
+    pub retry_ratio: f64,
+    pub extra_tries: f64,
+    /// How long clients may go by a directory's answer.
+    pub keep_ms: u64,
+    /// From SIGTERM to the end.
+    pub grace_ms: u64,
+}
+
+/// What a node is told of its place, beside its settings.
+#[derive(Clone, Debug)]
+pub struct Site {
+    pub region: Region,
+    pub areas: BTreeMap<Area, Region>,
+    pub readiness: Option<SocketAddr>,
+    pub directory: Option<SocketAddr>,
+    /// Where the platform lists replicas, and how many calls a second all nodes have there.
+    pub list: SocketAddr,
+    pub list_per_s: f64,
+    pub list_lag_ms: u64,
+    pub bounds: Bounds,
+}
+
+pub struct Serving {
+    pub router: Arc<Router>,
+    pub dialect: Arc<dyn Dialect>,
+    pub notation: Arc<dyn Notation>,
+    pub site: Site,
+    pub map: ArcSwapOption<RouteMap>,
+    pub fleet: ArcSwap<Fleet>,
+    pub folds: Mutex<Folds>,
+    pub pool: Pool,
+    pub retries: Retries,
+    /// How long requests of a service take, as seen here lately.
+    pub pace: Mutex<HashMap<Service, f64>>,
+    /// When the evacuation of an area ended last: its replicas may have turned cold.
+    pub returned: Mutex<HashMap<Area, Tick>>,
+    /// Open requests from here at regions other than the own, by service.
+    pub abroad: Mutex<HashMap<(Region, Service), i64>>,
+}
+
+impl Serving {
+    pub fn new(
+        router: Arc<Router>,
+        dialect: Arc<dyn Dialect>,
+        notation: Arc<dyn Notation>,
+        site: Site,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            router,
+            dialect,
+            notation,
+            site,
+            map: ArcSwapOption::empty(),
+            fleet: ArcSwap::default(),
+            folds: Mutex::default(),
+            pool: Pool::default(),
+            retries: Retries::default(),
+            pace: Mutex::default(),
+            returned: Mutex::default(),
+            abroad: Mutex::default(),
+        })
+    }
+
+    pub fn now(&self) -> Tick {
+        self.router.now()
+    }
+
+    /// Reads the newest document as soon as it is there; an older one never comes back.
+    pub async fn govern(self: Arc<Self>) {
+        let mut moved = self.router.member.moved.subscribe();
+        let (mut evacuated, mut have) = (BTreeSet::new(), gauge::Revision(0));
+        loop {
+            let l = self.router.ledger();
+            for a in evacuated.difference(&l.evacuated) {
+                lock(&self.returned).insert(Area::clone(a), self.now());
+            }
+            evacuated = l.evacuated.clone();
+            if let Some(text) = l.text.as_ref().filter(|_| l.revision > have) {
+                match self.notation.read(text) {
+                    Ok(m) => {
+                        have = l.revision;
+                        self.map.store(Some(Arc::new(m)));
+                        self.router.member.governs.store(have.0, Ordering::Release);
+                        jot!(Info, "governs", "revision" => have.0);
+                    }
+                    Err(f) => {
+                        self.router.unreadable.store(l.revision.0, Ordering::Release);
+                        jot!(Error, "read document", "peer" => "core", "revision" => l.revision.0, "cause" => format!("{f:?}"));
+                    }
+                }
+            }
+            if moved.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Routers that the ledger knows, this one too.
+    pub fn routers(&self) -> Vec<NodeId> {
+        let l = self.router.ledger();
+        l.routers().into_iter().map(|m| m.card.node.clone()).collect()
+    }
+
+    /// Until when a replica counts as cold: by its figures, or since its area came back.
+    pub fn cold(&self, c: &Candidate, b: &Backend, now: Tick) -> bool {
+        let back = lock(&self.returned).get(&c.area).is_some_and(|t| now.since(*t) < b.cold_for_ms);
+        b.cold_per_s > 0.0 && (back || c.cold_until > now)
+    }
+
+    /// Listed, not leaving, in an area that is not evacuated.
+    pub fn usable(&self, c: &Candidate) -> bool {
+        !c.draining && !self.router.ledger().evacuated.contains(&c.area)
+    }
+
+    /// How long a request of this service occupies a replica.
+    pub fn hold_ms(&self, svc: &Service) -> f64 {
+        lock(&self.pace).get(svc).copied().unwrap_or(300.0)
+    }
+
+    pub fn learn(&self, svc: &Service, ms: f64) {
+        super::choose::learn(lock(&self.pace).entry(svc.clone()).or_insert(300.0), ms);
+    }
+
+    /// Fit to take new work: the document is known, and which replicas there are.
+    pub fn unfit(&self) -> Option<&'static str> {
+        let r = &self.router;
+        [
+            (r.draining.load(Ordering::Acquire), "draining"),
+            (self.map.load().is_none(), "no configuration"),
+            (self.fleet.load().by_service.is_empty(), "no replicas known"),
+        ]
+        .into_iter()
+        .find_map(|(no, why)| no.then_some(why))
+        .or_else(|| r.standing())
+    }
+}
--- /dev/null
+++ b/crates/track/src/serving/watch.rs
@@ -0,0 +1,248 @@
+//! The homes of areas (design 9.3): one router reads an area's part of the platform's list and
+//! probes its replicas; the others subscribe to what it publishes. A router that is asked takes the
+//! duty up, so that a lost home is replaced as soon as somebody misses it.
+
+use super::{
+    board::{Board, Probed, Watched, lends},
+    dialect::Listed,
+    state::Serving,
+};
+use crate::{
+    rail::{Ask, Reply},
+    router::{Publication, lock},
+};
+use gauge::{Area, Fence, NodeId, ReplicaId, Tick, fault::Fault, http::ask, jot};
+use hyper::{Method, StatusCode};
+use interlocking::{Member, duty};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+/// Looks without an answer after which a replica counts as unwell.
+const FAILS: u32 = 2;
+/// Share of a region's headroom that it lends out.
+const LEND_SHARE: f64 = 0.5;
+
+impl Serving {
+    /// Time between two looks at an area: all areas together stay far below the list's rate.
+    fn look_ms(&self) -> u64 {
+        let areas = self.site.areas.len().max(1) as f64;
+        let least = 3_000.0 * areas / self.site.list_per_s.max(0.1);
+        (self.router.set.timing.check_ms / 2).max(least as u64)
+    }
+
+    /// Claimants to an area's duty: its own routers first, then the others.
+    fn line(&self, area: &Area) -> Vec<Member> {
+        let l = self.router.ledger();
+        let key = format!("board/{area}");
+        let near = duty::line(&l, &key, Some(area));
+        let far = duty::line(&l, &key, None).into_iter().filter(|m| m.card.area != *area);
+        near.into_iter().chain(far).collect()
+    }
+
+    /// Subscribes to each area's figures, and publishes those that are this node's to publish.
+    pub fn watch_all(self: &Arc<Self>) {
+        for area in self.site.areas.keys() {
+            gauge::ground::spawn(self.clone().publish(area.clone()));
+            gauge::ground::spawn(self.clone().subscribe(area.clone()));
+        }
+    }
+
+    fn take_board(&self, b: Board, at: Tick) {
+        let mut g = lock(&self.folds);
+        if g.take(b, at) {
+            let valid = self.router.set.timing.stale_ms();
+            self.fleet.store(Arc::new(g.fleet(&self.site.areas, valid)));
+        }
+    }
+
+    async fn subscribe(self: Arc<Self>, area: Area) {
+        let mut failed: HashMap<NodeId, Tick> = HashMap::new();
+        let (mut publisher, mut seq) = (None::<NodeId>, 0);
+        let pause = Duration::from_millis(self.router.set.timing.beat_ms());
+        loop {
+            let now = self.now();
+            failed.retain(|_, t| now.since(*t) < self.router.set.timing.tenure_ms);
+            let first = self.line(&area).into_iter().find(|m| !failed.contains_key(&m.card.node));
+            let Some(home) = first else {
+                tokio::time::sleep(pause).await;
+                continue;
+            };
+            let node = home.card.node.clone();
+            if publisher.as_ref() != Some(&node) {
+                (publisher, seq) = (Some(node.clone()), 0);
+            }
+            let wait_ms = self.look_ms() * 2;
+            let told = if node == *self.router.node() {
+                Ok(self.router.tell_board(area.clone(), seq, wait_ms).await)
+            } else {
+                let q = Ask::Board { area: area.clone(), seq, wait_ms };
+                let ms = wait_ms + self.router.set.timing.rail_ms;
+                match self.router.lines.call_within(ms, "board", home.card.rail, q).await {
+                    Ok(Reply::Board(b)) => Ok(b.map(|b| *b)),
+                    Ok(_) => Err(Fault::new("board", home.card.rail, "another answer")),
+                    Err(e) => Err(e),
+                }
+            };
+            match told {
+                Ok(Some(b)) => {
+                    seq = b.seq;
+                    let at = b.fresh_at(now, self.now());
+                    self.take_board(b, at);
+                }
+                Ok(None) => tokio::time::sleep(pause).await,
+                Err(e) => {
+                    jot!(Debug, e.step, "peer" => e.peer, "cause" => e.cause);
+                    failed.insert(node, now);
+                }
+            }
+        }
+    }
+
+    async fn publish(self: Arc<Self>, area: Area) {
+        let mut wakeup = tokio::time::interval(Duration::from_millis(self.look_ms()));
+        wakeup.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let (mut rows, mut watched): (Vec<Listed>, BTreeMap<ReplicaId, Watched>) = Default::default();
+        let (mut seq, mut listed, mut even) = (0u64, false, false);
+        loop {
+            wakeup.tick().await;
+            let now = self.now();
+            let wanted =
+                lock(&self.router.boards).get(&area).is_some_and(|p| now.since(p.asked) < 4 * self.look_ms());
+            if !wanted {
+                listed = false;
+                continue;
+            }
+            match self.list(&area).await {
+                Ok(r) => (rows, listed) = (r, true),
+                Err(e) => jot!(Info, e.step, "peer" => e.peer, "cause" => e.cause),
+            }
+            if !listed {
+                continue;
+            }
+            even = !even;
+            let asked = self.now();
+            watched.retain(|id, _| rows.iter().any(|r| r.id == *id));
+            // What was well is probed each second time: answers and refusals on the way tell more.
+            let due = |r: &&Listed| even || watched.get(&r.id).is_none_or(|w| w.fails > 0);
+            let probes = rows.iter().filter(due).map(|r| async { (r.id.clone(), self.probe(r).await) });
+            for (id, p) in futures::future::join_all(probes).await {
+                let w = watched.entry(id.clone()).or_default();
+                let was = w.well(FAILS);
+                w.fold(p, FAILS);
+                if was != w.well(FAILS) {
+                    jot!(Info, "replica health", "peer" => id, "well" => w.well(FAILS));
+                }
+            }
+            seq += 1;
+            let fresh = Watched::default();
+            let rows: Vec<_> =
+                rows.iter().map(|l| watched.get(&l.id).unwrap_or(&fresh).row(l, FAILS)).collect();
+            let region = self.site.areas.get(&area);
+            let askers = self
+                .router
+                .ledger()
+                .routers()
+                .into_iter()
+                .filter(|m| self.site.areas.get(&m.card.area) != region)
+                .count();
+            let board = Board {
+                area: area.clone(),
+                publisher: self.router.node().clone(),
+                fence: Fence(self.router.ledger().epoch.0),
+                seq,
+                age_ms: 0,
+                waited_ms: 0,
+                lends: lends(&rows, LEND_SHARE, askers),
+                rows,
+            };
+            if let Some(p) = lock(&self.router.boards).get(&area) {
+                p.tx.send_replace(Some((Arc::new(board), asked)));
+            }
+        }
+    }
+
+    /// The area's part of the list, all pages.
+    async fn list(&self, area: &Area) -> Result<Vec<Listed>, Fault> {
+        let (ip, to) = (self.router.set.rail.ip(), self.site.list);
+        let (mut rows, mut page) = (Vec::new(), None::<String>);
+        for _ in 0..64 {
+            let path = self.dialect.listing_path(area, page.as_deref());
+            let (code, _, body) = ask(ip, to, Method::GET, &path, &[], "", 1_000).await?;
+            if code != StatusCode::OK {
+                return Err(Fault::new("list replicas", to, code));
+            }
+            let Some(l) = self.dialect.listing(&body) else {
+                return Err(Fault::new("list replicas", to, "the answer could not be read"));
+            };
+            rows.extend(l.rows.into_iter().filter(|r| r.area == *area));
+            match l.next {
+                Some(n) => page = Some(n),
+                None => return Ok(rows),
+            }
+        }
+        Err(Fault::new("list replicas", to, "pages without an end"))
+    }
+
+    async fn probe(&self, l: &Listed) -> Probed {
+        let map = self.map.load();
+        let backend = map.as_ref().and_then(|m| m.backends.get(&l.service));
+        let engine = backend.is_some_and(|b| b.engine.is_some());
+        let path = match backend {
+            Some(b) if !engine => b.health_path.as_str(),
+            _ => self.dialect.names().report_path,
+        };
+        let ms = self.look_ms().min(400);
+        match ask(self.router.set.rail.ip(), l.addr, Method::GET, path, &[], "", ms).await {
+            Ok((code, head, body)) if code.is_success() => {
+                let names = self.dialect.names();
+                let told = if engine { self.dialect.report(&body) } else { load_of(&head, &names.load) };
+                Probed::Told(told.unwrap_or_default())
+            }
+            // Full, not unwell: it turned the probe away as it would a request.
+            Ok((_, head, _)) if head.contains_key(&self.dialect.names().not_run) => {
+                let told = load_of(&head, &self.dialect.names().load).unwrap_or_default();
+                Probed::Told(told)
+            }
+            Ok(_) => Probed::Unwell,
+            Err(e) if e.refused => Probed::Refused,
+            Err(_) => Probed::Silent,
+        }
+    }
+}
+
+/// Running, waiting and slots, as some replicas tell on each answer.
+pub fn load_of(h: &hyper::HeaderMap, name: &hyper::header::HeaderName) -> Option<super::EngineReport> {
+    let v = h.get(name)?.to_str().ok()?;
+    let mut n = v.split(',').map(|x| x.trim().parse::<u32>().ok());
+    Some(super::EngineReport { running: n.next()??, waiting: n.next()??, ..Default::default() })
+}
+
+impl crate::router::Router {
+    /// What this node publishes of an area, newer than `seq`; being asked makes it publish.
+    pub async fn tell_board(&self, area: Area, seq: u64, wait_ms: u64) -> Option<Board> {
+        let came = self.now();
+        let mut rx = {
+            let mut g = lock(&self.boards);
+            let p = g
+                .entry(area)
+                .or_insert_with(|| Publication { tx: tokio::sync::watch::channel(None).0, asked: came });
+            p.asked = came;
+            p.tx.subscribe()
+        };
+        let newer = |b: &Option<(Arc<Board>, Tick)>| {
+            b.as_ref().is_some_and(|b| b.0.seq > seq || seq > b.0.seq + 1_000)
+        };
+        let _ = tokio::time::timeout(Duration::from_millis(wait_ms.min(10_000)), rx.wait_for(newer)).await;
+        let (b, at) = rx.borrow().clone()?;
+        let now = self.now();
+        let (age_ms, waited_ms) = (now.since(at), now.since(came));
+        (age_ms <= self.set.timing.stale_ms() && b.seq != seq).then(|| Board {
+            age_ms,
+            waited_ms,
+            ..Board::clone(&b)
+        })
+    }
+}
