The operator's desk: documents in any notation, replaced, amended and read back

Cause: operators of other platforms repeat a sending unchanged, at any signalbox, and name the document's own version that it builds on; the operators' API knows neither. Change: interlocking::desk over a core and a notation. The hash of what was sent is the operation's name, the version is compared with the newest accepted state, and the change is logged on that state's revision, so the fold decides races. Asking the leader (reads and proposals) is in core::leader for both; a seat that knows no leader asks the other seats. daemon::run takes what answers on its HTTP address. Conclusion: the operators' API answers as before; the desk has no caller yet.

--- a/crates/interlocking/src/api/mod.rs
+++ b/crates/interlocking/src/api/mod.rs
@@ -5,12 +5,7 @@
 
 pub use document::flaws;
 
-use crate::{
-    change::{Holder, ReplicaMove},
-    core::Core,
-    ledger::Ledger,
-    rail::{Ask, Reply},
-};
+use crate::{change::ReplicaMove, core::Core, ledger::Ledger};
 use gauge::{
     OpId, good_name,
     http::{Body, BoxErr, json, read_body, text},
@@ -160,21 +155,7 @@
             "roster": v.ledger.roster, "lost": v.ledger.lost, "members": members, "replicas": v.ledger.replicas})
     }
 
-    /// The newest accepted state, from the leader under a confirmed view.
     async fn state(&self) -> Early<Ledger> {
-        let mut ask: Option<Holder> = match self.core.state_here() {
-            Ok(l) => return Ok(l),
-            Err(h) => h,
-        };
-        for _ in 0..2 {
-            let Some(h) = ask.filter(|h| h.node.as_str() != self.core.set.node) else { break };
-            match self.core.lines.call("state", h.rail, Ask::State).await {
-                Ok(Reply::State(l)) => return Ok(*l),
-                Ok(Reply::Elsewhere { leader }) => ask = leader,
-                Ok(_) => break,
-                Err(e) => return early(no(StatusCode::SERVICE_UNAVAILABLE, e.to_string())),
-            }
-        }
-        early(no(StatusCode::SERVICE_UNAVAILABLE, "no leader under a confirmed view; ask again"))
+        self.core.state().await.or_else(|why| early(no(StatusCode::SERVICE_UNAVAILABLE, why)))
     }
 }
--- a/crates/interlocking/src/api/moves.rs
+++ b/crates/interlocking/src/api/moves.rs
@@ -3,41 +3,12 @@
 use super::{Call, Early, ReplicaBody, Res, early, no};
 use crate::{
     change::{Change, ReplicaMove, Verdict},
-    core::Core,
-    rail::{Ask, Proposed, Reply},
+    rail::Proposed,
 };
 use gauge::{Area, Index, OpId, ReplicaId, good_name, http::json};
 use hyper::StatusCode;
 use serde_json::json as j;
-use std::{sync::Arc, time::Duration};
-
-impl Core {
-    /// Proposes at the leader, wherever it is. Only where nothing was sent, or the leader said
-    /// that it logged nothing, is the change known not to take effect.
-    pub async fn propose(self: &Arc<Self>, change: Change, ms: u64) -> Proposed {
-        let mut why: String;
-        let mut at = match self.propose_here(change.clone(), ms).await {
-            Proposed::NotLogged { leader, why: w } => {
-                why = w;
-                leader
-            }
-            done => return done,
-        };
-        for _ in 0..2 {
-            let Some(h) = at.filter(|h| h.node.as_str() != self.set.node) else { break };
-            let ask = Ask::Propose { change: change.clone() };
-            match self.lines.call_within(ms + self.set.timing.rail_ms, "propose", h.rail, ask).await {
-                Ok(Reply::Proposed(Proposed::NotLogged { leader, why: w })) => (at, why) = (leader, w),
-                Ok(Reply::Proposed(p)) => return p,
-                Err(e) if e.step == "connect" || e.step == "hello" => {
-                    return Proposed::NotLogged { leader: None, why: e.to_string() };
-                }
-                _ => return Proposed::Undetermined,
-            }
-        }
-        Proposed::NotLogged { leader: None, why }
-    }
-}
+use std::time::Duration;
 
 impl Call<'_> {
     pub(super) async fn propose(&self, ch: Change) -> Early<Res> {
--- a/crates/interlocking/src/core/mod.rs
+++ b/crates/interlocking/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 mod drive;
 mod folder;
+mod leader;
 mod reach;
 mod serve;
 
--- a/crates/interlocking/src/daemon.rs
+++ b/crates/interlocking/src/daemon.rs
@@ -14,19 +14,25 @@
     http, jot,
     settings::Settings,
 };
+use hyper::{Request, Response, body::Incoming};
 use std::{
+    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 use tokio::sync::watch;
 
-pub async fn run(
+/// `handler` answers on the HTTP address: the product's own interface is `api::handle`.
+pub async fn run<F, Fut>(
     set: Settings,
     (rail_lst, http_lst): (Listener, Listener),
-    img: Image,
-    drive: MakeDrive,
+    (img, drive): (Image, MakeDrive),
+    handler: F,
     stop: impl Future<Output = ()>,
-) {
+) where
+    F: Fn(Arc<Core>, SocketAddr, Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Result<Response<http::Body>, http::BoxErr>> + Send + 'static,
+{
     let core = Core::start(set.clone(), img, drive);
     let card = Card::of(&set, Role::Core, core.view().me.inc);
     let member = Member::new(set.clone(), card, Clock::default());
@@ -42,8 +48,7 @@
     spawn(rail::listen(rail_lst, set.me(), core.clone()));
     let (tell, told) = watch::channel(false);
     let (busy, c) = (Arc::new(http::Busy::default()), core.clone());
-    let serving =
-        http::serve(http_lst, busy.clone(), told, move |peer, req| crate::api::handle(c.clone(), peer, req));
+    let serving = http::serve(http_lst, busy.clone(), told, move |peer, req| handler(c.clone(), peer, req));
     jot!(Info, "started", "rail" => set.rail, "http" => set.http);
     let serving = spawn(serving);
     stop.await;
--- /dev/null
+++ b/crates/interlocking/src/desk.rs
@@ -0,0 +1,196 @@
+//! The operator's desk (design 4.9): a document in any notation, replaced, amended and read back, and
+//! areas emptied and taken back, by sendings that may be repeated at any signalbox.
+//!
+//! A document carries its own version; a change names the version that it builds on. The name of an
+//! operation is the hash of what was sent, so a sending that is repeated has the verdict of the first.
+//! The version is compared with the newest accepted state, and the change is logged on top of that
+//! state's revision, so that the fold decides between two that were compared with the same.
+
+use crate::{
+    change::{Change, Verdict},
+    core::Core,
+    ledger::Ledger,
+    rail::Proposed,
+};
+use gauge::{Area, OpId, Revision, good_name};
+use siphasher::sip128::{Hasher128, SipHasher13};
+use std::{collections::BTreeSet, hash::Hasher, sync::Arc, time::Duration};
+use timetable::{Flaw, Notation};
+
+/// The longest document.
+pub const MAX_DOC: usize = crate::store::LOG_LEN as usize / 2;
+/// Callers ask elsewhere after a second, or somewhat more where they sent much.
+const WAIT_MS: u64 = 800;
+const BYTES_A_MS: u64 = 2_048;
+
+/// What the operator is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    Accepted,
+    /// Built on another version than the current one; it never takes effect.
+    Conflict {
+        current: Option<u64>,
+    },
+    /// Nothing was logged, and sending it again would not help.
+    Invalid(Vec<Flaw>),
+    TooLarge,
+    /// Nothing was logged; it may be sent again.
+    Unavailable(String),
+    /// It may take effect or not; sending it again tells.
+    Undetermined,
+}
+
+pub struct Desk {
+    core: Arc<Core>,
+    notation: Arc<dyn Notation>,
+    /// Areas that exist whether or not a node stands in them now.
+    areas: BTreeSet<Area>,
+}
+
+fn invalid(message: impl Into<String>) -> Told {
+    Told::Invalid(vec![Flaw { line: 1, column: 1, message: message.into() }])
+}
+
+/// The same for the same sending on each node and in each version.
+fn name(kind: &str, expects: u64, body: &str) -> OpId {
+    let mut h = SipHasher13::new();
+    h.write(kind.as_bytes());
+    h.write(&expects.to_le_bytes());
+    h.write(body.as_bytes());
+    OpId::new(format!("{kind}-{:032x}", h.finish128().as_u128()))
+}
+
+impl Desk {
+    pub fn new(core: Arc<Core>, notation: Arc<dyn Notation>, areas: BTreeSet<Area>) -> Self {
+        Self { core, notation, areas }
+    }
+
+    /// A whole document, kept byte for byte; `expects` is 0 where there is none yet.
+    pub async fn replace(&self, expects: u64, text: &str) -> Told {
+        let op = name("replace", expects, text);
+        self.submit(op, expects, text, |_| Ok(text.into())).await
+    }
+
+    /// A change of named items; the document that comes of it is kept.
+    pub async fn amend(&self, expects: u64, change: &str) -> Told {
+        let op = name("amend", expects, change);
+        self.submit(op, expects, change, |now| self.notation.amend(now, change)).await
+    }
+
+    /// The newest accepted document and its version.
+    pub async fn read(&self) -> Result<Option<(u64, String)>, String> {
+        let l = self.core.state().await?;
+        let version = self.version(&l)?;
+        Ok(l.text.map(|t| (version, t)))
+    }
+
+    /// Asks that nothing more go to an area's replicas, or takes that back.
+    pub async fn evacuate(&self, area: &str, on: bool) -> Told {
+        if !good_name(area) {
+            return invalid("area: allowed: 1 to 64 letters, digits, '-', '_' or '.'");
+        }
+        let area = Area::new(area);
+        self.within(WAIT_MS, async {
+            let l = match self.core.state().await {
+                Ok(l) => l,
+                Err(why) => return Told::Unavailable(why),
+            };
+            if !self.areas.contains(&area) && !stands_in(&l, &area) {
+                return invalid(format!("area: {area} is known to no node"));
+            }
+            let op = OpId::new(crate::api::drawn_op());
+            self.log(Change::Evacuate { op, area, on }).await
+        })
+        .await
+    }
+
+    async fn submit(
+        &self,
+        op: OpId,
+        expects: u64,
+        body: &str,
+        make: impl FnOnce(&str) -> Result<String, Vec<Flaw>>,
+    ) -> Told {
+        if body.len() > MAX_DOC {
+            return Told::TooLarge;
+        }
+        self.within(WAIT_MS + body.len() as u64 / BYTES_A_MS, async {
+            let l = match self.core.state().await {
+                Ok(l) => l,
+                Err(why) => return Told::Unavailable(why),
+            };
+            match l.verdict(&op) {
+                // Logged once more with nothing in it: the verdict stays, and it is told again only
+                // once most of the members hold it (design 3.7).
+                Some(Verdict::Accepted { .. }) => {
+                    let base = Revision(u64::MAX);
+                    return self.log(Change::Apply { op, base, text: String::new() }).await;
+                }
+                Some(Verdict::Conflict { .. }) => return Told::Conflict { current: self.version(&l).ok() },
+                Some(Verdict::Bounced { reason }) => return invalid(reason),
+                // Verdicts are kept for a while only; what stands there word for word was taken.
+                None if l.text.as_deref() == Some(body) => return Told::Accepted,
+                None => {}
+            }
+            match self.checked(&l, expects, make) {
+                Ok(text) => self.log(Change::Apply { op, base: l.revision, text }).await,
+                Err(told) => told,
+            }
+        })
+        .await
+    }
+
+    /// The document to be logged on top of this state.
+    fn checked(
+        &self,
+        l: &Ledger,
+        expects: u64,
+        make: impl FnOnce(&str) -> Result<String, Vec<Flaw>>,
+    ) -> Result<String, Told> {
+        let current = self.version(l).map_err(Told::Unavailable)?;
+        if expects != current {
+            return Err(Told::Conflict { current: Some(current) });
+        }
+        let text = make(l.text.as_deref().unwrap_or("")).map_err(Told::Invalid)?;
+        if text.len() > MAX_DOC {
+            return Err(Told::TooLarge);
+        }
+        let version = self.notation.read(&text).map_err(Told::Invalid)?.version;
+        if version <= current {
+            return Err(invalid(format!("version: {version}; allowed: above {current}, the current one")));
+        }
+        Ok(text)
+    }
+
+    /// 0 where there is no document yet.
+    fn version(&self, l: &Ledger) -> Result<u64, String> {
+        let Some(text) = &l.text else { return Ok(0) };
+        let read = self.notation.read(text).map(|m| m.version);
+        read.map_err(|f| format!("the current document can't be read: {f:?}"))
+    }
+
+    async fn log(&self, ch: Change) -> Told {
+        match self.core.propose(ch, WAIT_MS).await {
+            Proposed::Settled { verdict: Verdict::Accepted { .. }, .. } => Told::Accepted,
+            Proposed::Settled { verdict: Verdict::Conflict { .. }, .. } => {
+                let current = self.core.state().await.ok().and_then(|l| self.version(&l).ok());
+                Told::Conflict { current }
+            }
+            Proposed::Settled { verdict: Verdict::Bounced { reason }, .. } => invalid(reason),
+            Proposed::NotLogged { why, .. } => Told::Unavailable(why),
+            Proposed::Undetermined => Told::Undetermined,
+        }
+    }
+
+    async fn within(&self, ms: u64, fut: impl Future<Output = Told>) -> Told {
+        tokio::time::timeout(Duration::from_millis(ms), fut).await.unwrap_or(Told::Undetermined)
+    }
+}
+
+/// Whether anything that the core knows of stands in an area.
+fn stands_in(l: &Ledger, area: &Area) -> bool {
+    l.members.values().any(|m| m.card.area == *area)
+        || l.roster.iter().any(|h| h.area == *area)
+        || l.replicas.values().any(|r| r.area == *area)
+        || l.evacuated.contains(area)
+}
--- a/crates/interlocking/src/lib.rs
+++ b/crates/interlocking/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod change;
 pub mod core;
 pub mod daemon;
+pub mod desk;
 pub mod disk;
 pub mod duty;
 pub mod ledger;
--- a/crates/signalbox/src/main.rs
+++ b/crates/signalbox/src/main.rs
@@ -6,7 +6,7 @@
     jot,
     settings::{Flags, Settings, flags, told_to_stop},
 };
-use interlocking::{core::files, daemon};
+use interlocking::{api, core::files, daemon};
 
 /// Core of a foldshunt cluster: keeps the order of changes on disk and serves operators.
 #[derive(Clone, Debug, Bpaf)]
@@ -25,7 +25,7 @@
     let set = Settings::read(&opts().run().flags)?;
     jot::start(&set.node, &set.log);
     let bound = set.bind().await?;
-    let (img, drive) = files(&set)?;
-    daemon::run(set, bound, img, drive, told_to_stop()?).await;
+    let folder = files(&set)?;
+    daemon::run(set, bound, folder, api::handle, told_to_stop()?).await;
     Ok(())
 }
