A core of one to four seats, and variables that name a file are no settings

Cause: a platform may name fewer than three seeds, at a restart also while a core of three exists, and has a variable FOLDSHUNT_…_FILE of its own; both ended the start. Change: one to four seeds are allowed; a lone seat's own word is its majority; the setting founds keeps a blank seat from founding where fewer seeds may only mean that the rest are down. Names that end in _FILE are left out. Conclusion: cores of three behave as before; tests of gauge and interlocking pass.

--- a/crates/gauge/src/settings.rs
+++ b/crates/gauge/src/settings.rs
@@ -12,6 +12,9 @@
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, path::PathBuf};
 
+/// Seats of a core: a view's number has room for as many (design 2.2).
+const MOST_SEEDS: usize = 4;
+
 /// What a node must be told, and nothing that it can learn.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -30,6 +33,9 @@
     pub http_advertise: Option<SocketAddr>,
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Whether a blank core process may found a cluster with the other seeds.
+    #[serde(default = "yes")]
+    pub founds: bool,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub data: Option<PathBuf>,
     #[serde(default)]
@@ -38,6 +44,10 @@
     pub log: String,
 }
 
+fn yes() -> bool {
+    true
+}
+
 fn info() -> String {
     "info".into()
 }
@@ -125,7 +135,7 @@
     #[bpaf(argument("IP:PORT"))]
     #[serde(skip_serializing_if = "Option::is_none")]
     pub http: Option<SocketAddr>,
-    /// Seed address of a core process; give it three times
+    /// Seed address of a core process; give it for each of them
     #[bpaf(long("seed"), argument("IP:PORT"))]
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub seeds: Vec<SocketAddr>,
@@ -139,6 +149,11 @@
     pub log: Option<String>,
 }
 
+/// The path of a file that others put there is no setting.
+fn names_a_file(key: &str) -> bool {
+    key.to_ascii_lowercase().ends_with("_file")
+}
+
 impl Settings {
     pub fn read(fl: &Flags) -> Result<Settings> {
         if let Some(p) = fl.config.as_ref().filter(|p| !p.is_file()) {
@@ -146,7 +161,7 @@
         }
         let base = fl.config.iter().fold(Figment::new(), |f, p| f.merge(Toml::file_exact(p)));
         let s: Settings = base
-            .merge(Env::prefixed("FOLDSHUNT_").split("__"))
+            .merge(Env::prefixed("FOLDSHUNT_").filter(|k| !names_a_file(k.as_str())).split("__"))
             .merge(Serialized::defaults(fl))
             .extract()
             .map_err(|e| eyre!("settings: {e}"))?;
@@ -154,14 +169,14 @@
         Ok(s)
     }
 
-    fn check(&self) -> Result<()> {
+    pub fn check(&self) -> Result<()> {
         for (f, v) in [("cluster", &self.cluster), ("node", &self.node), ("area", &self.area)] {
             ensure!(good_name(v), "{f}: {v:?}; allowed: 1 to 64 letters, digits, '-', '_' or '.'");
         }
         let distinct: std::collections::BTreeSet<_> = self.seeds.iter().collect();
         ensure!(
-            self.seeds.len() == 3 && distinct.len() == 3,
-            "seeds: {:?}; allowed: exactly three different addresses",
+            (1..=MOST_SEEDS).contains(&self.seeds.len()) && distinct.len() == self.seeds.len(),
+            "seeds: {:?}; allowed: one to {MOST_SEEDS} different addresses; three, for a core that bears a loss",
             self.seeds
         );
         for (f, a) in [("rail", self.rail()), ("http", self.http_told())] {
--- a/crates/interlocking/src/core/mod.rs
+++ b/crates/interlocking/src/core/mod.rs
@@ -67,6 +67,7 @@
             clock.now(),
         );
         seat.secret = gauge::ground::draw();
+        seat.founds = set.founds;
         let (moved, _) = watch::channel(seat.accepted());
         let inner =
             Inner { seat, tenures: Tenures::default(), waiting: BTreeMap::new(), reports: BTreeMap::new() };
--- a/crates/interlocking/src/seat/form.rs
+++ b/crates/interlocking/src/seat/form.rs
@@ -1,4 +1,4 @@
-//! First forming and readmission (design 2.5): only three blank seeds found a cluster, and
+//! First forming and readmission (design 2.5): only blank seeds, all of them, found a cluster, and
 //! nothing that has state is ever overwritten by a blank one.
 
 use super::*;
@@ -27,13 +27,14 @@
         for s in self.seeds.clone().into_iter().filter(|s| *s != own) {
             fx.push(Fx::Send { to: s, msg: msg.clone() });
         }
-        // The lowest seed founds, once it has seen that all three are blank.
+        // The lowest seed founds, once it has seen that all are blank.
         let mut seeds = self.seeds.clone();
         seeds.sort();
         // What was blank a while ago may hold a whole cluster by now.
         let fresh = self.t.patience_ms() / 2;
         self.census.retain(|_, c| now.since(c.1) <= fresh);
-        let all = !self.foreign && seeds.iter().all(|s| *s == own || self.census.contains_key(s));
+        let all =
+            self.founds && !self.foreign && seeds.iter().all(|s| *s == own || self.census.contains_key(s));
         if seeds.first() == Some(&own) && all {
             self.census.insert(own, (self.me.clone(), now));
             let roster = seeds
--- a/crates/interlocking/src/seat/lead.rs
+++ b/crates/interlocking/src/seat/lead.rs
@@ -3,12 +3,20 @@
 use super::*;
 
 impl Seat {
+    /// The only seat of its core: its own word is the majority.
+    pub(super) fn alone(&self) -> bool {
+        self.quorum() == 1
+    }
+
     /// Until when no other seat can have become leader: followers keep still for `patience`
     /// from the feeds that they answered; an eighth is given up for drifting clocks.
     pub fn lead_until(&self) -> Tick {
         let Post::Leader { peers, .. } = &self.post else {
             return Tick(0);
         };
+        if self.alone() {
+            return Tick(u64::MAX);
+        }
         let r = self.roster();
         let mut stamps: Vec<Tick> = peers
             .iter()
--- a/crates/interlocking/src/seat/mod.rs
+++ b/crates/interlocking/src/seat/mod.rs
@@ -36,6 +36,8 @@
     pub t: Timing,
     pub cluster: String,
     pub seeds: Vec<SocketAddr>,
+    /// Whether it may found a cluster while blank.
+    pub founds: bool,
     /// Drawn by the daemon; a founder makes it the cluster's own (design 5.6).
     pub secret: u128,
     pub formed: bool,
@@ -82,6 +84,7 @@
             t,
             cluster: cluster.into(),
             seeds,
+            founds: true,
             secret: 0,
             formed: false,
             promised: View(0),
--- a/crates/interlocking/src/seat/sync.rs
+++ b/crates/interlocking/src/seat/sync.rs
@@ -38,6 +38,10 @@
             self.synced = last.min(self.last());
             fx.extend(then);
         }
+        if let (true, Post::Candidate { view, .. }) = (self.alone(), &self.post) {
+            let (view, tail) = (*view, self.tail_after(self.accepted()));
+            self.on_stopped(self.voter(), view, tail, now, fx);
+        }
         if self.is_leader() {
             self.advance(now, fx);
         }
--- a/crates/interlocking/src/seat/view.rs
+++ b/crates/interlocking/src/seat/view.rs
@@ -48,6 +48,9 @@
             self.post = Post::Canvass { view, ayes: Vec::new(), since: now };
             let msg = SeatMsg::Canvass { by: self.voter(), view };
             self.tell_others(msg, fx);
+            if self.alone() {
+                self.on_canvassed(self.voter(), view, now, fx);
+            }
         }
     }
 
--- a/crates/interlocking/tests/drawn.rs
+++ b/crates/interlocking/tests/drawn.rs
@@ -15,6 +15,7 @@
         rail_advertise: None,
         http_advertise: None,
         seeds: vec![],
+        founds: true,
         data: None,
         timing: Timing::default(),
         log: "info".into(),
--- a/crates/track/tests/kit/mod.rs
+++ b/crates/track/tests/kit/mod.rs
@@ -57,6 +57,7 @@
         rail_advertise: None,
         http_advertise: None,
         seeds: vec![],
+        founds: true,
         data: None,
         timing: Timing { tenure_ms: 60_000, check_ms: 60_000, ..Timing::default() },
         log: "error".into(),
--- a/crates/trainset/src/node.rs
+++ b/crates/trainset/src/node.rs
@@ -70,6 +70,7 @@
             rail_advertise: advertise(RAIL),
             http_advertise: advertise(HTTP),
             seeds: self.seeds.clone(),
+            founds: true,
             data: self.core.then(|| self.dir.join("data")),
             timing: Timing::default(),
             log: "info".into(),
