--- a/crates/interlocking/src/tenure.rs
+++ b/crates/interlocking/src/tenure.rs
@@ -29,8 +29,15 @@
                 self.heard.insert(card.node.clone(), (card.inc.0, now));
                 Ok(m.epoch)
             }
-            // A younger self takes over only after the old tenure must have lapsed.
-            Some(m) if !self.lapsed(&m.card, t, now) && m.card.inc != card.inc => Err(None),
+            // A younger self takes over only after the old tenure must have lapsed; but what holds the
+            // old one's address now has outlived it, once nothing of the old one can be on its way.
+            Some(m)
+                if !self.lapsed(&m.card, t, now)
+                    && m.card.inc != card.inc
+                    && !self.outlived(&m.card, card, t, now) =>
+            {
+                Err(None)
+            }
             _ => {
                 // The new tenure counts from when it was asked for.
                 self.heard.insert(card.node.clone(), (card.inc.0, now));
@@ -43,6 +50,12 @@
         }
     }
 
+    /// Whether `new` stands where `old` stood, which has been silent for two beats.
+    fn outlived(&self, old: &Card, new: &Card, t: &Timing, now: Tick) -> bool {
+        let heard = self.heard.get(&old.node).filter(|h| h.0 == old.inc.0);
+        old.rail == new.rail && heard.is_none_or(|h| now.since(h.1) > 2 * t.beat_ms())
+    }
+
     fn lapsed(&self, card: &Card, t: &Timing, now: Tick) -> bool {
         let heard =
             self.heard.get(&card.node).filter(|h| h.0 == card.inc.0).map(|h| h.1).unwrap_or(self.since);
--- a/crates/track/src/cut.rs
+++ b/crates/track/src/cut.rs
@@ -63,6 +63,11 @@
                     let idx = match m.card.role {
                         Role::Router => match me.lines.call("hail", to, Ask::Hail { idx }).await {
                             Ok(Reply::Hailed { idx, inc }) if inc == m.card.inc => Some(idx),
+                            // Nothing listens there any more: no need to wait until it is missed.
+                            Err(e) if e.refused => {
+                                lock(&me.heard).remove(&m.card.node);
+                                None
+                            }
                             _ => None,
                         },
                         Role::Core => {
--- a/crates/track/src/serving/board.rs
+++ b/crates/track/src/serving/board.rs
@@ -103,5 +103,5 @@
         let used = f64::from(r.running + r.waiting);
         *room.entry(r.service.clone()).or_default() += (f64::from(r.slots) * 0.95 - used).max(0.0);
     }
-    room.into_iter().map(|(s, r)| (s, (r * share / askers.max(1) as f64) as u32)).collect()
+    room.into_iter().map(|(s, r)| (s, (r * share / askers.max(1) as f64).ceil() as u32)).collect()
 }
--- a/crates/track/src/serving/carry.rs
+++ b/crates/track/src/serving/carry.rs
@@ -71,6 +71,12 @@
     }
 }
 
+/// When a refused client should come back: what refused it is over the sooner the later that is, a
+/// client waits for a third of its time at most, and its aim counts from when it comes.
+pub fn back_ms(left_ms: u64) -> u64 {
+    (left_ms * 5 / 16).clamp(100, 1_500)
+}
+
 impl Serving {
     /// Chooses a replica among those that may take the request now.
     pub fn pick(self: &Arc<Self>, p: &Plan, past: &mut Past) -> Result<Candidate, &'static str> {
@@ -208,7 +214,8 @@
     /// back.
     pub fn given_up(&self, p: &Plan, past: &Past, why: &'static str) -> Response<Body> {
         if past.maybe.is_none() {
-            return self.refused(StatusCode::SERVICE_UNAVAILABLE, why, Some(p.route.target_ms / 4));
+            let back = back_ms(p.left_ms(self.now()));
+            return self.refused(StatusCode::SERVICE_UNAVAILABLE, why, Some(back));
         }
         let late = self.now() >= p.deadline;
         let code = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
--- a/crates/track/src/serving/front.rs
+++ b/crates/track/src/serving/front.rs
@@ -1,6 +1,7 @@
 //! The clients' side (design 9.2): from the head to the answer.
 
 use super::{
+    carry::back_ms,
     plan::{Plan, deadline, user_key},
     state::Serving,
 };
@@ -56,11 +57,13 @@
     async fn plan(&self, req: Request<Incoming>, peer: SocketAddr) -> Result<Plan, Box<Res>> {
         let came = self.now();
         let no = |code, why, back: Option<u64>| Err(Box::new(self.refused(code, why, back)));
+        let left = req.headers().get(&self.dialect.names().time_left);
+        let left = left.and_then(|v| v.to_str().ok()?.trim().parse().ok()).unwrap_or(0);
         if let Some(why) = self.await_fit().await {
-            return no(StatusCode::SERVICE_UNAVAILABLE, why, Some(250));
+            return no(StatusCode::SERVICE_UNAVAILABLE, why, Some(back_ms(left)));
         }
         let Some(map) = self.map.load_full() else {
-            return no(StatusCode::SERVICE_UNAVAILABLE, "no configuration", Some(250));
+            return no(StatusCode::SERVICE_UNAVAILABLE, "no configuration", Some(back_ms(left)));
         };
         let (head, body) = req.into_parts();
         let host = head.headers.get("host").and_then(|v| v.to_str().ok());
--- a/crates/track/src/serving/watch.rs
+++ b/crates/track/src/serving/watch.rs
@@ -23,7 +23,7 @@
 /// Looks without an answer after which a replica counts as unwell.
 const FAILS: u32 = 2;
 /// Share of a region's headroom that it lends out.
-const LEND_SHARE: f64 = 0.5;
+const LEND_SHARE: f64 = 0.8;
 
 impl Serving {
     /// Time between two looks at an area: all areas together stay far below the list's rate.
