Silence alone ends no stream

Change: after a silence the stream goes on elsewhere if a try and a replica are there and this replica told nobody here anything meanwhile; else it waits where it is. Ruled out: the replica's own end (it ran on until the cut).

--- a/crates/track/src/serving/events.rs
+++ b/crates/track/src/serving/events.rs
@@ -9,7 +9,7 @@
 };
 use bytes::{Bytes, BytesMut};
 use gauge::{
-    Fault,
+    Fault, Tick,
     http::{Body, BoxErr, BusyGuard, Sender},
     jot,
 };
@@ -19,7 +19,10 @@
     body::{Frame, Incoming},
     http::response::Parts,
 };
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 use tokio::sync::mpsc;
 
 type Out = mpsc::Sender<Result<Frame<Bytes>, BoxErr>>;
@@ -66,6 +69,8 @@
 enum Ended {
     Whole,
     Cut(String),
+    /// Nothing came for long, from a replica that told nobody here anything meanwhile.
+    Silent,
     /// The client has gone.
     Left,
 }
@@ -125,11 +130,18 @@
                 return;
             }
             Ended::Left => return,
+            // Silence alone ends nothing (design 9.8): the stream goes on elsewhere, or waits here.
+            Ended::Silent => {
+                if let Some(next) = resumed(&s, &p, &mut past, parts.last.as_deref()).await {
+                    parts.forget();
+                    (open, body, tx) = next;
+                }
+            }
             Ended::Cut(why) => {
                 parts.forget();
                 jot!(Info, "stream", "peer" => open.at.addr, "cause" => why, "after" => parts.last);
-                drop((body, tx));
-                match resumed(&s, &p, &mut past, open, parts.last.as_deref()).await {
+                drop((body, tx, open));
+                match resumed(&s, &p, &mut past, parts.last.as_deref()).await {
                     Some((o, b, t)) => (open, body, tx) = (o, b, t),
                     None => {
                         let _ = out.send(Err(why.into())).await;
@@ -153,7 +165,13 @@
         let frame = tokio::select! {
             f = body.frame() => f,
             () = out.closed() => return Ended::Left,
-            () = tokio::time::sleep(silence(s, p)) => return Ended::Cut("the replica fell silent".into()),
+            () = tokio::time::sleep(silence(p)) => {
+                let quiet = s.now().since(Tick(open.at.own.heard.load(Ordering::Relaxed)));
+                if p.repeatable() && s.now() < p.deadline && quiet >= silence(p).as_millis() as u64 {
+                    return Ended::Silent;
+                }
+                continue;
+            }
         };
         match frame {
             None => return Ended::Whole,
@@ -173,15 +191,10 @@
     }
 }
 
-/// How long a silence is borne: twice the pause that keeps an answer in time where another replica
-/// can go on, else until the client itself gives up.
-fn silence(s: &Serving, p: &Plan) -> Duration {
-    let left = p.left_ms(s.now()).max(1_000);
-    let ms = match p.route.gap_target_ms {
-        Some(g) if p.repeatable() => (g * 2).min(left),
-        _ => left,
-    };
-    Duration::from_millis(ms)
+/// How long a silence is borne before another replica is looked for: twice the pause that keeps an
+/// answer in time.
+fn silence(p: &Plan) -> Duration {
+    Duration::from_millis(p.route.gap_target_ms.unwrap_or(p.route.target_ms).max(250) * 2)
 }
 
 /// Takes a cut stream up at another replica, behind the last event that went out.
@@ -189,10 +202,8 @@
     s: &Arc<Serving>,
     p: &Plan,
     past: &mut Past,
-    open: Open,
     last: Option<&str>,
 ) -> Option<(Open, Incoming, Sender)> {
-    drop(open);
     if !p.repeatable() {
         return None;
     }
