--- a/crates/track/src/serving/carry.rs
+++ b/crates/track/src/serving/carry.rs
@@ -97,6 +97,7 @@
             area: self.router.area(),
             region: &self.site.region,
             sticky: p.route.sticky,
+            part: p.part,
             hold_ms: self.hold_ms(&p.service),
             unit: gauge::ground::draw(),
         };
--- a/crates/track/src/serving/front.rs
+++ b/crates/track/src/serving/front.rs
@@ -5,7 +5,7 @@
     plan::{Plan, deadline, user_key},
     state::Serving,
 };
-use crate::go::strip;
+use crate::{go::strip, router::lock};
 use gauge::{
     http::{Body, BoxErr, read_body},
     jot,
@@ -96,6 +96,7 @@
             Err(_) => return no(StatusCode::REQUEST_TIMEOUT, "body not here in time", None),
         };
         let prompt = self.dialect.prompt(&head.headers);
+        let part = lock(&self.mix).note(&route, &service, prompt.tokens_in);
         let key = user_key(&route, &service, &prompt, &self.site.region);
         let mut headers = head.headers;
         strip(&mut headers);
@@ -106,6 +107,7 @@
             service,
             backend,
             prompt,
+            part,
             key,
             came,
             deadline,
--- a/crates/track/src/serving/mod.rs
+++ b/crates/track/src/serving/mod.rs
@@ -12,6 +12,7 @@
 pub mod events;
 pub mod fleet;
 pub mod front;
+pub mod mix;
 pub mod place;
 pub mod plan;
 pub mod pool;
--- a/crates/track/src/serving/plan.rs
+++ b/crates/track/src/serving/plan.rs
@@ -1,6 +1,9 @@
 //! What is to be done with a request, as data (design 9.2): made from its head, then carried out.
 
-use super::dialect::{Names, Prompt};
+use super::{
+    choose::Part,
+    dialect::{Names, Prompt},
+};
 use crate::tab::UserKey;
 use bytes::Bytes;
 use gauge::{Region, Service, Tick, rank::stable_hash};
@@ -13,6 +16,7 @@
     pub service: Service,
     pub backend: Arc<Backend>,
     pub prompt: Prompt,
+    pub part: Part,
     /// What shares a long prefix, seen from one region, shares a placement.
     pub key: Option<UserKey>,
     pub came: Tick,
--- a/crates/track/src/serving/state.rs
+++ b/crates/track/src/serving/state.rs
@@ -4,6 +4,7 @@
 use super::{
     dialect::Dialect,
     fleet::{Candidate, Fleet, Folds},
+    mix::Mix,
     pool::Pool,
     retries::Retries,
 };
@@ -54,6 +55,7 @@
     pub folds: Mutex<Folds>,
     pub pool: Pool,
     pub retries: Retries,
+    pub mix: Mutex<Mix>,
     /// How long requests of a service take, as seen here lately.
     pub pace: Mutex<HashMap<Service, f64>>,
     /// When the evacuation of an area ended last: its replicas may have turned cold.
@@ -79,6 +81,7 @@
             folds: Mutex::default(),
             pool: Pool::default(),
             retries: Retries::default(),
+            mix: Mutex::default(),
             pace: Mutex::default(),
             returned: Mutex::default(),
             abroad: Mutex::default(),
