gauge: the tests of single modules stand under tests/

Cause: tests live in test files; 2 source files of gauge still held their own.

Change: they stand in tests/modules/, one file for each module and one binary for all of them, since linking is what takes the time. Nothing private was needed, so no item became more visible.

Ruled out: one test binary for each module, which links 2 times what one does.

--- a/crates/gauge/src/wire.rs
+++ b/crates/gauge/src/wire.rs
@@ -66,35 +66,3 @@
         self.frames.encode(Bytes::from(enc(&v)?), dst)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use serde::Deserialize;
-    use std::collections::BTreeMap;
-
-    #[derive(Debug, PartialEq, Serialize, Deserialize)]
-    enum Kind {
-        Unit,
-        Pair(u64, Option<String>),
-        Named { map: BTreeMap<String, Vec<u8>>, f: f64, big: u128 },
-    }
-
-    #[test]
-    fn values_come_back_whole() {
-        let named =
-            Kind::Named { map: BTreeMap::from([("a".into(), vec![1, 2, 255])]), f: 0.95, big: u128::MAX };
-        for k in [Kind::Unit, Kind::Pair(7, None), Kind::Pair(u64::MAX, Some("x".into())), named] {
-            assert_eq!(dec::<Kind>(&enc(&k).unwrap()).unwrap(), k);
-        }
-    }
-
-    #[test]
-    fn cut_or_oversized_input_is_an_error() {
-        let b = enc(&Kind::Pair(1, Some("long enough".into()))).unwrap();
-        assert!(dec::<Kind>(&b[..b.len() - 3]).is_err());
-        let mut c = Codec::<Kind, Kind>::default();
-        let mut src = BytesMut::from(&(MAX_FRAME as u32 + 1).to_be_bytes()[..]);
-        assert!(c.decode(&mut src).is_err());
-    }
-}
