trainset: the tests of single modules stand under tests/

Cause: tests live in test files; 3 source files of trainset still held their own.

Change: they stand in tests/modules/, one file for each module and one binary for all of them, since linking is what takes the time.

Ruled out: one test binary for each module, which links 3 times what one does.

--- /dev/null
+++ b/crates/trainset/tests/modules/main.rs
@@ -0,0 +1,5 @@
+//! One binary for the tests of single modules: linking is what takes the time.
+
+mod chaos;
+mod deployment;
+mod fault;
