A replica that refused a connection is told as cold until it is seen again

A home that inherits a replica on its ramp begins the ramp anew with its own first check.

Ruled out: a field of its own in the figures, which changes the wire for what the allowance already says; taking a refusal for three failed checks, since a listener that is restarted within a second would drop out of its region; the split of places over routers, the clock of the figures and the age of the last ones: all were as they should be in the trace.

`watched::what_is_absent_has_the_first_step_of_the_ramp` failed first.

--- a/crates/track/src/probe.rs
+++ b/crates/track/src/probe.rs
@@ -185,14 +185,14 @@
     /// A new home goes on from the figures of the last one: what was warm stays warm.
     fn inherited(&self, service: &Service, area: &Area, lost: bool) -> BTreeMap<ReplicaId, Watched> {
         let b = self.pressure.board();
-        let now = self.now();
         let from = |g: &Gauge| Watched {
             fails: 0,
-            absent: lost,
+            // What is on its ramp may be away just now: it begins anew with the first check.
+            absent: lost || g.allowance.is_some(),
             healthy: g.healthy,
             capacity: g.capacity,
             consumption: g.consumption,
-            warm_since: g.allowance.map(|_| now),
+            warm_since: None,
         };
         b.seen
             .get(&(service.clone(), area.clone()))
--- a/crates/track/tests/modules/watched.rs
+++ b/crates/track/tests/modules/watched.rs
@@ -57,3 +57,20 @@
     w.check(well(), 3, 4.0, Tick(24_000));
     assert_eq!(w.allowance(10_000, Tick(24_001)), Some(1));
 }
+
+/// Found by the world (seed 6): what refuses a connection was told as warm until it had failed three
+/// checks, so a home that took over in between knew nothing of its absence.
+#[test]
+fn what_is_absent_has_the_first_step_of_the_ramp() {
+    let mut w = Watched::default();
+    let well = || Checked::Told(rep(None, Some(20.0), Some(1.0)).unwrap());
+    w.check(well(), 3, 4.0, Tick(1_000));
+    w.check(Checked::Silent, 3, 4.0, Tick(21_000));
+    assert_eq!(w.allowance(10_000, Tick(21_001)), None, "one check without an answer is no restart");
+    w.check(Checked::Refused, 3, 4.0, Tick(22_000));
+    assert!(w.healthy);
+    assert_eq!(w.allowance(10_000, Tick(22_001)), Some(2));
+    assert_eq!(w.allowance(10_000, Tick(99_000)), Some(2), "it does not warm up while it is away");
+    w.check(well(), 3, 4.0, Tick(100_000));
+    assert_eq!(w.allowance(10_000, Tick(105_000)), Some(10));
+}
