A signed hop runs once

Captured on the inner network and sent again, to the same router or another one of the region, it ran again; with a stored placement there was not even a pass to use up.

Change: the note names the sender's membership and a number within it, and the asked router with its membership. A restart is a new membership, so what was signed for an earlier life bounces without any memory of it; windows of members that left are dropped, since an epoch never comes back. Two new reasons for a bounce may pass within a beat, as a differing revision does, and do not make the sender avoid the region.

Ruled out: a list of job ids kept for the time a hop may take, since the note would need a time that both sides read alike and no clock is shared; the pass as the only bound, since stored placements have none; signing the body, since the note is checked before the body is read.

--- a/crates/track/src/away.rs
+++ b/crates/track/src/away.rs
@@ -57,6 +57,10 @@
         let h = Hop {
             job: p.job.clone(),
             from: self.node().clone(),
+            epoch: self.member.held().epoch,
+            number: self.hops.fetch_add(1, Ordering::Relaxed) + 1,
+            to: peer.card.node.clone(),
+            to_epoch: peer.epoch,
             revision: p.governing.revision,
             entry: p.entry.name.clone(),
             tenant: p.tenant.clone(),
@@ -99,7 +103,7 @@
             "done" => Next::Answer(self.done(p, r)),
             "bounced" => {
                 let why = said("foldshunt-reason");
-                if matches!(why.as_str(), "outdated revision" | "revision not here yet") {
+                if hop::passes_soon(&why) {
                     tokio::time::sleep(Duration::from_millis(self.set.timing.beat_ms())).await;
                 } else {
                     past.avoid.insert(region);
--- a/crates/track/src/hop.rs
+++ b/crates/track/src/hop.rs
@@ -1,8 +1,12 @@
 //! The hop between regions (design 5.6): signed by a member, checked by the region that is
 //! asked, which has the last word.
 
-use crate::{lend::Spent, router::Router, tab::UserKey};
-use gauge::{JobId, NodeId, Region, Revision, Service, Tenant, rank::stable_hash, wire};
+use crate::{
+    lend::Spent,
+    router::{Router, lock},
+    tab::UserKey,
+};
+use gauge::{Epoch, JobId, NodeId, Region, Revision, Service, Tenant, rank::stable_hash, wire};
 use serde::{Deserialize, Serialize};
 use siphasher::sip128::{Hasher128, SipHasher24};
 use std::hash::Hasher;
@@ -12,7 +16,13 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Hop {
     pub job: JobId,
+    /// The sender, its membership, and the number of the hop within that.
     pub from: NodeId,
+    pub epoch: Epoch,
+    pub number: u64,
+    /// Who is asked, and its membership: no other router takes it, nor this one after a restart.
+    pub to: NodeId,
+    pub to_epoch: Epoch,
     pub revision: Revision,
     pub entry: String,
     pub tenant: Option<Tenant>,
@@ -71,6 +81,7 @@
     if !g.table.homes(e, h.tenant.as_ref()).contains(&own) {
         return Err("outside homes");
     }
+    taken_once(r, h)?;
     match &h.spent {
         Some(s) if s.region == own => r.redeem(s).await,
         Some(_) => Err("pass of another region"),
@@ -78,6 +89,25 @@
     }
 }
 
+/// A hop that was captured and is sent again must not run again: it counts as used from here on,
+/// whatever comes of it.
+fn taken_once(r: &Router, h: &Hop) -> Result<(), &'static str> {
+    if h.to != *r.node() || h.to_epoch != r.member.held().epoch {
+        return Err("hop for another router");
+    }
+    let l = r.ledger();
+    let member = |n: &NodeId| l.members.get(n).map(|m| m.epoch);
+    lock(&r.replay).take(&h.from, h.epoch, h.number, &member)
+}
+
+/// Bounced over a change that has reached one side only: no reason to avoid the region.
+pub fn passes_soon(why: &str) -> bool {
+    matches!(
+        why,
+        "outdated revision" | "revision not here yet" | "sender not a member here" | "hop for another router"
+    )
+}
+
 /// A job's name: unique over nodes, restarts and time.
 pub fn job_id(r: &Router, n: u64) -> JobId {
     let inc = r.member.card.inc.0;
--- a/crates/track/src/lib.rs
+++ b/crates/track/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod pressure;
 pub mod probe;
 pub mod rail;
+pub mod replay;
 pub mod replica;
 pub mod router;
 pub mod tab;
--- a/crates/track/src/router.rs
+++ b/crates/track/src/router.rs
@@ -7,6 +7,7 @@
     numbers::Numbers,
     pressure::{Candidate, Figures, Pressure, RegionPressure, regions},
     rail::{Ask, Reply},
+    replay::ReplayGuard,
     tab::{Tab, UserKey},
     waitlist::Waitlist,
 };
@@ -64,6 +65,9 @@
     pub draining: AtomicBool,
     pub busy: Arc<Busy>,
     pub serial: AtomicU64,
+    /// Number of the last hop sent, and what was taken of those of others.
+    pub hops: AtomicU64,
+    pub replay: Mutex<ReplayGuard>,
     /// Revision of a document that was accepted and can't be read here; 0 where there is none.
     pub unreadable: AtomicU64,
     /// When the first document governed here; figures arrive soon after.
@@ -96,6 +100,8 @@
             draining: AtomicBool::new(false),
             busy: Arc::default(),
             serial: AtomicU64::new(0),
+            hops: AtomicU64::new(0),
+            replay: Mutex::default(),
             unreadable: AtomicU64::new(0),
             since: AtomicU64::new(0),
         })
--- a/crates/track/tests/modules/hop.rs
+++ b/crates/track/tests/modules/hop.rs
@@ -1,6 +1,6 @@
 //! Tests of `track::hop`.
 
-use gauge::Revision;
+use gauge::{Epoch, Revision};
 use track::{
     hop::{Hop, sign, verify},
     tab::UserKey,
@@ -11,6 +11,10 @@
     let h = Hop {
         job: "j".into(),
         from: "n".into(),
+        epoch: Epoch(1),
+        number: 1,
+        to: "m".into(),
+        to_epoch: Epoch(2),
         revision: Revision(3),
         entry: "e".into(),
         tenant: None,
--- a/crates/track/tests/modules/main.rs
+++ b/crates/track/tests/modules/main.rs
@@ -7,6 +7,7 @@
 mod hop;
 mod key;
 mod lend;
+mod replay;
 mod replica;
 mod tab;
 mod waitlist;
