--- a/crates/track/src/answer.rs
+++ b/crates/track/src/answer.rs
@@ -50,6 +50,10 @@
                 Ok(p) => Reply::Pass(p),
                 Err(why) => Reply::Bounced(why.into()),
             },
+            Ask::Note { note } => {
+                self.heard_of(&note);
+                Reply::Done
+            }
             Ask::Board { area, seq, wait_ms } => {
                 Reply::Board(self.tell_board(area, seq, wait_ms).await.map(Box::new))
             }
--- a/crates/track/src/rail.rs
+++ b/crates/track/src/rail.rs
@@ -3,7 +3,7 @@
 use crate::{
     lend::{Pass, Spent},
     pressure::Figures,
-    serving::board::Board,
+    serving::{board::Board, reading::Note},
     tab::{Copy, Settled, UserKey},
 };
 use gauge::{Area, Fence, Incarnation, Index, NodeId, Region, Service};
@@ -60,6 +60,10 @@
     Redeem {
         spent: Spent,
     },
+    /// A long prompt was sent to a replica.
+    Note {
+        note: Note,
+    },
     /// What this node publishes of an area's replicas; being asked makes it publish.
     Board {
         area: Area,
@@ -98,6 +102,7 @@
             Ask::Last { .. } => "points.last",
             Ask::Passes { .. } => "points.passes",
             Ask::Redeem { .. } => "points.redeem",
+            Ask::Note { .. } => "points.note",
             Ask::Board { .. } => "points.board",
         }
     }
--- a/crates/track/src/serving/attempt.rs
+++ b/crates/track/src/serving/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt at one replica (design 9.6): what is certain afterwards decides whether there may be
 //! another. Knows connections and heads, not what becomes of the request.
 
-use super::{fleet::Candidate, plan::Plan, state::Serving};
+use super::{choose::Part, fleet::Candidate, plan::Plan, state::Serving};
 use crate::{body::ends_surely, go::strip, router::lock};
 use gauge::{
     Fault,
@@ -10,10 +10,7 @@
 };
 use hyper::{Request, body::Incoming, header::HeaderValue, http::response::Parts};
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
@@ -29,43 +26,39 @@
     MayHaveRun(Fault),
 }
 
-/// Counts a request as open at its replica until its last byte, and its prompt as unread until its
-/// first event.
+/// Counts a request as open at its replica until its last byte.
 pub struct Open {
     s: Arc<Serving>,
     pub at: Candidate,
-    tokens: i64,
-    unread: AtomicBool,
+    short: bool,
     abroad: bool,
 }
 
 impl Open {
     pub fn new(s: &Arc<Serving>, p: &Plan, at: Candidate) -> Self {
-        let tokens = i64::from(p.prompt.tokens_in);
         at.own.open.fetch_add(1, Ordering::AcqRel);
-        at.own.reading.fetch_add(tokens, Ordering::AcqRel);
         let abroad = at.region != s.site.region;
         if abroad {
             *lock(&s.abroad).entry((at.region.clone(), at.service.clone())).or_default() += 1;
         }
-        Self { s: s.clone(), at, tokens, unread: AtomicBool::new(true), abroad }
-    }
-
-    pub fn read(&self) {
-        if self.unread.swap(false, Ordering::AcqRel) {
-            self.at.own.reading.fetch_sub(self.tokens, Ordering::AcqRel);
+        let short = p.part == Part::Short;
+        if short {
+            *lock(&s.mix).short_open.entry(at.service.clone()).or_default() += 1;
         }
+        Self { s: s.clone(), at, short, abroad }
     }
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.read();
         self.at.own.open.fetch_sub(1, Ordering::AcqRel);
         if self.abroad {
             let at = (self.at.region.clone(), self.at.service.clone());
             lock(&self.s.abroad).entry(at).and_modify(|n| *n -= 1);
         }
+        if self.short {
+            lock(&self.s.mix).short_open.entry(self.at.service.clone()).and_modify(|n| *n -= 1);
+        }
     }
 }
 
--- a/crates/track/src/serving/carry.rs
+++ b/crates/track/src/serving/carry.rs
@@ -3,7 +3,7 @@
 
 use super::{
     attempt::{Open, Outcome},
-    choose::{self, Wish},
+    choose::{self, READS_PER_MS, Wish},
     cold, events,
     fleet::Candidate,
     plan::Plan,
@@ -92,12 +92,18 @@
         let usable = |c: &Candidate| there(c) && c.well && !c.own.shunned(now);
         let conns =
             |c: &Candidate| (c.own.open.load(std::sync::atomic::Ordering::Relaxed).max(0) as usize) < most;
+        let reading = lock(&self.router.reading);
         let wish = Wish {
             prompt: &p.prompt,
             area: self.router.area(),
             region: &self.site.region,
             sticky: p.route.sticky,
             part: p.part,
+            short_load: self.short_load(&p.service),
+            reading: &reading,
+            prefixes: &p.prefixes,
+            reads_per_ms: READS_PER_MS,
+            now,
             hold_ms: self.hold_ms(&p.service),
             unit: gauge::ground::draw(),
         };
@@ -127,6 +133,8 @@
         if self.cold(&c, &p.backend, now) {
             lock(&c.own.bucket).take(rate(&c).unwrap_or(1.0), now);
         }
+        drop(reading);
+        self.tell(p, &c);
         past.tried.push(c.id.clone());
         Ok(c)
     }
--- a/crates/track/src/serving/choose.rs
+++ b/crates/track/src/serving/choose.rs
@@ -1,20 +1,21 @@
 //! Which replica of a region takes a request (design 9.5): the least time until its first event,
 //! as far as figures and own counts tell. Pure.
 
-use super::{dialect::Prompt, fleet::Candidate};
+use super::{dialect::Prompt, fleet::Candidate, reading::Reading};
 use gauge::{Area, Region, Tick, rank::stable_hash};
-use std::sync::atomic::Ordering;
 
-/// Prompt tokens that a replica reads in a millisecond, until a service's own pace is known.
+/// Prompt tokens that a replica reads in a millisecond, where nothing else is known.
 pub const READS_PER_MS: f64 = 50.0;
 /// Share of the slots above which a newcomer may have to wait.
 const FULL: f64 = 0.9;
-/// Reading a shared prefix once more costs more than its own wait: all that runs beside it waits too.
-const AGAIN: f64 = 2.5;
 /// What keeping even a short prefix where it is, is worth.
 const LEAST_KEPT_MS: f64 = 15.0;
-/// What a light request avoids among replicas that read long prompts, and the other way round.
+/// What a short prompt avoids among replicas that read long ones.
 const APART_MS: f64 = 60.0;
+/// What reading a long prompt takes from each stream beside it.
+const BESIDE: f64 = 0.15;
+/// Share of their slots up to which replicas are filled with short prompts, before more are taken.
+const FILLED: f64 = 0.4;
 
 /// Which part of a service's replicas a request belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +33,12 @@
     pub region: &'a Region,
     pub sticky: bool,
     pub part: Part,
+    /// Requests with short prompts that the region has open, about.
+    pub short_load: f64,
+    pub reading: &'a Reading,
+    pub prefixes: &'a [(u64, u32)],
+    pub reads_per_ms: f64,
+    pub now: Tick,
     /// How long a request occupies a slot, as seen lately.
     pub hold_ms: f64,
     /// In [0, 1): keeps routers with the same stale figures apart.
@@ -55,7 +62,7 @@
     let over = (c.load() + 1.0 - slots * FULL).max(0.0);
     let wait = over * w.hold_ms / slots;
     let batch = c.load() / slots * 40.0;
-    let reading = c.own.reading.load(Ordering::Relaxed).max(0) as f64 / READS_PER_MS;
+    let reading = w.reading.wait_ms(&c.id, w.now);
     let tokens = u64::from(w.prompt.tokens_in) + u64::from(w.prompt.tokens_out);
     let tight = c.memory_total > 0 && c.memory_used + tokens > c.memory_total;
     let way = if c.area == *w.area {
@@ -73,45 +80,47 @@
     c.memory_total == 0 || u64::from(p.tokens_in) + u64::from(p.tokens_out) <= c.memory_total
 }
 
-/// Replicas that read long prompts: half of them, by an order on which all routers agree.
-fn long_half(cands: &[&Candidate]) -> Vec<u64> {
+/// How many of these replicas short prompts need, by the load that they bring.
+fn for_short(cands: &[&Candidate], short_load: f64) -> usize {
+    let slots: f64 = cands.iter().map(|c| f64::from(c.slots)).sum::<f64>() / cands.len().max(1) as f64;
+    let need = (short_load / (slots * FILLED).max(1.0)).ceil() as usize + 1;
+    need.clamp(1, cands.len().saturating_sub(1).max(1))
+}
+
+/// The replicas that short prompts use, by an order on which all routers agree.
+fn short_ones(cands: &[&Candidate], w: &Wish<'_>) -> Vec<u64> {
     let mut order: Vec<u64> = cands.iter().map(|c| place(c)).collect();
     order.sort_unstable();
-    order.truncate(cands.len().div_ceil(2));
+    order.truncate(for_short(cands, w.short_load));
     order
 }
 
 fn place(c: &Candidate) -> u64 {
-    stable_hash(&[b"long", c.id.as_str().as_bytes()])
+    stable_hash(&[b"short", c.id.as_str().as_bytes()])
 }
 
-/// The best of these for the request. Those that keep its prefix come first as long as what they
-/// save is more than what they make it wait; long and short prompts keep apart where both come.
+/// The best of these for the request: the least time until its first event, and what it costs those
+/// that run beside it.
 pub fn best<'a>(cands: &[&'a Candidate], w: &Wish<'_>) -> Option<&'a Candidate> {
-    let long = if w.part == Part::Any { Vec::new() } else { long_half(cands) };
-    let apart = |c: &Candidate| match w.part {
-        Part::Any => false,
-        Part::Long => !long.contains(&place(c)),
-        Part::Short => long.contains(&place(c)),
-    };
-    let shared = w.shared();
-    let mut ranked: Vec<(bool, &Candidate)> = cands.iter().map(|c| (apart(c), *c)).collect();
-    if shared > 0 {
-        ranked.sort_by_cached_key(|(apart, c)| (*apart, std::cmp::Reverse(w.claim(c))));
-    }
-    let again = (f64::from(shared) / READS_PER_MS * AGAIN).max(LEAST_KEPT_MS);
-    let score = |n: usize, apart: bool, c: &Candidate| {
-        let miss = match n {
-            _ if shared == 0 => 0.0,
-            0 => 0.0,
-            1 => again * 0.9,
-            _ => again,
-        };
+    let short = if w.part == Part::Any { Vec::new() } else { short_ones(cands, w) };
+    let keeps = w.shared() > 0;
+    let first = cands.iter().filter(|c| short.is_empty() || short.contains(&place(c)));
+    let first = first.max_by_key(|c| w.claim(c)).map(|c| c.id.clone());
+    let score = |c: &Candidate| {
         let spread = stable_hash(&[&w.unit.to_le_bytes(), c.id.as_str().as_bytes()]) % 1000;
-        delay(c, w) + miss + if apart { APART_MS } else { 0.0 } + spread as f64 / 1000.0 * 4.0
+        let base = delay(c, w) + spread as f64 / 1000.0 * 4.0;
+        if w.part != Part::Long {
+            let apart = !short.is_empty() && !short.contains(&place(c));
+            let moved = keeps && first.as_ref() != Some(&c.id);
+            return base + if apart { APART_MS } else { 0.0 } + if moved { LEAST_KEPT_MS } else { 0.0 };
+        }
+        let tokens = w.reading.unread(&c.id, w.prefixes, w.prompt.tokens_in);
+        let read = f64::from(tokens) / w.reads_per_ms;
+        let beside =
+            if short.contains(&place(c)) { c.load().max(f64::from(c.slots) * 0.2) } else { c.load() };
+        base + read * (1.0 + beside * BESIDE)
     };
-    let scored = ranked.into_iter().enumerate().map(|(n, (apart, c))| (score(n, apart, c), c));
-    scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, c)| c)
+    cands.iter().copied().min_by(|a, b| score(a).total_cmp(&score(b)))
 }
 
 /// Whether no candidate could begin the request within `ms`.
--- a/crates/track/src/serving/events.rs
+++ b/crates/track/src/serving/events.rs
@@ -179,7 +179,6 @@
             Some(Ok(f)) => {
                 let Some(data) = f.data_ref() else { continue };
                 parts.push(data);
-                open.read();
                 open.at.own.hear(s.now());
                 if let Some(events) = parts.whole()
                     && out.send(Ok(Frame::data(events))).await.is_err()
--- a/crates/track/src/serving/fleet.rs
+++ b/crates/track/src/serving/fleet.rs
@@ -16,8 +16,6 @@
 #[derive(Debug, Default)]
 pub struct Own {
     pub open: AtomicI64,
-    /// Prompt tokens that were sent and whose first event has not come.
-    pub reading: AtomicI64,
     /// Own failures: not to be used until then, where there is another.
     pub shun: AtomicU64,
     /// When it last said anything here.
--- a/crates/track/src/serving/front.rs
+++ b/crates/track/src/serving/front.rs
@@ -2,7 +2,9 @@
 
 use super::{
     carry::back_ms,
+    choose::Part,
     plan::{Plan, deadline, user_key},
+    reading,
     state::Serving,
 };
 use crate::{go::strip, router::lock};
@@ -97,6 +99,7 @@
         };
         let prompt = self.dialect.prompt(&head.headers);
         let part = lock(&self.mix).note(&route, &service, prompt.tokens_in);
+        let prefixes = if part == Part::Long { reading::prefixes(&prompt) } else { Vec::new() };
         let key = user_key(&route, &service, &prompt, &self.site.region);
         let mut headers = head.headers;
         strip(&mut headers);
@@ -108,6 +111,7 @@
             backend,
             prompt,
             part,
+            prefixes,
             key,
             came,
             deadline,
--- a/crates/track/src/serving/mix.rs
+++ b/crates/track/src/serving/mix.rs
@@ -20,6 +20,8 @@
     tokens: HashMap<String, f64>,
     /// Time spent reading long prompts, and short ones.
     spent: HashMap<Service, (f64, f64)>,
+    /// Requests with short prompts that are open here.
+    pub short_open: HashMap<Service, i64>,
 }
 
 impl Mix {
--- a/crates/track/src/serving/mod.rs
+++ b/crates/track/src/serving/mod.rs
@@ -16,8 +16,10 @@
 pub mod place;
 pub mod plan;
 pub mod pool;
+pub mod reading;
 pub mod retries;
 pub mod state;
+pub mod tell;
 pub mod watch;
 
 pub use dialect::{Dialect, EngineReport, Listed, Listing, Lookup, Names, Prompt};
--- a/crates/track/src/serving/plan.rs
+++ b/crates/track/src/serving/plan.rs
@@ -17,6 +17,7 @@
     pub backend: Arc<Backend>,
     pub prompt: Prompt,
     pub part: Part,
+    pub prefixes: Vec<(u64, u32)>,
     /// What shares a long prefix, seen from one region, shares a placement.
     pub key: Option<UserKey>,
     pub came: Tick,
--- /dev/null
+++ b/crates/track/src/serving/tell.rs
@@ -0,0 +1,59 @@
+//! Routers of a region tell each other of long prompts (design 9.5): few requests, and each keeps a
+//! replica from all else for a while.
+
+use super::{
+    choose::{Part, READS_PER_MS},
+    fleet::Candidate,
+    plan::Plan,
+    reading::Note,
+    state::Serving,
+};
+use crate::{
+    rail::Ask,
+    router::{Router, lock},
+};
+use gauge::Service;
+use std::sync::Arc;
+
+impl Router {
+    pub fn heard_of(&self, n: &Note) {
+        lock(&self.reading).note(n, READS_PER_MS, self.now());
+    }
+}
+
+impl Serving {
+    /// Notes a long prompt here, and tells the routers that send to the same replicas.
+    pub fn tell(self: &Arc<Self>, p: &Plan, c: &Candidate) {
+        if p.part != Part::Long {
+            return;
+        }
+        let note = Note {
+            replica: c.id.clone(),
+            prefixes: p.prefixes.clone(),
+            tokens: p.prompt.tokens_in,
+            memory: c.memory_total,
+        };
+        self.router.heard_of(&note);
+        let l = self.router.ledger();
+        let near = |m: &&interlocking::Member| {
+            let r = self.site.areas.get(&m.card.area);
+            (r == Some(&self.site.region) || r == Some(&c.region)) && m.card.node != *self.router.node()
+        };
+        for m in l.routers().into_iter().filter(near) {
+            let (me, to, note) = (self.router.clone(), m.card.rail, note.clone());
+            gauge::ground::spawn(async move {
+                let _ = me.lines.call("note", to, Ask::Note { note }).await;
+            });
+        }
+    }
+
+    /// Requests with short prompts that this region's routers have open, taking the others for this
+    /// one's like.
+    pub fn short_load(&self, svc: &Service) -> f64 {
+        let here = lock(&self.mix).short_open.get(svc).copied().unwrap_or(0).max(0) as f64;
+        let l = self.router.ledger();
+        let peers =
+            l.routers().into_iter().filter(|m| self.site.areas.get(&m.card.area) == Some(&self.site.region));
+        here * peers.count().max(1) as f64
+    }
+}
