Opening a line gets as long as any call; what reading again costs others is weighed

Cause: with the shorter tenure a renewal had 300 ms, and opening a line over 55 ms one way takes 330: routers of the far region stayed without a tenure for seconds, were listed all the same and refused. Change: a renewal waits as long as any call; a hail's answer says whether the router takes work, and the directory heeds it; shards are settled behind the request within a call's time. The choice for long prompts weighs reading shared tokens again six-fold and the pauses that it brings to streams beside it; how many replicas short prompts use follows the region's figures slowly.

--- a/crates/interlocking/src/member.rs
+++ b/crates/interlocking/src/member.rs
@@ -156,8 +156,8 @@
             let (to, sent) = (tries[n], self.clock.now());
             n += 1;
             let ask = Ask::Renew { card: self.card.clone(), idx: self.ledger.load().idx, revision };
-            let ms = self.set.timing.renew_ms().min(self.set.timing.rail_ms);
-            match self.lines.call_within(ms, "renew", to, ask).await {
+            // Opening a line takes three ways there and back: as long as any call may take.
+            match self.lines.call("renew", to, ask).await {
                 Ok(Reply::Renewed { epoch, idx }) => {
                     self.told_of(idx, sent);
                     self.hold(epoch, sent);
--- a/crates/track/src/answer.rs
+++ b/crates/track/src/answer.rs
@@ -7,13 +7,21 @@
 };
 use gauge::{Area, Fence, Service, jot, settings::Settings};
 use interlocking::{news, seat::Room};
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::VecDeque,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 impl Router {
     pub async fn answer(self: Arc<Self>, node: String, ask: Ask) -> Reply {
         match ask {
             // No sign of life by itself: it may have waited here while this node was frozen.
-            Ask::Hail { .. } => Reply::Hailed { idx: self.ledger().idx, inc: self.member.card.inc },
+            Ask::Hail { .. } => Reply::Hailed {
+                idx: self.ledger().idx,
+                inc: self.member.card.inc,
+                fit: self.standing().is_none() && !self.draining.load(Ordering::Acquire),
+            },
             Ask::News { have } => {
                 let l = self.ledger();
                 let base = l.idx;
--- a/crates/track/src/cut.rs
+++ b/crates/track/src/cut.rs
@@ -62,7 +62,15 @@
                     let to = m.card.rail;
                     let idx = match m.card.role {
                         Role::Router => match me.lines.call("hail", to, Ask::Hail { idx }).await {
-                            Ok(Reply::Hailed { idx, inc }) if inc == m.card.inc => Some(idx),
+                            Ok(Reply::Hailed { idx, inc, fit }) if inc == m.card.inc => {
+                                let mut g = lock(&me.unfit);
+                                if fit {
+                                    g.remove(&m.card.node)
+                                } else {
+                                    g.insert(m.card.node.clone())
+                                };
+                                Some(idx)
+                            }
                             // Nothing listens there any more: no need to wait until it is missed.
                             Err(e) if e.refused => {
                                 lock(&me.heard).remove(&m.card.node);
--- a/crates/track/src/place.rs
+++ b/crates/track/src/place.rs
@@ -51,7 +51,10 @@
         let pick = draw(&cands, gauge::ground::draw());
         for _ in 0..2 {
             let asked = self.now();
-            match self.settle(key, &p.entry.to, stale, pick.clone(), pol.ttl_ms).await {
+            match self
+                .settle(key, &p.entry.to, stale, pick.clone(), pol.ttl_ms, self.set.timing.table_ms())
+                .await
+            {
                 Some(Settled::Held { region, ver, won }) => {
                     self.remember(key, &p.entry.to, &region, ver, pol.ttl_ms, asked);
                     if won {
@@ -107,6 +110,7 @@
         stale: Option<u64>,
         pick: Option<Region>,
         ttl_ms: u64,
+        wait_ms: u64,
     ) -> Option<Settled> {
         let shard = key.shard(service);
         let owner = self.owners(shard).into_iter().next()?;
@@ -115,7 +119,7 @@
             return self.settle_here(fence, key, service, stale, pick, ttl_ms).ok();
         }
         let ask = Ask::Settle { fence, key, service: service.clone(), stale, pick, ttl_ms };
-        match self.lines.call_within(self.set.timing.table_ms(), "settle", owner.card.rail, ask).await {
+        match self.lines.call_within(wait_ms, "settle", owner.card.rail, ask).await {
             Ok(Reply::Settled(s)) => Some(s),
             _ => None,
         }
--- a/crates/track/src/rail.rs
+++ b/crates/track/src/rail.rs
@@ -78,6 +78,8 @@
     Hailed {
         idx: Index,
         inc: Incarnation,
+        /// Takes new work now.
+        fit: bool,
     },
     News(News),
     Settled(Settled),
--- a/crates/track/src/router.rs
+++ b/crates/track/src/router.rs
@@ -19,7 +19,7 @@
 };
 use interlocking::{Ledger, Member, member};
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -66,6 +66,8 @@
     pub budget: Budget,
     pub waitlist: Mutex<Waitlist>,
     pub heard: Mutex<HashMap<NodeId, Tick>>,
+    /// Those that were heard and said that they take no new work.
+    pub unfit: Mutex<HashSet<NodeId>>,
     pub published: Mutex<Published>,
     pub boards: Mutex<BTreeMap<Area, Publication>>,
     pub reading: Mutex<Reading>,
@@ -103,6 +105,7 @@
             budget: Budget::default(),
             waitlist: Mutex::default(),
             heard: Mutex::default(),
+            unfit: Mutex::default(),
             published: Mutex::default(),
             boards: Mutex::default(),
             reading: Mutex::default(),
--- a/crates/track/src/serving/attempt.rs
+++ b/crates/track/src/serving/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt at one replica (design 9.6): what is certain afterwards decides whether there may be
 //! another. Knows connections and heads, not what becomes of the request.
 
-use super::{choose::Part, fleet::Candidate, plan::Plan, state::Serving};
+use super::{fleet::Candidate, plan::Plan, state::Serving};
 use crate::{body::ends_surely, go::strip, router::lock};
 use gauge::{
     Fault,
@@ -30,22 +30,17 @@
 pub struct Open {
     s: Arc<Serving>,
     pub at: Candidate,
-    short: bool,
     abroad: bool,
 }
 
 impl Open {
-    pub fn new(s: &Arc<Serving>, p: &Plan, at: Candidate) -> Self {
+    pub fn new(s: &Arc<Serving>, at: Candidate) -> Self {
         at.own.open.fetch_add(1, Ordering::AcqRel);
         let abroad = at.region != s.site.region;
         if abroad {
             *lock(&s.abroad).entry((at.region.clone(), at.service.clone())).or_default() += 1;
         }
-        let short = p.part == Part::Short;
-        if short {
-            *lock(&s.mix).short_open.entry(at.service.clone()).or_default() += 1;
-        }
-        Self { s: s.clone(), at, short, abroad }
+        Self { s: s.clone(), at, abroad }
     }
 }
 
@@ -56,9 +51,6 @@
             let at = (self.at.region.clone(), self.at.service.clone());
             lock(&self.s.abroad).entry(at).and_modify(|n| *n -= 1);
         }
-        if self.short {
-            lock(&self.s.mix).short_open.entry(self.at.service.clone()).and_modify(|n| *n -= 1);
-        }
     }
 }
 
--- a/crates/track/src/serving/carry.rs
+++ b/crates/track/src/serving/carry.rs
@@ -93,13 +93,14 @@
         let conns =
             |c: &Candidate| (c.own.open.load(std::sync::atomic::Ordering::Relaxed).max(0) as usize) < most;
         let reading = lock(&self.router.reading);
-        let wish = Wish {
+        let mut wish = Wish {
             prompt: &p.prompt,
             area: self.router.area(),
             region: &self.site.region,
             sticky: p.route.sticky,
             part: p.part,
-            short_load: self.short_load(&p.service),
+            short_ones: 1,
+            pause_ms: p.route.gap_target_ms.unwrap_or(p.route.target_ms) as f64,
             reading: &reading,
             prefixes: &p.prefixes,
             reads_per_ms: READS_PER_MS,
@@ -114,6 +115,7 @@
         for r in self.regions(p, &usable) {
             let cands: Vec<&Candidate> =
                 all.iter().filter(|c| c.region == r && usable(c)).filter(fit).collect();
+            wish.short_ones = lock(&self.mix).short_ones(&p.service, &r, &cands);
             if choose::hopeless(&cands, &wish, p.route.target_ms as f64) {
                 continue;
             }
@@ -158,7 +160,7 @@
                 Ok(c) => c,
                 Err(why) => return self.given_up(&p, &past, why),
             };
-            let open = Open::new(self, &p, c.clone());
+            let open = Open::new(self, c.clone());
             match self.attempt(&p, &c, None).await {
                 Outcome::Answer(head, body, tx) => {
                     let stream = p.route.kind == RouteKind::Streaming && head.status.is_success();
--- a/crates/track/src/serving/choose.rs
+++ b/crates/track/src/serving/choose.rs
@@ -12,8 +12,12 @@
 const LEAST_KEPT_MS: f64 = 15.0;
 /// What a short prompt avoids among replicas that read long ones.
 const APART_MS: f64 = 60.0;
-/// What reading a long prompt takes from each stream beside it.
-const BESIDE: f64 = 0.15;
+/// Reading shared tokens once more loads the replica and is priced: this many times their own time.
+const AGAIN: f64 = 6.0;
+/// Part of the pause that streams may make, which reading beside them may take.
+const BESIDE: f64 = 0.6;
+/// What each millisecond above that costs, for each stream that runs there.
+const HURT: f64 = 0.5;
 /// Share of their slots up to which replicas are filled with short prompts, before more are taken.
 const FILLED: f64 = 0.4;
 
@@ -33,11 +37,13 @@
     pub region: &'a Region,
     pub sticky: bool,
     pub part: Part,
-    /// Requests with short prompts that the region has open, about.
-    pub short_load: f64,
+    /// How many of a region's replicas short prompts use.
+    pub short_ones: usize,
     pub reading: &'a Reading,
     pub prefixes: &'a [(u64, u32)],
     pub reads_per_ms: f64,
+    /// The longest pause of a stream that is in time.
+    pub pause_ms: f64,
     pub now: Tick,
     /// How long a request occupies a slot, as seen lately.
     pub hold_ms: f64,
@@ -80,18 +86,20 @@
     c.memory_total == 0 || u64::from(p.tokens_in) + u64::from(p.tokens_out) <= c.memory_total
 }
 
-/// How many of these replicas short prompts need, by the load that they bring.
-fn for_short(cands: &[&Candidate], short_load: f64) -> usize {
+/// How many of these replicas short prompts need, by the load that is there; `was` changes only where
+/// the need is clearly another.
+pub fn for_short(cands: &[&Candidate], load: f64, was: usize) -> usize {
     let slots: f64 = cands.iter().map(|c| f64::from(c.slots)).sum::<f64>() / cands.len().max(1) as f64;
-    let need = (short_load / (slots * FILLED).max(1.0)).ceil() as usize + 1;
-    need.clamp(1, cands.len().saturating_sub(1).max(1))
+    let need = load / (slots * FILLED).max(1.0) + 1.0;
+    let same = need <= was as f64 && need > was as f64 - 1.5;
+    (if same { was } else { need.ceil() as usize }).clamp(1, cands.len().saturating_sub(1).max(1))
 }
 
 /// The replicas that short prompts use, by an order on which all routers agree.
 fn short_ones(cands: &[&Candidate], w: &Wish<'_>) -> Vec<u64> {
     let mut order: Vec<u64> = cands.iter().map(|c| place(c)).collect();
     order.sort_unstable();
-    order.truncate(for_short(cands, w.short_load));
+    order.truncate(w.short_ones);
     order
 }
 
@@ -114,15 +122,21 @@
             let moved = keeps && first.as_ref() != Some(&c.id);
             return base + if apart { APART_MS } else { 0.0 } + if moved { LEAST_KEPT_MS } else { 0.0 };
         }
-        let tokens = w.reading.unread(&c.id, w.prefixes, w.prompt.tokens_in);
-        let read = f64::from(tokens) / w.reads_per_ms;
-        let beside =
-            if short.contains(&place(c)) { c.load().max(f64::from(c.slots) * 0.2) } else { c.load() };
-        base + read * (1.0 + beside * BESIDE)
+        base + reading_costs(c, w)
     };
     cands.iter().copied().min_by(|a, b| score(a).total_cmp(&score(b)))
 }
 
+/// What reading a long prompt there takes from it and from all that runs beside it.
+fn reading_costs(c: &Candidate, w: &Wish<'_>) -> f64 {
+    let tokens = w.reading.unread(&c.id, w.prefixes, w.prompt.tokens_in);
+    let own = w.prompt.tokens_in.saturating_sub(w.prompt.shared_tokens());
+    let read = f64::from(tokens) / w.reads_per_ms;
+    let again = f64::from(tokens.saturating_sub(own)) / w.reads_per_ms;
+    let over = (w.reading.wait_ms(&c.id, w.now) + read - w.pause_ms * BESIDE).max(0.0);
+    read + again * (AGAIN - 1.0) + over * c.load() * HURT
+}
+
 /// Whether no candidate could begin the request within `ms`.
 pub fn hopeless(cands: &[&Candidate], w: &Wish<'_>, ms: f64) -> bool {
     cands.iter().all(|c| {
--- a/crates/track/src/serving/directory.rs
+++ b/crates/track/src/serving/directory.rs
@@ -2,6 +2,7 @@
 //! the platform asks of this one.
 
 use super::state::Serving;
+use crate::router::lock;
 use gauge::{
     Area, Region,
     http::{Body, BoxErr, json, text},
@@ -42,7 +43,8 @@
         let r = &self.router;
         let l = r.ledger();
         let mine = self.unfit().is_none();
-        let fit = |n: &gauge::NodeId| if n == r.node() { mine } else { r.hears(n) };
+        let fit =
+            |n: &gauge::NodeId| if n == r.node() { mine } else { r.hears(n) && !lock(&r.unfit).contains(n) };
         let all = l.routers().into_iter().filter(|m| fit(&m.card.node));
         all.map(|m| Edge {
             addr: m.card.http,
--- a/crates/track/src/serving/events.rs
+++ b/crates/track/src/serving/events.rs
@@ -65,6 +65,33 @@
     text.lines().rev().find_map(|l| l.strip_prefix("id:")).map(|v| v.trim().to_string())
 }
 
+/// The pauses of a stream.
+struct Beat {
+    last: Tick,
+    first: Option<u64>,
+    gap: u64,
+}
+
+impl Beat {
+    fn event(&mut self, now: Tick) {
+        let pause = now.since(self.last);
+        self.last = now;
+        match self.first {
+            None => self.first = Some(pause),
+            Some(_) => self.gap = self.gap.max(pause),
+        }
+    }
+
+    /// A line for each stream that came late or paused too long.
+    fn tell(&self, p: &Plan, open: &Open) {
+        let first = self.first.unwrap_or(0);
+        if first > p.route.target_ms || p.route.gap_target_ms.is_some_and(|g| self.gap > g) {
+            jot!(Info, "late stream", "peer" => open.at.addr, "route" => p.route.name, "first_ms" => first,
+                "gap_ms" => self.gap, "tokens" => p.prompt.tokens_in, "load" => open.at.load());
+        }
+    }
+}
+
 /// How an upstream ended.
 enum Ended {
     Whole,
@@ -117,15 +144,17 @@
     out: Out,
 ) {
     let mut parts = Splitter::default();
+    let mut beat = Beat { last: p.came, first: None, gap: 0 };
     let (mut body, mut tx) = up;
     loop {
-        match forward(&s, &p, &open, &mut body, &mut parts, &out).await {
+        match forward(&s, &p, &open, &mut body, (&mut parts, &mut beat), &out).await {
             Ended::Whole => {
                 let rest = parts.rest();
                 if !rest.is_empty() {
                     let _ = out.send(Ok(Frame::data(rest))).await;
                 }
                 s.learn(&p.service, s.now().since(p.came) as f64);
+                beat.tell(&p, &open);
                 s.keep(&open.at, tx);
                 return;
             }
@@ -158,7 +187,7 @@
     p: &Plan,
     open: &Open,
     body: &mut Incoming,
-    parts: &mut Splitter,
+    (parts, beat): (&mut Splitter, &mut Beat),
     out: &Out,
 ) -> Ended {
     loop {
@@ -180,9 +209,9 @@
                 let Some(data) = f.data_ref() else { continue };
                 parts.push(data);
                 open.at.own.hear(s.now());
-                if let Some(events) = parts.whole()
-                    && out.send(Ok(Frame::data(events))).await.is_err()
-                {
+                let Some(events) = parts.whole() else { continue };
+                beat.event(s.now());
+                if out.send(Ok(Frame::data(events))).await.is_err() {
                     return Ended::Left;
                 }
             }
@@ -208,7 +237,7 @@
     }
     while s.now() < p.deadline && past.may_go_again(s, p) {
         let c = s.pick(p, past).ok()?;
-        let open = Open::new(s, p, c.clone());
+        let open = Open::new(s, c.clone());
         match s.attempt(p, &c, last).await {
             Outcome::Answer(head, body, tx) if head.status.is_success() => return Some((open, body, tx)),
             Outcome::NotSent(e) => past.failed(s, p, &c, e),
--- a/crates/track/src/serving/mix.rs
+++ b/crates/track/src/serving/mix.rs
@@ -1,8 +1,11 @@
 //! Which requests read long prompts (design 9.5), learned by route from what comes; and whether a
 //! service sees both kinds, so that they are kept apart. Pure.
 
-use super::choose::{Part, READS_PER_MS};
-use gauge::Service;
+use super::{
+    choose::{Part, READS_PER_MS, for_short},
+    fleet::Candidate,
+};
+use gauge::{Region, Service};
 use std::collections::HashMap;
 use timetable::Route;
 
@@ -20,8 +23,8 @@
     tokens: HashMap<String, f64>,
     /// Time spent reading long prompts, and short ones.
     spent: HashMap<Service, (f64, f64)>,
-    /// Requests with short prompts that are open here.
-    pub short_open: HashMap<Service, i64>,
+    /// Load of a service in a region, smoothed, and how many replicas its short prompts use.
+    short: HashMap<(Service, Region), (f64, usize)>,
 }
 
 impl Mix {
@@ -49,4 +52,13 @@
             (_, false) => Part::Short,
         }
     }
+
+    /// How many of a region's replicas are for short prompts; changes slowly.
+    pub fn short_ones(&mut self, service: &Service, region: &Region, cands: &[&Candidate]) -> usize {
+        let load: f64 = cands.iter().map(|c| c.load()).sum();
+        let (avg, ones) = self.short.entry((service.clone(), region.clone())).or_insert((load, 0));
+        *avg += (load - *avg) * 0.05;
+        *ones = for_short(cands, *avg, *ones);
+        *ones
+    }
 }
--- a/crates/track/src/serving/place.rs
+++ b/crates/track/src/serving/place.rs
@@ -91,7 +91,10 @@
             let (me, svc, pick) = (self.clone(), p.service.clone(), pick.clone());
             gauge::ground::spawn(async move {
                 let asked = me.now();
-                let told = me.router.settle(key, &svc, stale, Some(pick), TTL_MS).await;
+                let told = me
+                    .router
+                    .settle(key, &svc, stale, Some(pick), TTL_MS, me.router.set.timing.rail_ms)
+                    .await;
                 if let Some(Settled::Held { region, ver, .. }) = told {
                     let c = Cached { region, ver, heard: asked, until: asked + TTL_MS };
                     lock(&me.router.cache).insert((key, svc), c);
--- a/crates/track/src/serving/tell.rs
+++ b/crates/track/src/serving/tell.rs
@@ -12,7 +12,6 @@
     rail::Ask,
     router::{Router, lock},
 };
-use gauge::Service;
 use std::sync::Arc;
 
 impl Router {
@@ -46,14 +45,4 @@
             });
         }
     }
-
-    /// Requests with short prompts that this region's routers have open, taking the others for this
-    /// one's like.
-    pub fn short_load(&self, svc: &Service) -> f64 {
-        let here = lock(&self.mix).short_open.get(svc).copied().unwrap_or(0).max(0) as f64;
-        let l = self.router.ledger();
-        let peers =
-            l.routers().into_iter().filter(|m| self.site.areas.get(&m.card.area) == Some(&self.site.region));
-        here * peers.count().max(1) as f64
-    }
 }
--- a/crates/track/tests/leap.rs
+++ b/crates/track/tests/leap.rs
@@ -106,7 +106,7 @@
         asks.fetch_add(if first { 3_600_000 } else { 0 }, Ordering::AcqRel);
         async move {
             match ask {
-                Ask::Hail { idx } => Reply::Hailed { idx, inc: gauge::Incarnation(1) },
+                Ask::Hail { idx } => Reply::Hailed { idx, inc: gauge::Incarnation(1), fit: true },
                 _ => Reply::Done,
             }
         }
