--- a/crates/track/src/serving/carry.rs
+++ b/crates/track/src/serving/carry.rs
@@ -93,13 +93,12 @@
         let conns =
             |c: &Candidate| (c.own.open.load(std::sync::atomic::Ordering::Relaxed).max(0) as usize) < most;
         let reading = lock(&self.router.reading);
-        let mut wish = Wish {
+        let wish = Wish {
             prompt: &p.prompt,
             area: self.router.area(),
             region: &self.site.region,
             sticky: p.route.sticky,
-            part: p.part,
-            short_ones: 1,
+            long: p.long,
             pause_ms: p.route.gap_target_ms.unwrap_or(p.route.target_ms) as f64,
             reading: &reading,
             prefixes: &p.prefixes,
@@ -115,7 +114,6 @@
         for r in self.regions(p, &usable) {
             let cands: Vec<&Candidate> =
                 all.iter().filter(|c| c.region == r && usable(c)).filter(fit).collect();
-            wish.short_ones = lock(&self.mix).short_ones(&p.service, &r, &cands);
             if choose::hopeless(&cands, &wish, p.route.target_ms as f64) {
                 continue;
             }
--- a/crates/track/src/serving/choose.rs
+++ b/crates/track/src/serving/choose.rs
@@ -10,35 +10,22 @@
 const FULL: f64 = 0.9;
 /// What keeping even a short prefix where it is, is worth.
 const LEAST_KEPT_MS: f64 = 15.0;
-/// What a short prompt avoids among replicas that read long ones.
-const APART_MS: f64 = 60.0;
+/// What a full batch costs each request in it until its first event.
+const CROWD_MS: f64 = 100.0;
 /// Reading shared tokens once more loads the replica and is priced: this many times their own time.
 const AGAIN: f64 = 6.0;
 /// Part of the pause that streams may make, which reading beside them may take.
 const BESIDE: f64 = 0.6;
 /// What each millisecond above that costs, for each stream that runs there.
 const HURT: f64 = 0.5;
-/// Share of their slots up to which replicas are filled with short prompts, before more are taken.
-const FILLED: f64 = 0.4;
-
-/// Which part of a service's replicas a request belongs to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Part {
-    /// Long and short prompts are not kept apart.
-    Any,
-    Long,
-    Short,
-}
-
 /// What the choice goes by, besides the candidates.
 pub struct Wish<'a> {
     pub prompt: &'a Prompt,
     pub area: &'a Area,
     pub region: &'a Region,
     pub sticky: bool,
-    pub part: Part,
-    /// How many of a region's replicas short prompts use.
-    pub short_ones: usize,
+    /// Reading its prompt holds up what runs beside it.
+    pub long: bool,
     pub reading: &'a Reading,
     pub prefixes: &'a [(u64, u32)],
     pub reads_per_ms: f64,
@@ -67,7 +54,7 @@
     let slots = f64::from(c.slots);
     let over = (c.load() + 1.0 - slots * FULL).max(0.0);
     let wait = over * w.hold_ms / slots;
-    let batch = c.load() / slots * 40.0;
+    let batch = c.load() / slots * CROWD_MS;
     let reading = w.reading.wait_ms(&c.id, w.now);
     let tokens = u64::from(w.prompt.tokens_in) + u64::from(w.prompt.tokens_out);
     let tight = c.memory_total > 0 && c.memory_used + tokens > c.memory_total;
@@ -86,43 +73,18 @@
     c.memory_total == 0 || u64::from(p.tokens_in) + u64::from(p.tokens_out) <= c.memory_total
 }
 
-/// How many of these replicas short prompts need, by the load that is there; `was` changes only where
-/// the need is clearly another.
-pub fn for_short(cands: &[&Candidate], load: f64, was: usize) -> usize {
-    let slots: f64 = cands.iter().map(|c| f64::from(c.slots)).sum::<f64>() / cands.len().max(1) as f64;
-    let need = load / (slots * FILLED).max(1.0) + 1.0;
-    let same = need <= was as f64 && need > was as f64 - 1.5;
-    (if same { was } else { need.ceil() as usize }).clamp(1, cands.len().saturating_sub(1).max(1))
-}
-
-/// The replicas that short prompts use, by an order on which all routers agree.
-fn short_ones(cands: &[&Candidate], w: &Wish<'_>) -> Vec<u64> {
-    let mut order: Vec<u64> = cands.iter().map(|c| place(c)).collect();
-    order.sort_unstable();
-    order.truncate(w.short_ones);
-    order
-}
-
-fn place(c: &Candidate) -> u64 {
-    stable_hash(&[b"short", c.id.as_str().as_bytes()])
-}
-
 /// The best of these for the request: the least time until its first event, and what it costs those
 /// that run beside it.
 pub fn best<'a>(cands: &[&'a Candidate], w: &Wish<'_>) -> Option<&'a Candidate> {
-    let short = if w.part == Part::Any { Vec::new() } else { short_ones(cands, w) };
     let keeps = w.shared() > 0;
-    let first = cands.iter().filter(|c| short.is_empty() || short.contains(&place(c)));
-    let first = first.max_by_key(|c| w.claim(c)).map(|c| c.id.clone());
+    let first = cands.iter().max_by_key(|c| w.claim(c)).map(|c| c.id.clone());
     let score = |c: &Candidate| {
         let spread = stable_hash(&[&w.unit.to_le_bytes(), c.id.as_str().as_bytes()]) % 1000;
         let base = delay(c, w) + spread as f64 / 1000.0 * 4.0;
-        if w.part != Part::Long {
-            let apart = !short.is_empty() && !short.contains(&place(c));
-            let moved = keeps && first.as_ref() != Some(&c.id);
-            return base + if apart { APART_MS } else { 0.0 } + if moved { LEAST_KEPT_MS } else { 0.0 };
+        if w.long {
+            return base + reading_costs(c, w);
         }
-        base + reading_costs(c, w)
+        base + if keeps && first.as_ref() != Some(&c.id) { LEAST_KEPT_MS } else { 0.0 }
     };
     cands.iter().copied().min_by(|a, b| score(a).total_cmp(&score(b)))
 }
--- a/crates/track/src/serving/front.rs
+++ b/crates/track/src/serving/front.rs
@@ -2,7 +2,6 @@
 
 use super::{
     carry::back_ms,
-    choose::Part,
     plan::{Plan, deadline, user_key},
     reading,
     state::Serving,
@@ -98,8 +97,8 @@
             Err(_) => return no(StatusCode::REQUEST_TIMEOUT, "body not here in time", None),
         };
         let prompt = self.dialect.prompt(&head.headers);
-        let part = lock(&self.mix).note(&route, &service, prompt.tokens_in);
-        let prefixes = if part == Part::Long { reading::prefixes(&prompt) } else { Vec::new() };
+        let long = lock(&self.mix).long(&route, prompt.tokens_in);
+        let prefixes = if long { reading::prefixes(&prompt) } else { Vec::new() };
         let key = user_key(&route, &service, &prompt, &self.site.region);
         let mut headers = head.headers;
         strip(&mut headers);
@@ -110,7 +109,7 @@
             service,
             backend,
             prompt,
-            part,
+            long,
             prefixes,
             key,
             came,
--- a/crates/track/src/serving/plan.rs
+++ b/crates/track/src/serving/plan.rs
@@ -1,9 +1,6 @@
 //! What is to be done with a request, as data (design 9.2): made from its head, then carried out.
 
-use super::{
-    choose::Part,
-    dialect::{Names, Prompt},
-};
+use super::dialect::{Names, Prompt};
 use crate::tab::UserKey;
 use bytes::Bytes;
 use gauge::{Region, Service, Tick, rank::stable_hash};
@@ -16,7 +13,8 @@
     pub service: Service,
     pub backend: Arc<Backend>,
     pub prompt: Prompt,
-    pub part: Part,
+    /// Its route's prompts are long.
+    pub long: bool,
     pub prefixes: Vec<(u64, u32)>,
     /// What shares a long prefix, seen from one region, shares a placement.
     pub key: Option<UserKey>,
--- a/crates/track/src/serving/tell.rs
+++ b/crates/track/src/serving/tell.rs
@@ -1,13 +1,7 @@
 //! Routers of a region tell each other of long prompts (design 9.5): few requests, and each keeps a
 //! replica from all else for a while.
 
-use super::{
-    choose::{Part, READS_PER_MS},
-    fleet::Candidate,
-    plan::Plan,
-    reading::Note,
-    state::Serving,
-};
+use super::{choose::READS_PER_MS, fleet::Candidate, plan::Plan, reading::Note, state::Serving};
 use crate::{
     rail::Ask,
     router::{Router, lock},
@@ -23,7 +17,7 @@
 impl Serving {
     /// Notes a long prompt here, and tells the routers that send to the same replicas.
     pub fn tell(self: &Arc<Self>, p: &Plan, c: &Candidate) {
-        if p.part != Part::Long {
+        if !p.long {
             return;
         }
         let note = Note {
