--- a/crates/track/src/serving/carry.rs
+++ b/crates/track/src/serving/carry.rs
@@ -93,12 +93,13 @@
         let conns =
             |c: &Candidate| (c.own.open.load(std::sync::atomic::Ordering::Relaxed).max(0) as usize) < most;
         let reading = lock(&self.router.reading);
-        let wish = Wish {
+        let mut wish = Wish {
             prompt: &p.prompt,
             area: self.router.area(),
             region: &self.site.region,
             sticky: p.route.sticky,
             long: p.long,
+            apart: false,
             pause_ms: p.route.gap_target_ms.unwrap_or(p.route.target_ms) as f64,
             reading: &reading,
             prefixes: &p.prefixes,
@@ -114,6 +115,7 @@
         for r in self.regions(p, &usable) {
             let cands: Vec<&Candidate> =
                 all.iter().filter(|c| c.region == r && usable(c)).filter(fit).collect();
+            wish.apart = lock(&self.mix).meet(&p.service, &r, now);
             if choose::hopeless(&cands, &wish, p.route.target_ms as f64) {
                 continue;
             }
--- a/crates/track/src/serving/choose.rs
+++ b/crates/track/src/serving/choose.rs
@@ -18,6 +18,9 @@
 const BESIDE: f64 = 0.6;
 /// What each millisecond above that costs, for each stream that runs there.
 const HURT: f64 = 0.5;
+/// What a request avoids among replicas of the other kind.
+const APART_MS: f64 = 60.0;
+
 /// What the choice goes by, besides the candidates.
 pub struct Wish<'a> {
     pub prompt: &'a Prompt,
@@ -26,6 +29,8 @@
     pub sticky: bool,
     /// Reading its prompt holds up what runs beside it.
     pub long: bool,
+    /// Long and short prompts both come to these replicas.
+    pub apart: bool,
     pub reading: &'a Reading,
     pub prefixes: &'a [(u64, u32)],
     pub reads_per_ms: f64,
@@ -73,14 +78,28 @@
     c.memory_total == 0 || u64::from(p.tokens_in) + u64::from(p.tokens_out) <= c.memory_total
 }
 
+/// Replicas that read long prompts: half of them, by an order on which all routers agree.
+fn long_half(cands: &[&Candidate]) -> Vec<u64> {
+    let mut order: Vec<u64> = cands.iter().map(|c| place(c)).collect();
+    order.sort_unstable();
+    order.truncate(cands.len().div_ceil(2));
+    order
+}
+
+fn place(c: &Candidate) -> u64 {
+    stable_hash(&[b"long", c.id.as_str().as_bytes()])
+}
+
 /// The best of these for the request: the least time until its first event, and what it costs those
 /// that run beside it.
 pub fn best<'a>(cands: &[&'a Candidate], w: &Wish<'_>) -> Option<&'a Candidate> {
     let keeps = w.shared() > 0;
-    let first = cands.iter().max_by_key(|c| w.claim(c)).map(|c| c.id.clone());
+    let half = if w.apart { long_half(cands) } else { Vec::new() };
+    let other = |c: &Candidate| w.apart && half.contains(&place(c)) != w.long;
+    let first = cands.iter().max_by_key(|c| (!other(c), w.claim(c))).map(|c| c.id.clone());
     let score = |c: &Candidate| {
         let spread = stable_hash(&[&w.unit.to_le_bytes(), c.id.as_str().as_bytes()]) % 1000;
-        let base = delay(c, w) + spread as f64 / 1000.0 * 4.0;
+        let base = delay(c, w) + spread as f64 / 1000.0 * 4.0 + if other(c) { APART_MS } else { 0.0 };
         if w.long {
             return base + reading_costs(c, w);
         }
--- a/crates/track/src/serving/front.rs
+++ b/crates/track/src/serving/front.rs
@@ -97,7 +97,7 @@
             Err(_) => return no(StatusCode::REQUEST_TIMEOUT, "body not here in time", None),
         };
         let prompt = self.dialect.prompt(&head.headers);
-        let long = lock(&self.mix).long(&route, prompt.tokens_in);
+        let long = lock(&self.mix).long(&route, prompt.tokens_in, came);
         let prefixes = if long { reading::prefixes(&prompt) } else { Vec::new() };
         let key = user_key(&route, &service, &prompt, &self.site.region);
         let mut headers = head.headers;
--- a/crates/track/src/serving/tell.rs
+++ b/crates/track/src/serving/tell.rs
@@ -8,6 +8,9 @@
 };
 use std::sync::Arc;
 
+/// Up to so many members all are told; above, those of the regions at hand.
+const TELL_ALL: usize = 32;
+
 impl Router {
     pub fn heard_of(&self, n: &Note) {
         lock(&self.reading).note(n, READS_PER_MS, self.now());
@@ -28,9 +31,11 @@
         };
         self.router.heard_of(&note);
         let l = self.router.ledger();
+        let few = l.members.len() <= TELL_ALL;
         let near = |m: &&interlocking::Member| {
             let r = self.site.areas.get(&m.card.area);
-            (r == Some(&self.site.region) || r == Some(&c.region)) && m.card.node != *self.router.node()
+            let same = r == Some(&self.site.region) || r == Some(&c.region);
+            (few || same) && m.card.node != *self.router.node()
         };
         for m in l.routers().into_iter().filter(near) {
             let (me, to, note) = (self.router.clone(), m.card.rail, note.clone());
