What this router sent since the figures, the others have sent too

Cause: herds on stale figures. Figures are up to a second old; each router filled what they showed as free by itself, so twelve sent twelve times that: replicas with 16 open by the figures turned requests away as full (468 of 15385), first events took 0.8 to 2 s. Change: a replica's load is what the figures told plus this router's own change since, times the routers that go by them. Ruled out: too few replicas for short prompts (the spread over all was no better), reading beside them (first events were late, not pauses).

--- a/crates/track/src/serving/fleet.rs
+++ b/crates/track/src/serving/fleet.rs
@@ -50,8 +50,11 @@
     pub draining: bool,
     pub well: bool,
     pub cold_until: Tick,
-    /// What all others had there when the figures were fresh.
-    pub others: i64,
+    /// What all had there when the figures were fresh, and this router among them.
+    pub all: i64,
+    pub mine: i64,
+    /// Routers that go by the same figures: what this one sent since, they have sent too.
+    pub routers: i64,
     pub waiting: u32,
     pub memory_used: u64,
     pub memory_total: u64,
@@ -60,7 +63,8 @@
 
 impl Candidate {
     pub fn load(&self) -> f64 {
-        (self.others + self.own.open.load(Ordering::Relaxed).max(0)) as f64
+        let open = self.own.open.load(Ordering::Relaxed).max(0);
+        (self.all + (open - self.mine) * self.routers).max(open) as f64
     }
 }
 
@@ -113,7 +117,7 @@
     }
 
     /// Folds all boards into what may be chosen. `valid_ms` is how long figures lend.
-    pub fn fleet(&mut self, areas: &BTreeMap<Area, Region>, valid_ms: u64) -> Fleet {
+    pub fn fleet(&mut self, areas: &BTreeMap<Area, Region>, routers: usize, valid_ms: u64) -> Fleet {
         let mut out = Fleet::default();
         for (area, h) in &self.heard {
             let Some(region) = areas.get(area) else { continue };
@@ -131,7 +135,9 @@
                     draining: r.draining,
                     well: r.well,
                     cold_until: h.at + r.cold_left_ms,
-                    others: (all - mine).max(0),
+                    all: all.max(mine),
+                    mine,
+                    routers: routers.max(1) as i64,
                     waiting: r.waiting,
                     memory_used: r.memory_used,
                     memory_total: r.memory_total,
--- a/crates/track/src/serving/watch.rs
+++ b/crates/track/src/serving/watch.rs
@@ -54,7 +54,7 @@
         let mut g = lock(&self.folds);
         if g.take(b, at) {
             let valid = self.router.set.timing.stale_ms();
-            let fleet = g.fleet(&self.site.areas, valid);
+            let fleet = g.fleet(&self.site.areas, self.routers().len(), valid);
             let listed = |id: &ReplicaId| fleet.by_service.values().flatten().any(|c| c.id == *id);
             lock(&self.router.reading).retain(&listed);
             self.fleet.store(Arc::new(fleet));
