A world counts calls by kind and bytes by host; two variants grow worse by an order

Cause: the target of two years needs slopes of messages and state for each role, and nothing counted them. Change: gauge::ground::Tally, off unless a run turns it on, fed at the one place that makes calls and the one that carries bytes. hails-squared and hears-by-pair switch on growth by the square of the members, in a world only. Conclusion: daemons on the machine's own network count nothing and behave as before.

--- a/crates/gauge/src/ground/mod.rs
+++ b/crates/gauge/src/ground/mod.rs
@@ -5,10 +5,12 @@
 mod host;
 mod net;
 mod pipe;
+mod tally;
 mod world;
 
 pub use host::{Host, spawn, spawn_at};
 pub use net::{Listener, Stream, bind, dial};
+pub use tally::{Calls, Kind, Tally, Traffic};
 pub use world::{Weather, World};
 
 use rand::{Rng, distr::StandardUniform, distr::uniform::SampleRange, prelude::Distribution};
--- a/crates/gauge/src/ground/pipe.rs
+++ b/crates/gauge/src/ground/pipe.rs
@@ -128,6 +128,7 @@
         let at = p.last.max(Instant::now() + travel);
         p.last = at;
         p.bytes += buf.len();
+        self.world.tally.bytes(p.from, p.to, buf.len());
         p.chunks.push_back((at, Bytes::copy_from_slice(buf)));
         p.reader.take().into_iter().for_each(Waker::wake);
         Poll::Ready(Ok(buf.len()))
--- a/crates/gauge/src/ground/world.rs
+++ b/crates/gauge/src/ground/world.rs
@@ -1,6 +1,6 @@
 //! A world in memory: who listens where, which links are cut, and the dice (design 7.2).
 
-use super::{host::Host, pipe::MemStream};
+use super::{host::Host, pipe::MemStream, tally::Tally};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -38,6 +38,7 @@
     parked: Mutex<Vec<Waker>>,
     weather: Mutex<Weather>,
     pub broken: Option<String>,
+    pub tally: Tally,
 }
 
 pub(super) fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -62,6 +63,7 @@
                 parked: Mutex::default(),
                 weather: Mutex::default(),
                 broken,
+                tally: Tally::default(),
             });
             super::put(Some(w.clone()));
             f(w).await
--- a/crates/gauge/src/link.rs
+++ b/crates/gauge/src/link.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     fault::{At, Fault, within},
-    ground::{Listener, Stream, spawn},
+    ground::{self, Listener, Stream, spawn},
     jot,
-    wire::{Codec, PROTO},
+    wire::{Codec, PROTO, enc},
 };
 use futures::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -50,6 +50,11 @@
     f.map_codec(|_| codec)
 }
 
+/// Bytes of a value on the wire, frame apart.
+fn length<T: Serialize>(v: &T) -> usize {
+    enc(v).map_or(0, |b| b.len())
+}
+
 /// What a call outlives its own time-out by, at most, at the node that is asked.
 const SPARE: Duration = Duration::from_secs(600);
 
@@ -77,6 +82,8 @@
     }
 
     pub async fn call_within(&self, ms: u64, step: &'static str, to: SocketAddr, q: Q) -> Result<R, Fault> {
+        let counted = ground::world().filter(|w| w.tally.on());
+        let asked = counted.as_ref().map_or(0, |_| length(&q));
         let res = within(ms, step, to, async {
             let ch = self.channel(to).await?;
             let mut ctx = context::current();
@@ -85,6 +92,10 @@
             ch.call(ctx, q).await.at(step, to)
         })
         .await;
+        if let Some(w) = counted {
+            let ends = (self.me.ip, to.ip());
+            w.tally.call(ends, (self.service, step), asked, res.as_ref().ok().map(length));
+        }
         if res.is_err() {
             self.lock().remove(&to);
         }
--- a/crates/track/src/cut.rs
+++ b/crates/track/src/cut.rs
@@ -54,7 +54,9 @@
             wakeup.tick().await;
             let l = self.ledger();
             self.note_standing();
-            for m in l.members.values().filter(|m| m.card.node != *self.node()) {
+            let turns = if gauge::ground::broken("hails-squared") { l.members.len() / 4 } else { 1 };
+            let others = l.members.values().filter(|m| m.card.node != *self.node());
+            for m in others.flat_map(|m| std::iter::repeat_n(m, turns)) {
                 let (me, m, idx) = (self.clone(), m.clone(), l.idx);
                 // Counted from here: an answer may lie in a socket for as long as this node is frozen.
                 let asked = me.now();
@@ -74,7 +76,7 @@
                         }
                     };
                     if let Some(idx) = idx {
-                        lock(&me.heard).insert(m.card.node.clone(), asked);
+                        me.hear(m.card.node.clone(), asked);
                         if m.card.role == Role::Router {
                             me.news_from(to, idx).await;
                         }
@@ -87,6 +89,15 @@
         }
     }
 
+    fn hear(&self, n: NodeId, asked: gauge::Tick) {
+        let mut heard = lock(&self.heard);
+        if gauge::ground::broken("hears-by-pair") {
+            let by = |m: &NodeId| NodeId::new(format!("{n}/{m}"));
+            heard.extend(self.ledger().members.keys().map(|m| (by(m), asked)));
+        }
+        heard.insert(n, asked);
+    }
+
     /// Changes of the own standing go into the journal.
     fn note_standing(&self) {
         let (cut, epoch) = (self.cut_off(), self.member.held().epoch);
