--- a/crates/trainset/src/main.rs
+++ b/crates/trainset/src/main.rs
@@ -10,6 +10,7 @@
     fault::Fault,
     fleet::Fleet,
     run::{run, told},
+    scale::{self, ScalePlan, Sizes, scale_plan},
     sim::{
         Broken,
         sweep::{sweep, sweep_data},
@@ -88,6 +89,20 @@
         #[bpaf(argument("NAME"))]
         broken: Option<Variant>,
     },
+    /// Measures what each role holds, sends and spends at growing sizes, as JSON lines
+    #[bpaf(command)]
+    Scale {
+        /// Node counts, such as 12,24,48
+        #[bpaf(argument("N,N"), fallback(Sizes(vec![12, 24, 48, 93])))]
+        nodes: Sizes,
+        #[bpaf(external(scale_plan))]
+        plan: ScalePlan,
+        /// Starts real processes instead, without requests, and measures processor time and memory
+        real: bool,
+        /// Folder for real processes; a new one must be empty
+        #[bpaf(argument("DIR"), fallback("run/scale".into()))]
+        dir: PathBuf,
+    },
     /// Runs placement and lending under virtual time over many seeds
     #[bpaf(command("sim-data"))]
     SimData {
@@ -147,6 +162,7 @@
             let plan = WorldPlan { firm, seconds, rate, faults, calm, broken };
             tokio::task::spawn_blocking(move || sweep_worlds(&plan, from, seeds, verbose, all)).await?
         }
+        Opts::Scale { nodes, plan, real, dir } => scale::sweep(plan, nodes, real, &dir).await,
         Opts::SimData { from, seeds } => {
             ensure!((1..=10_000_000).contains(&seeds), "--seeds: {seeds}; allowed: 1 to 10000000");
             sweep_data(from, seeds)
--- a/crates/trainset/src/node.rs
+++ b/crates/trainset/src/node.rs
@@ -103,6 +103,14 @@
             .wrap_err_with(|| format!("start {prog:?} (built with: cargo build --workspace)"))
     }
 
+    /// Of a real process, while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        match &self.life {
+            Some(Life::Process(c)) => c.id(),
+            _ => None,
+        }
+    }
+
     fn signal(&self, s: Signal) -> Result<()> {
         match &self.life {
             Some(Life::Process(c)) => {
--- /dev/null
+++ b/crates/trainset/src/scale/hollow.rs
@@ -0,0 +1,75 @@
+//! Hollow nodes: the routers' own code on hosts of a world, without the listener for callers. They
+//! hold memberships, follow the news, take part in figures, duties, passes and placements.
+
+use super::layout::Layout;
+use crate::node::Node;
+use eyre::{Result, WrapErr};
+use gauge::{
+    Clock, Incarnation, JobId,
+    ground::{Host, World, bind, draw, draw_in},
+    settings::Settings,
+};
+use interlocking::{Role, change::Card, member::Member};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use tokio::sync::oneshot;
+use track::{plan::Plan, router::Router, tab::UserKey};
+
+/// Users that take turns, for each request a second: each asks every few minutes.
+const USERS: f64 = 240.0;
+
+pub struct Hollow {
+    pub name: String,
+    pub area: &'static str,
+    pub host: Arc<Host>,
+    pub router: Arc<Router>,
+}
+
+impl Hollow {
+    pub async fn start(w: &Arc<World>, n: &Node, lay: &Layout) -> Result<Hollow> {
+        let (tell, told) = oneshot::channel();
+        let (set, lay) = (n.settings(), *lay);
+        let host = w.host(n.ip);
+        host.spawn(async move {
+            let Ok(rail) = bind(set.rail).await else { return };
+            let router = stand(set, rail);
+            let _ = tell.send(router.clone());
+            place_users(router, lay).await;
+        });
+        let router = told.await.wrap_err_with(|| format!("{} did not start", n.name))?;
+        Ok(Hollow { name: n.name.clone(), area: n.area, host, router })
+    }
+}
+
+/// As `track::daemon::run` does it, up to the listener for callers.
+fn stand(set: Settings, rail: gauge::ground::Listener) -> Arc<Router> {
+    let card = Card::of(&set, Role::Router, Incarnation(draw::<u64>() >> 1));
+    let clock = Clock::default();
+    let member = Member::new(set.clone(), card, clock.clone());
+    let router = Router::new(set.clone(), member, clock);
+    router.start(&set, rail);
+    router
+}
+
+/// Places users at this router's part of the requests; nothing is carried.
+async fn place_users(r: Arc<Router>, lay: Layout) {
+    let rate = lay.requests / lay.routers() as f64;
+    if rate <= 0.0 {
+        return;
+    }
+    let users = (lay.requests * USERS) as usize + 1;
+    loop {
+        let gap = -(1.0 - draw::<f64>()).ln() / rate;
+        tokio::time::sleep(Duration::from_secs_f64(gap)).await;
+        let Some(governing) = r.governing.load_full() else { continue };
+        let n = draw_in(0..governing.table.entries.len());
+        let entry = governing.table.entries[n].clone();
+        let key = Some(UserKey::of("t0", "header", &draw_in(0..users).to_le_bytes()));
+        let homes = governing.table.homes(&entry, None);
+        let (job, deadline) = (JobId::new("scale"), r.now() + entry.deadline_ms);
+        let plan = Plan { job, governing, entry, tenant: None, homes, key, deadline, inner: false };
+        let me = r.clone();
+        gauge::ground::spawn(async move {
+            let _ = me.place(&plan, &BTreeSet::new()).await;
+        });
+    }
+}
