--- a/crates/trainset/src/scale/mod.rs
+++ b/crates/trainset/src/scale/mod.rs
@@ -106,7 +106,10 @@
     if !real {
         bound::check(&p, &sizes.0, machine)?;
         return tokio::task::spawn_blocking(move || {
-            sizes.0.iter().try_for_each(|n| Ok(println!("{}", serde_json::to_string(&run::one(&p, *n)?)?)))
+            for n in &sizes.0 {
+                println!("{}", serde_json::to_string(&run::one(&p, *n)?)?);
+            }
+            Ok(())
         })
         .await?;
     }
--- a/crates/trainset/src/scale/real.rs
+++ b/crates/trainset/src/scale/real.rs
@@ -6,12 +6,15 @@
     run::{furnish, operator},
     usage,
 };
-use crate::node::{Node, Yard};
+use crate::{
+    node::{Node, Yard},
+    standin::StandIn,
+};
 use eyre::{Result, ensure, eyre};
 use gauge::http::ask;
 use hyper::Method;
 use serde::Serialize;
-use std::{path::Path, time::Duration};
+use std::{path::Path, sync::Arc, time::Duration};
 use tokio::time::sleep;
 
 #[derive(Clone, Debug, Serialize)]
@@ -34,23 +37,33 @@
     let bin = std::env::current_exe()?;
     let yard = Yard::Programs(bin.parent().map(Path::to_path_buf).unwrap_or_default());
     let mut fleet = lay.fleet(dir);
+    let backs = lay.backs();
     let stopped = gauge::settings::told_to_stop()?;
     let res = tokio::select! {
-        r = stand(p, lay, &yard, &mut fleet) => r,
+        r = stand(p, lay, &yard, &mut fleet, &backs) => r,
         _ = stopped => Err(eyre!("told to stop")),
     };
     for n in &mut fleet {
         n.kill().await?;
     }
+    backs.iter().for_each(|b| b.crash());
+    // Their tasks are dropped when they are next looked at; then the ports are free.
+    sleep(Duration::from_millis(50)).await;
     res
 }
 
-async fn stand(p: &ScalePlan, lay: Layout, yard: &Yard, fleet: &mut [Node]) -> Result<Vec<RealRow>> {
-    let (op, backs) = (operator(&lay, fleet), lay.backs());
+async fn stand(
+    p: &ScalePlan,
+    lay: Layout,
+    yard: &Yard,
+    fleet: &mut [Node],
+    backs: &[Arc<StandIn>],
+) -> Result<Vec<RealRow>> {
+    let op = operator(&lay, fleet);
     for n in fleet.iter_mut().filter(|n| n.core) {
         n.start(yard)?;
     }
-    furnish(&op, &lay, &backs).await?;
+    furnish(&op, &lay, backs).await?;
     for n in fleet.iter_mut().filter(|n| !n.core) {
         n.start(yard)?;
     }
