trainset scale counts long polls that are open when a span begins

Cause: a call was counted only if it began within the span, so watch and news were told a fifth too low at five seconds. Change: counting begins three seconds before the span and starts anew with it. Bytes of the whole were right before.

--- a/crates/trainset/src/scale/run.rs
+++ b/crates/trainset/src/scale/run.rs
@@ -154,6 +154,9 @@
         // Figures, passes and placements are there after a full set of checks.
         sleep(Duration::from_secs(5)).await;
         let leader = self.leader().await?;
+        // Long polls that are open when a span begins count too.
+        w.tally.begin();
+        sleep(Duration::from_secs(3)).await;
         let cpu = usage::thread_ms();
         w.tally.begin();
         sleep(span).await;
@@ -161,6 +164,8 @@
         let cpu = usage::thread_ms() - cpu;
         let roles = self.roles(leader, &calm, p.seconds);
         w.tally.begin();
+        sleep(Duration::from_secs(3)).await;
+        w.tally.begin();
         let gap = Duration::from_secs_f64(3_600.0 / p.changes);
         let (governs, made) = changes(&self.op, &lay, &self.hollow, gap, span).await;
         let busy = self.roles(leader, &w.tally.end(), p.seconds);
