--- a/crates/track/src/serving/front.rs
+++ b/crates/track/src/serving/front.rs
@@ -17,9 +17,13 @@
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
+use timetable::Route;
 
 type Res = Response<Body>;
 
+/// A client that has spent so much of the route's time comes for a second time.
+const SPENT_MS: u64 = 50;
+
 fn close(mut r: Res) -> Res {
     r.headers_mut().insert("connection", hyper::header::HeaderValue::from_static("close"));
     r
@@ -42,34 +46,42 @@
         Ok(if draining() { close(res) } else { res })
     }
 
-    /// A node that has just started learns within a few beats what is in force; its first requests
-    /// wait for that, within a quarter of a seat's patience.
-    async fn await_fit(&self) -> Option<&'static str> {
-        let until = self.now() + self.router.set.timing.patience_ms() / 4;
+    /// A node that has just started learns within a few beats what is in force. A first try waits a
+    /// quarter of a seat's patience for that: it is told when to come back. A later one, of which the
+    /// client has spent some of the route's time, has no other: it waits for a tenure, or half of
+    /// what it has left.
+    async fn await_fit(&self, head: &hyper::http::request::Parts, left: u64) -> Option<&'static str> {
+        let (began, t) = (self.now(), &self.router.set.timing);
         while let Some(why) = self.unfit().filter(|w| *w != "draining") {
-            if self.now() >= until {
+            let later = self.route(head).is_some_and(|r| left > 0 && left + SPENT_MS < r.hold_ms);
+            let most = if later { t.tenure_ms.min(left / 2) } else { t.patience_ms() / 4 };
+            if self.now().since(began) >= most {
                 return Some(why);
             }
-            tokio::time::sleep(Duration::from_millis(self.router.set.timing.beat_ms() / 4)).await;
+            tokio::time::sleep(Duration::from_millis(t.beat_ms() / 4)).await;
         }
         None
     }
 
+    fn route(&self, head: &hyper::http::request::Parts) -> Option<Arc<Route>> {
+        let host = head.headers.get("host").and_then(|v| v.to_str().ok());
+        let host = host.or_else(|| head.uri.host()).unwrap_or("");
+        self.map.load().as_ref()?.find(host, head.uri.path()).cloned()
+    }
+
     async fn plan(&self, req: Request<Incoming>, peer: SocketAddr) -> Result<Plan, Box<Res>> {
         let came = self.now();
         let no = |code, why, back: Option<u64>| Err(Box::new(self.refused(code, why, back)));
-        let left = req.headers().get(&self.dialect.names().time_left);
+        let (head, body) = req.into_parts();
+        let left = head.headers.get(&self.dialect.names().time_left);
         let left = left.and_then(|v| v.to_str().ok()?.trim().parse().ok()).unwrap_or(0);
-        if let Some(why) = self.await_fit().await {
+        if let Some(why) = self.await_fit(&head, left).await {
             return no(StatusCode::SERVICE_UNAVAILABLE, why, Some(back_ms(left)));
         }
         let Some(map) = self.map.load_full() else {
             return no(StatusCode::SERVICE_UNAVAILABLE, "no configuration", Some(back_ms(left)));
         };
-        let (head, body) = req.into_parts();
-        let host = head.headers.get("host").and_then(|v| v.to_str().ok());
-        let host = host.or_else(|| head.uri.host()).unwrap_or("");
-        let Some(route) = map.find(host, head.uri.path()).cloned() else {
+        let Some(route) = self.route(&head) else {
             return no(StatusCode::NOT_FOUND, "no route", None);
         };
         let service = route.service(gauge::ground::draw()).cloned();
