--- a/crates/track/src/serving/mod.rs
+++ b/crates/track/src/serving/mod.rs
@@ -16,6 +16,7 @@
 pub mod place;
 pub mod plan;
 pub mod pool;
+pub mod publication;
 pub mod reading;
 pub mod retries;
 pub mod state;
--- a/crates/track/src/serving/watch.rs
+++ b/crates/track/src/serving/watch.rs
@@ -9,7 +9,7 @@
 };
 use crate::{
     rail::{Ask, Reply},
-    router::{Publication, lock},
+    router::lock,
 };
 use gauge::{Area, Fence, NodeId, ReplicaId, Tick, fault::Fault, http::ask, jot};
 use hyper::{Method, StatusCode};
@@ -222,30 +222,3 @@
     let mut n = v.split(',').map(|x| x.trim().parse::<u32>().ok());
     Some(super::EngineReport { running: n.next()??, waiting: n.next()??, ..Default::default() })
 }
-
-impl crate::router::Router {
-    /// What this node publishes of an area, newer than `seq`; being asked makes it publish.
-    pub async fn tell_board(&self, area: Area, seq: u64, wait_ms: u64) -> Option<Board> {
-        let came = self.now();
-        let mut rx = {
-            let mut g = lock(&self.boards);
-            let p = g
-                .entry(area)
-                .or_insert_with(|| Publication { tx: tokio::sync::watch::channel(None).0, asked: came });
-            p.asked = came;
-            p.tx.subscribe()
-        };
-        let newer = |b: &Option<(Arc<Board>, Tick)>| {
-            b.as_ref().is_some_and(|b| b.0.seq > seq || seq > b.0.seq + 1_000)
-        };
-        let _ = tokio::time::timeout(Duration::from_millis(wait_ms.min(10_000)), rx.wait_for(newer)).await;
-        let (b, at) = rx.borrow().clone()?;
-        let now = self.now();
-        let (age_ms, waited_ms) = (now.since(at), now.since(came));
-        (age_ms <= self.set.timing.stale_ms() && b.seq != seq).then(|| Board {
-            age_ms,
-            waited_ms,
-            ..Board::clone(&b)
-        })
-    }
-}
