--- a/crates/track/src/serving/choose.rs
+++ b/crates/track/src/serving/choose.rs
@@ -78,11 +78,12 @@
     c.memory_total == 0 || u64::from(p.tokens_in) + u64::from(p.tokens_out) <= c.memory_total
 }
 
-/// Replicas that read long prompts: half of them, by an order on which all routers agree.
+/// Replicas that read long prompts: half of them, or one less than the others, by an order on which
+/// all routers agree.
 fn long_half(cands: &[&Candidate]) -> Vec<u64> {
     let mut order: Vec<u64> = cands.iter().map(|c| place(c)).collect();
     order.sort_unstable();
-    order.truncate(cands.len().div_ceil(2));
+    order.truncate((cands.len() / 2).max(1));
     order
 }
 
