Tests of the pure rooms of serving by routes

Cause: routes, boards, choice, cold allowance, further tries and events had no tests of their own; herds on stale figures and cuts between events were found only under load.

Change: one test binary, `serving`, with a module for each room.

Conclusion: the rooms hold what their heads say in the cases tried.

--- /dev/null
+++ b/crates/track/tests/serving/board.rs
@@ -0,0 +1,108 @@
+//! Tests of `track::serving::board` and of what a probe's head tells.
+
+use crate::kit::{board, row};
+use gauge::Tick;
+use hyper::{HeaderMap, header::HeaderValue};
+use rstest::rstest;
+use track::serving::{
+    EngineReport, Listed,
+    board::{Probed, Row, Watched, lends},
+    watch::load_of,
+};
+
+const TOLD: EngineReport = EngineReport { running: 3, waiting: 1, memory_used: 5, memory_total: 9 };
+
+/// Well or not after each of these, where two looks in silence are too many.
+#[rstest]
+#[case::silence(&[Probed::Silent, Probed::Silent, Probed::Silent], &[true, false, false])]
+#[case::heard_between(&[Probed::Silent, Probed::Told(TOLD), Probed::Silent], &[true, true, true])]
+#[case::refused(&[Probed::Refused, Probed::Told(TOLD)], &[false, true])]
+#[case::unwell(&[Probed::Unwell, Probed::Silent], &[false, false])]
+fn wellness(#[case] probes: &[Probed], #[case] want: &[bool]) {
+    let mut w = Watched::default();
+    let got: Vec<bool> = probes
+        .iter()
+        .map(|p| {
+            w.fold(*p, 2);
+            w.well(2)
+        })
+        .collect();
+    assert_eq!(got, want);
+}
+
+/// The last report stands while nothing newer is told.
+#[rstest]
+#[case::ready(false, None, false)]
+#[case::draining(true, None, true)]
+#[case::to_be_taken_away(false, Some(30_000), true)]
+fn rows_join_list_and_report(#[case] draining: bool, #[case] time_left_ms: Option<u64>, #[case] want: bool) {
+    let mut w = Watched::default();
+    w.fold(Probed::Told(TOLD), 2);
+    w.fold(Probed::Silent, 2);
+    let l = Listed {
+        id: "r1".into(),
+        service: "chat".into(),
+        addr: ([10, 0, 1, 1], 80).into(),
+        area: "n1".into(),
+        slots: 20,
+        draining,
+        cold_left_ms: 700,
+        time_left_ms,
+    };
+    let told = Row { waiting: 1, memory_used: 5, memory_total: 9, cold_left_ms: 700, ..row(1, 3) };
+    assert_eq!(w.row(&l, 2), Row { draining: want, ..told });
+}
+
+/// A share of the room below 0.95 of the slots, by service, cut into equal parts for those who ask.
+#[rstest]
+#[case::one_asker(0.8, 1, 16)]
+#[case::parts_round_up(0.8, 3, 6)]
+#[case::nobody_yet(0.8, 0, 16)]
+#[case::nothing_lent(0.0, 1, 0)]
+fn lends_a_share_of_warm_room(#[case] share: f64, #[case] askers: usize, #[case] want: u32) {
+    let rows = [
+        row(1, 9),
+        Row { waiting: 9, ..row(2, 0) },
+        row(3, 40),
+        Row { well: false, ..row(4, 0) },
+        Row { draining: true, ..row(5, 0) },
+        Row { cold_left_ms: 1, ..row(6, 0) },
+        Row { service: "draw".into(), ..row(7, 19) },
+    ];
+    assert_eq!(lends(&rows, share, askers), [("chat".into(), want), ("draw".into(), 0)].into());
+}
+
+/// Figures are as old as their publisher says, and never younger than when they came.
+#[rstest]
+#[case::at_once(0, 0, 1_000)]
+#[case::waited(300, 0, 1_300)]
+#[case::aged(0, 200, 800)]
+#[case::waited_longer_than_it_took(900, 100, 1_400)]
+fn fresh_at_the_latest(#[case] waited_ms: u64, #[case] age_ms: u64, #[case] want: u64) {
+    let mut b = board("n1", 1, vec![]);
+    (b.waited_ms, b.age_ms) = (waited_ms, age_ms);
+    assert_eq!(b.fresh_at(Tick(1_000), Tick(1_500)), Tick(want));
+}
+
+#[rstest]
+#[case::three(b"3,4,8", Some((3, 4)))]
+#[case::two(b"3,4", Some((3, 4)))]
+#[case::spaces(b" 3 , 4 ", Some((3, 4)))]
+#[case::odd_slots(b"3,4,many", Some((3, 4)))]
+#[case::one(b"3", None)]
+#[case::none(b"", None)]
+#[case::word(b"a,4", None)]
+#[case::second_word(b"3,b", None)]
+#[case::negative(b"-1,4", None)]
+#[case::fraction(b"1.5,4", None)]
+#[case::too_large(b"4294967296,0", None)]
+#[case::largest(b"4294967295,0", Some((u32::MAX, 0)))]
+#[case::gap(b"3,,4", None)]
+#[case::no_text(b"\xff,1", None)]
+fn load_of_odd_values(#[case] value: &[u8], #[case] want: Option<(u32, u32)>) {
+    let name = hyper::header::HeaderName::from_static("x-load");
+    assert_eq!(load_of(&HeaderMap::new(), &name), None);
+    let h = HeaderMap::from_iter([(name.clone(), HeaderValue::from_bytes(value).expect("a value"))]);
+    let want = want.map(|(running, waiting)| EngineReport { running, waiting, ..Default::default() });
+    assert_eq!(load_of(&h, &name), want);
+}
--- /dev/null
+++ b/crates/track/tests/serving/choose.rs
@@ -0,0 +1,153 @@
+//! Tests of `track::serving::choose`.
+
+use crate::kit::{candidates, prompt, row};
+use gauge::{ReplicaId, Tick};
+use rstest::rstest;
+use std::collections::BTreeSet;
+use track::serving::{
+    Prompt,
+    choose::{READS_PER_MS, Wish, best, fits, hopeless},
+    fleet::Candidate,
+    reading::{Note, Reading, prefixes},
+};
+
+const NOW: Tick = Tick(100_000);
+
+struct Asked<'a> {
+    prompt: &'a Prompt,
+    reading: &'a Reading,
+    long: bool,
+    apart: bool,
+}
+
+/// Whom a request may come to, over many draws.
+fn chosen(cands: &[Candidate], a: &Asked<'_>) -> BTreeSet<ReplicaId> {
+    let cands: Vec<&Candidate> = cands.iter().collect();
+    let of = prefixes(a.prompt);
+    let one = |n: u32| {
+        let w = Wish {
+            prompt: a.prompt,
+            area: &"n1".into(),
+            region: &"north".into(),
+            sticky: true,
+            long: a.long,
+            apart: a.apart,
+            reading: a.reading,
+            prefixes: if a.long { &of } else { &[] },
+            reads_per_ms: READS_PER_MS,
+            pause_ms: 200.0,
+            now: NOW,
+            hold_ms: 300.0,
+            unit: f64::from(n) / 400.0,
+        };
+        best(&cands, &w).expect("candidates").id.clone()
+    };
+    (0..400).map(one).collect()
+}
+
+fn idle(n: usize) -> Vec<Candidate> {
+    candidates((0..n).map(|i| row(i, 0)).collect(), 1)
+}
+
+/// A long prompt of 20000 tokens, 18000 of them kept at `r2`, which still reads so many of others.
+#[rstest]
+#[case::nothing_else(0, true)]
+#[case::a_short_wait(25_000, true)]
+#[case::a_wait_below_reading_again(90_000, true)]
+#[case::a_wait_above_it(200_000, false)]
+fn long_prompts_go_where_their_prefix_is(#[case] others: u32, #[case] kept: bool) {
+    let p = prompt(&[(1, 10_000), (2, 8_000), (3, 2_000)], 20_000);
+    let mut reading = Reading::default();
+    let note = |prefixes, tokens| Note { replica: "r2".into(), prefixes, tokens, memory: 1_000_000 };
+    reading.note(&note(prefixes(&p), 20_000), READS_PER_MS, Tick(0));
+    reading.note(&note(vec![], others), READS_PER_MS, NOW);
+    let got = chosen(&idle(6), &Asked { prompt: &p, reading: &reading, long: true, apart: false });
+    assert_eq!(got == BTreeSet::from(["r2".into()]), kept, "{got:?}");
+    assert_eq!(got.contains(&"r2".into()), kept, "{got:?}");
+}
+
+/// Where both kinds meet, short prompts and long ones have a half each; else all are for both.
+#[test]
+fn halves_are_kept_apart() {
+    let (p, reading) = (prompt(&[], 500), Reading::default());
+    let cands = idle(11);
+    let of = |long, apart| chosen(&cands, &Asked { prompt: &p, reading: &reading, long, apart });
+    let (long, short) = (of(true, true), of(false, true));
+    assert_eq!((long.len(), short.len()), (6, 5));
+    assert!(long.is_disjoint(&short));
+    assert_eq!((of(true, false).len(), of(false, false).len()), (11, 11));
+}
+
+/// Short prompts leave their half once it is loaded, by so many of 20 slots.
+#[rstest]
+#[case::idle(0, false)]
+#[case::some(10, false)]
+#[case::full(20, true)]
+fn short_prompts_spill_over(#[case] running: u32, #[case] spills: bool) {
+    let (p, reading) = (prompt(&[], 500), Reading::default());
+    let asked = Asked { prompt: &p, reading: &reading, long: false, apart: true };
+    let half = chosen(&idle(10), &asked);
+    let loaded = |n: usize| if half.contains(&format!("r{n}").as_str().into()) { running } else { 0 };
+    let got = chosen(&candidates((0..10).map(|n| row(n, loaded(n))).collect(), 1), &asked);
+    assert_eq!(!got.is_subset(&half), spills, "{got:?}");
+}
+
+/// A shared prefix stays at one replica while that is idle, whoever asks; what is not shared spreads.
+#[test]
+fn short_prefixes_stay_together() {
+    let reading = Reading::default();
+    let of = |p: &Prompt, cands: &[Candidate]| {
+        chosen(cands, &Asked { prompt: p, reading: &reading, long: false, apart: false })
+    };
+    let all: Vec<BTreeSet<ReplicaId>> =
+        (0..20).map(|n| of(&prompt(&[(n, 300), (99 + n, 20)], 320), &idle(6))).collect();
+    assert!(all.iter().all(|s| s.len() == 1), "{all:?}");
+    assert!(all.iter().flatten().collect::<BTreeSet<_>>().len() > 3, "prefixes spread: {all:?}");
+    assert_eq!(
+        of(&prompt(&[(7, 300), (1, 20)], 320), &idle(6)),
+        of(&prompt(&[(7, 300), (2, 20)], 320), &idle(6))
+    );
+    assert_eq!(of(&prompt(&[(7, 320)], 320), &idle(6)).len(), 6);
+    let full = |n: usize| if all[7].contains(&format!("r{n}").as_str().into()) { 20 } else { 0 };
+    let got =
+        of(&prompt(&[(7, 300), (106, 20)], 320), &candidates((0..6).map(|n| row(n, full(n))).collect(), 1));
+    assert!(got.is_disjoint(&all[7]), "{got:?}");
+}
+
+#[rstest]
+#[case::untold(0, 4_000_000, true)]
+#[case::exactly(1_100, 1_000, true)]
+#[case::one_less(1_099, 1_000, false)]
+fn fits_by_memory(#[case] memory_total: u64, #[case] tokens_in: u32, #[case] want: bool) {
+    let c = &candidates(vec![track::serving::board::Row { memory_total, ..row(0, 0) }], 1)[0];
+    assert_eq!(fits(c, &prompt(&[], tokens_in)), want);
+}
+
+/// One request of 300 ms waits for a slot of 20: `over` x 300 / 20.
+#[rstest]
+#[case::none(&[], 1.0, true)]
+#[case::last_slot(&[19], 0.0, false)]
+#[case::one_waits(&[20], 14.9, true)]
+#[case::in_time(&[20], 15.0, false)]
+#[case::another_is_free(&[200, 3], 0.0, false)]
+#[case::all_are_far_over(&[200, 300], 1_000.0, true)]
+fn hopeless_where_nobody_begins_in_time(#[case] running: &[u32], #[case] ms: f64, #[case] want: bool) {
+    let cands = candidates(running.iter().enumerate().map(|(n, r)| row(n, *r)).collect(), 1);
+    let (p, reading) = (prompt(&[], 10), Reading::default());
+    let w = Wish {
+        prompt: &p,
+        area: &"n1".into(),
+        region: &"north".into(),
+        sticky: false,
+        long: false,
+        apart: false,
+        reading: &reading,
+        prefixes: &[],
+        reads_per_ms: READS_PER_MS,
+        pause_ms: 200.0,
+        now: NOW,
+        hold_ms: 300.0,
+        unit: 0.5,
+    };
+    assert_eq!(hopeless(&cands.iter().collect::<Vec<_>>(), &w, ms), want);
+}
--- /dev/null
+++ b/crates/track/tests/serving/fleet.rs
@@ -0,0 +1,164 @@
+//! Tests of `track::serving::fleet`.
+
+use crate::kit::{areas, board, prompt, row};
+use gauge::{Region, Service, Tick};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+use std::{collections::BTreeMap, sync::atomic::Ordering};
+use track::serving::{
+    choose::{READS_PER_MS, Wish, best},
+    fleet::{Candidate, Fleet, Folds, RegionLoad},
+    reading::Reading,
+};
+
+/// Design 9.3: held are figures of `p0`, number 5, fresh at 100.
+#[rstest]
+#[case::newer("p0", 6, 101, true)]
+#[case::at_the_same_time("p0", 6, 100, true)]
+#[case::older("p0", 6, 99, false)]
+#[case::told_twice("p0", 5, 101, false)]
+#[case::lower_number("p0", 4, 200, false)]
+#[case::other_publisher("p1", 1, 101, true)]
+#[case::other_publisher_older("p1", 9, 99, false)]
+fn boards_never_go_back(#[case] publisher: &str, #[case] seq: u64, #[case] at: u64, #[case] taken: bool) {
+    let mut f = Folds::default();
+    assert!(f.take(board("n1", 5, vec![row(0, 7)]), Tick(100)));
+    let mut b = board("n1", seq, vec![row(0, 9)]);
+    b.publisher = publisher.into();
+    assert_eq!(f.take(b, Tick(at)), taken);
+    let running = f.heard[&"n1".into()].board.rows[0].running;
+    assert_eq!(running, if taken { 9 } else { 7 });
+    assert!(f.take(board("n2", 1, vec![]), Tick(1)), "areas have nothing to do with each other");
+}
+
+/// What was open when the figures were fresh, and what is now, from one router among so many.
+#[rstest]
+#[case::no_change(1, 10, 4, 4, 10.0)]
+#[case::own_change(1, 10, 4, 7, 13.0)]
+#[case::times_the_routers(12, 10, 4, 7, 46.0)]
+#[case::given_back_by_all(12, 30, 4, 3, 18.0)]
+#[case::never_below_the_own(12, 10, 8, 6, 6.0)]
+#[case::never_below_nothing(12, 3, 2, 0, 0.0)]
+#[case::figures_below_the_own(3, 1, 5, 5, 5.0)]
+fn load_counts_what_was_sent_since(
+    #[case] routers: usize,
+    #[case] running: u32,
+    #[case] then: i64,
+    #[case] now: i64,
+    #[case] want: f64,
+) {
+    let mut f = Folds::default();
+    assert!(f.take(board("n1", 1, vec![row(0, 0)]), Tick(0)));
+    f.fleet(&areas(), routers, 1).of(&"chat".into())[0].own.open.store(then, Ordering::Relaxed);
+    assert!(f.take(board("n1", 2, vec![row(0, running)]), Tick(1)));
+    let fleet = f.fleet(&areas(), routers, 1);
+    let c = &fleet.of(&"chat".into())[0];
+    c.own.open.store(now, Ordering::Relaxed);
+    assert_eq!(c.load(), want);
+}
+
+/// Twelve routers send 96 requests by one stale board of ten replicas with 20 slots each, which has
+/// room for 110: the load of each replica afterwards.
+fn herd(told: usize, seed: u64) -> Vec<u32> {
+    let mut chance = SmallRng::seed_from_u64(seed);
+    let mut load: Vec<u32> = (0..10).map(|n| n * 2).collect();
+    let rows: Vec<_> = load.iter().enumerate().map(|(n, l)| row(n, *l)).collect();
+    let fleets: Vec<Fleet> = (0..12)
+        .map(|_| {
+            let mut f = Folds::default();
+            assert!(f.take(board("n1", 1, rows.clone()), Tick(0)));
+            f.fleet(&areas(), told, 1)
+        })
+        .collect();
+    let (reading, p) = (Reading::default(), prompt(&[], 200));
+    for _ in 0..8 {
+        for fleet in &fleets {
+            let w = Wish {
+                prompt: &p,
+                area: &"n1".into(),
+                region: &"north".into(),
+                sticky: false,
+                long: false,
+                apart: false,
+                reading: &reading,
+                prefixes: &[],
+                reads_per_ms: READS_PER_MS,
+                pause_ms: 1_000.0,
+                now: Tick(0),
+                hold_ms: 300.0,
+                unit: chance.random(),
+            };
+            let cands: Vec<&Candidate> = fleet.of(&"chat".into()).iter().collect();
+            let c = best(&cands, &w).expect("ten candidates");
+            c.own.open.fetch_add(1, Ordering::Relaxed);
+            load[rows.iter().position(|r| r.id == c.id).expect("a row")] += 1;
+        }
+    }
+    load
+}
+
+/// The incident: twelve routers each filled what one stale board showed as free, and replicas turned
+/// requests away as full.
+#[rstest]
+fn no_herd_on_stale_figures(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let over = |load: &[u32]| load.iter().map(|l| l.saturating_sub(20)).sum::<u32>();
+    let (known, unknown) = (herd(12, seed), herd(1, seed));
+    assert!(over(&known) <= 12, "{known:?}");
+    assert!(over(&unknown) > 24, "a router that forgets the others must do worse: {unknown:?}");
+}
+
+/// Passes of a region add up over its areas, and count as long as the oldest of its figures.
+#[test]
+fn lends_add_up_and_run_out() {
+    let mut f = Folds::default();
+    for (area, n, at) in [("n1", 3, 100), ("n2", 4, 50), ("s1", 7, 70), ("elsewhere", 9, 1)] {
+        let mut b = board(area, 1, vec![]);
+        b.lends = [("chat".into(), n)].into();
+        assert!(f.take(b, Tick(at)));
+    }
+    let fleet = f.fleet(&areas(), 1, 3_000);
+    let at = |r: &str| fleet.lends[&(Region::new(r), Service::new("chat"))];
+    assert_eq!(at("north"), (7, Tick(3_050)));
+    assert_eq!(at("south"), (7, Tick(3_070)));
+    assert_eq!(fleet.lends.len(), 2);
+}
+
+#[test]
+fn regions_count_what_is_usable() {
+    let mut f = Folds::default();
+    let gone = track::serving::board::Row { draining: true, ..row(2, 5) };
+    assert!(f.take(board("n1", 1, vec![row(0, 3), gone]), Tick(0)));
+    assert!(f.take(board("n2", 1, vec![row(1, 4)]), Tick(0)));
+    assert!(f.take(board("s1", 1, vec![row(3, 19)]), Tick(0)));
+    let fleet = f.fleet(&areas(), 2, 1);
+    let cands = fleet.of(&"chat".into());
+    cands.iter().find(|c| c.id == "r0".into()).unwrap().own.open.store(2, Ordering::Relaxed);
+    let seen = fleet.regions(&"chat".into(), &|c| !c.draining);
+    let want: BTreeMap<Region, RegionLoad> = [
+        ("north".into(), RegionLoad { capacity: 40.0, consumption: 11.0 }),
+        ("south".into(), RegionLoad { capacity: 20.0, consumption: 19.0 }),
+    ]
+    .into();
+    assert_eq!(seen, want);
+    assert!(fleet.regions(&"draw".into(), &|_| true).is_empty());
+}
+
+/// What is open at a replica outlives boards, also one that left it out; an unused one is forgotten.
+#[test]
+fn own_counts_outlive_boards() {
+    let mut f = Folds::default();
+    let open = |f: &mut Folds, seq: u64, rows: Vec<_>| {
+        assert!(f.take(board("n1", seq, rows), Tick(seq)));
+        let fleet = f.fleet(&areas(), 1, 1);
+        fleet.of(&"chat".into()).first().map(|c| c.own.clone())
+    };
+    open(&mut f, 1, vec![row(0, 0)]).unwrap().open.store(1, Ordering::Relaxed);
+    assert!(open(&mut f, 2, vec![]).is_none());
+    let back = open(&mut f, 3, vec![row(0, 0)]).unwrap();
+    assert_eq!(back.open.load(Ordering::Relaxed), 1);
+    back.shun_until(Tick(50));
+    back.open.store(0, Ordering::Relaxed);
+    assert!(back.shunned(Tick(49)) && !back.shunned(Tick(50)));
+    assert!(open(&mut f, 4, vec![]).is_none());
+    assert!(!open(&mut f, 5, vec![row(0, 0)]).unwrap().shunned(Tick(49)));
+}
--- /dev/null
+++ b/crates/track/tests/serving/kit.rs
@@ -0,0 +1,96 @@
+//! Boards, candidates and routes made by hand.
+
+use gauge::{Area, Fence, NodeId, Region, Tick};
+use hyper::header::HeaderName;
+use std::collections::BTreeMap;
+use timetable::{Route, RouteKind};
+use track::serving::{
+    Names, Prompt,
+    board::{Board, Row},
+    fleet::{Candidate, Folds},
+};
+
+pub fn nodes(n: usize) -> Vec<NodeId> {
+    (0..n).map(|i| NodeId::new(format!("p{i}"))).collect()
+}
+
+/// A well replica of the service `chat` with nothing open.
+pub fn row(n: usize, running: u32) -> Row {
+    Row {
+        id: format!("r{n}").as_str().into(),
+        service: "chat".into(),
+        addr: ([10, 0, 1, n as u8], 80).into(),
+        slots: 20,
+        draining: false,
+        cold_left_ms: 0,
+        well: true,
+        running,
+        waiting: 0,
+        memory_used: 0,
+        memory_total: 0,
+    }
+}
+
+pub fn board(area: &str, seq: u64, rows: Vec<Row>) -> Board {
+    Board {
+        area: area.into(),
+        publisher: "p0".into(),
+        fence: Fence(1),
+        seq,
+        age_ms: 0,
+        waited_ms: 0,
+        rows,
+        lends: BTreeMap::new(),
+    }
+}
+
+/// Two areas in the north, one in the south.
+pub fn areas() -> BTreeMap<Area, Region> {
+    [("n1", "north"), ("n2", "north"), ("s1", "south")].map(|(a, r)| (a.into(), r.into())).into()
+}
+
+/// Candidates of one area, as a router among so many sees them.
+pub fn candidates(rows: Vec<Row>, routers: usize) -> Vec<Candidate> {
+    let mut f = Folds::default();
+    assert!(f.take(board("n1", 1, rows), Tick(0)));
+    f.fleet(&areas(), routers, 3_000).of(&"chat".into()).to_vec()
+}
+
+pub fn prompt(parts: &[(u64, u32)], tokens_in: u32) -> Prompt {
+    Prompt { parts: parts.to_vec(), tokens_in, tokens_out: 100 }
+}
+
+pub fn route(name: &str, kind: RouteKind) -> Route {
+    Route {
+        name: name.into(),
+        host: "example.org".into(),
+        prefix: format!("/{name}/"),
+        kind,
+        hold_ms: 10_000,
+        target_ms: 1_000,
+        urgency: 3,
+        shares: vec![("chat".into(), 1)],
+        tries: 3,
+        sticky: false,
+        resumable: false,
+        gap_target_ms: None,
+        homes: Default::default(),
+    }
+}
+
+pub fn names() -> Names {
+    let h = HeaderName::from_static;
+    Names {
+        request_id: h("x-request"),
+        time_left: h("x-left"),
+        wanted: h("x-wanted"),
+        urgency: h("x-urgency"),
+        seal: h("x-seal"),
+        not_run: h("x-not-run"),
+        last_event: h("x-last-event"),
+        load: h("x-load"),
+        ready_path: "/ready",
+        lookup_path: "/lookup",
+        report_path: "/report",
+    }
+}
--- /dev/null
+++ b/crates/track/tests/serving/main.rs
@@ -0,0 +1,13 @@
+//! One binary for serving by routes: its pure rooms, then the way of a request in a world in memory.
+
+mod board;
+mod choose;
+mod cold;
+mod events;
+mod fleet;
+mod kit;
+mod mix;
+mod place;
+mod plan;
+mod reading;
+mod retries;
--- /dev/null
+++ b/crates/track/tests/serving/place.rs
@@ -0,0 +1,69 @@
+//! Tests of `track::serving::place` and `track::serving::directory`.
+
+use gauge::Region;
+use rstest::rstest;
+use std::collections::BTreeMap;
+use track::serving::{
+    directory::{Edge, nearest},
+    fleet::RegionLoad,
+    place::candidates,
+};
+
+/// Open to this router, passing the tests; weighted by 1.05 x capacity over consumption + 0.05 x
+/// capacity.
+#[rstest]
+#[case::idle(100.0, 0.0, true, Some(21.0))]
+#[case::half(100.0, 50.0, true, Some(105.0 / 55.0))]
+#[case::at_the_bound(100.0, 95.0, true, Some(1.05))]
+#[case::above_it(100.0, 95.1, true, None)]
+#[case::no_capacity(0.0, 0.0, true, None)]
+#[case::not_open(100.0, 0.0, false, None)]
+fn regions_that_a_draw_may_take(
+    #[case] capacity: f64,
+    #[case] consumption: f64,
+    #[case] open: bool,
+    #[case] want: Option<f64>,
+) {
+    let seen: BTreeMap<Region, RegionLoad> = [
+        ("a".into(), RegionLoad { capacity, consumption }),
+        ("b".into(), RegionLoad { capacity: 10.0, consumption: 0.0 }),
+    ]
+    .into();
+    let got = candidates(&seen, &|r| open || r.as_str() == "b");
+    assert_eq!(got.len(), 1 + usize::from(want.is_some()));
+    let weight = got.iter().find(|c| c.0.as_str() == "a").map(|c| c.1);
+    assert_eq!(weight.is_some(), want.is_some());
+    assert!((weight.unwrap_or(0.0) - want.unwrap_or(0.0)).abs() < 1e-9, "{weight:?}");
+}
+
+/// Routers as `area/region`, by number; an area needs two for its own clients.
+#[rstest]
+#[case::area(&["n1/north", "n1/north", "n2/north", "s1/south"], "n1", "north", &[0, 1])]
+#[case::region(&["n1/north", "n2/north", "s1/south"], "n1", "north", &[0, 1])]
+#[case::all(&["n1/north", "s1/south", "s2/south"], "n1", "north", &[0, 1, 2])]
+#[case::only_one(&["s1/south"], "n1", "north", &[0])]
+#[case::unknown_asker(&["n1/north", "n2/north"], "x", "y", &[0, 1])]
+#[case::area_alone_told(&["n1/north", "n1/north", "s1/south"], "n1", "", &[0, 1])]
+#[case::area_of_no_region(&["n1/", "n2/", "s1/south"], "n1", "", &[0, 1, 2])]
+#[case::nobody(&[], "n1", "north", &[])]
+fn nearest_large_enough_group(
+    #[case] all: &[&str],
+    #[case] area: &str,
+    #[case] region: &str,
+    #[case] want: &[u16],
+) {
+    let edge = |(n, at): (usize, &&str)| {
+        let (area, region) = at.split_once('/').expect("area/region");
+        let region = (!region.is_empty()).then(|| region.into());
+        Edge { addr: ([10, 0, 0, 1], n as u16).into(), area: area.into(), region }
+    };
+    let all: Vec<Edge> = all.iter().enumerate().map(edge).collect();
+    let got: Vec<u16> = nearest(&all, area, region).iter().map(|a| a.port()).collect();
+    assert_eq!(got, want);
+}
+
+#[test]
+fn an_answer_has_a_bound() {
+    let edge = |n: u16| Edge { addr: ([10, 0, 0, 1], n).into(), area: "n1".into(), region: None };
+    assert_eq!(nearest(&(0..200).map(edge).collect::<Vec<_>>(), "n1", "north").len(), 64);
+}
