--- a/crates/interlocking/src/desk.rs
+++ b/crates/interlocking/src/desk.rs
@@ -16,6 +16,7 @@
 use siphasher::sip128::{Hasher128, SipHasher13};
 use std::{collections::BTreeSet, hash::Hasher, sync::Arc, time::Duration};
 use timetable::{Flaw, Notation};
+use tokio::time::Instant;
 
 /// The longest document.
 pub const MAX_DOC: usize = crate::store::LOG_LEN as usize / 2;
@@ -47,6 +48,10 @@
     areas: BTreeSet<Area>,
 }
 
+fn within(ms: u64) -> Instant {
+    Instant::now() + Duration::from_millis(ms)
+}
+
 fn invalid(message: impl Into<String>) -> Told {
     Told::Invalid(vec![Flaw { line: 1, column: 1, message: message.into() }])
 }
@@ -90,10 +95,11 @@
             return invalid("area: allowed: 1 to 64 letters, digits, '-', '_' or '.'");
         }
         let area = Area::new(area);
-        self.within(WAIT_MS, async {
-            let l = match self.core.state().await {
+        let until = within(WAIT_MS);
+        self.told_by(until, async {
+            let l = match self.newest(until).await {
                 Ok(l) => l,
-                Err(why) => return Told::Unavailable(why),
+                Err(told) => return told,
             };
             if !self.areas.contains(&area) && !stands_in(&l, &area) {
                 return invalid(format!("area: {area} is known to no node"));
@@ -114,10 +120,11 @@
         if body.len() > MAX_DOC {
             return Told::TooLarge;
         }
-        self.within(WAIT_MS + body.len() as u64 / BYTES_A_MS, async {
-            let l = match self.core.state().await {
+        let until = within(WAIT_MS + body.len() as u64 / BYTES_A_MS);
+        self.told_by(until, async {
+            let l = match self.newest(until).await {
                 Ok(l) => l,
-                Err(why) => return Told::Unavailable(why),
+                Err(told) => return told,
             };
             match l.verdict(&op) {
                 // Logged once more with nothing in it: the verdict stays, and it is told again only
@@ -182,8 +189,14 @@
         }
     }
 
-    async fn within(&self, ms: u64, fut: impl Future<Output = Told>) -> Told {
-        tokio::time::timeout(Duration::from_millis(ms), fut).await.unwrap_or(Told::Undetermined)
+    /// Nothing is sent for logging before the newest state is known: without it, nothing was.
+    async fn newest(&self, until: Instant) -> Result<Ledger, Told> {
+        let state = tokio::time::timeout_at(until, self.core.state()).await;
+        state.unwrap_or_else(|_| Err("no leader answered in time".into())).map_err(Told::Unavailable)
+    }
+
+    async fn told_by(&self, until: Instant, fut: impl Future<Output = Told>) -> Told {
+        tokio::time::timeout_at(until, fut).await.unwrap_or(Told::Undetermined)
     }
 }
 
--- a/crates/interlocking/src/ledger.rs
+++ b/crates/interlocking/src/ledger.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Verdicts kept, so that a repeated operation answers as it did at first.
-const OPS_KEPT: usize = 512;
+pub const OPS_KEPT: usize = 512;
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
--- /dev/null
+++ b/crates/interlocking/tests/cluster/mod.rs
@@ -0,0 +1,205 @@
+//! Seats as daemons run them, on hosts of a world in memory: virtual time, links that can be cut,
+//! disks that sync after a moment.
+
+use gauge::{
+    Clock, OpId,
+    ground::{Host, World, bind, spawn, spawn_at},
+    settings::{Settings, Timing},
+};
+use interlocking::{
+    Role,
+    change::Card,
+    core::{Core, Drive, MakeDrive, blank},
+    desk::{Desk, Told},
+    member::Member,
+    rail,
+    seat::{Ev, Rec, Seat},
+};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Weak},
+    time::Duration,
+};
+use timetable::{Flaw, Notation, RequestLimits, RouteMap};
+use tokio::time::sleep;
+
+/// A document is its version's number on a line of its own, then whatever follows.
+pub struct Lines;
+
+impl Notation for Lines {
+    fn read(&self, text: &str) -> Result<RouteMap, Vec<Flaw>> {
+        let first = text.lines().next().unwrap_or_default();
+        let flaw = |_| vec![Flaw { line: 1, column: 1, message: "no version".into() }];
+        first.parse().map(|v| RouteMap::new(v, vec![], vec![], RequestLimits::default())).map_err(flaw)
+    }
+
+    /// The change's first line takes the place of the version; the rest is added at the end.
+    fn amend(&self, text: &str, change: &str) -> Result<String, Vec<Flaw>> {
+        let body = |t: &str| t.split_once('\n').map(|(_, b)| b.to_string()).unwrap_or_default();
+        let version = change.lines().next().unwrap_or_default();
+        Ok(format!("{version}\n{}{}", body(text), body(change)))
+    }
+}
+
+struct MemDrive {
+    core: Weak<Core>,
+    ip: IpAddr,
+}
+
+impl Drive for MemDrive {
+    fn write(&self, tok: u64, _: Rec) {
+        let core = self.core.clone();
+        spawn_at(self.ip, async move {
+            sleep(Duration::from_millis(2)).await;
+            if let Some(core) = core.upgrade() {
+                core.step(Ev::Synced(tok));
+            }
+        });
+    }
+}
+
+#[derive(Clone)]
+pub struct Stand {
+    pub core: Arc<Core>,
+    desk: Arc<Desk>,
+    host: Arc<Host>,
+    pub ip: IpAddr,
+}
+
+pub struct Cluster {
+    pub world: Arc<World>,
+    pub at: Vec<Stand>,
+}
+
+pub fn ip(n: usize) -> IpAddr {
+    IpAddr::from([10, 0, n as u8, 1])
+}
+
+fn settings(n: usize, of: usize, founds: bool) -> Settings {
+    Settings {
+        cluster: "c".into(),
+        node: format!("s{n}"),
+        area: format!("a{n}"),
+        rail: SocketAddr::new(ip(n), 7100),
+        http: SocketAddr::new(ip(n), 8080),
+        rail_advertise: None,
+        http_advertise: None,
+        seeds: (0..of).map(|n| SocketAddr::new(ip(n), 7100)).collect(),
+        founds,
+        data: None,
+        timing: Timing::default(),
+        log: "info".into(),
+    }
+}
+
+async fn stand(set: Settings, host: Arc<Host>) -> Stand {
+    let ip = set.rail.ip();
+    let make: MakeDrive = Box::new(move |core| Box::new(MemDrive { core, ip }));
+    let rail_lst = bind(set.rail).await.unwrap();
+    let core = Core::start(set.clone(), Seat::blank_image(&blank(&set)), make);
+    let card = Card::of(&set, Role::Core, core.view().me.inc);
+    Member::new(set.clone(), card, Clock::default()).start();
+    spawn(rail::listen(rail_lst, set.me(), core.clone()));
+    let areas = ["a0", "far"].map(Into::into).into_iter().collect();
+    let desk = Arc::new(Desk::new(core.clone(), Arc::new(Lines), areas));
+    Stand { core, desk, host, ip }
+}
+
+impl Stand {
+    /// What is done on a host is counted by that host's clock.
+    async fn on<T: Send + 'static>(
+        &self,
+        f: impl FnOnce(Arc<Desk>) -> std::pin::Pin<Box<dyn Future<Output = T> + Send>>,
+    ) -> T {
+        self.host.spawn(f(self.desk.clone())).await.unwrap()
+    }
+
+    pub async fn replace(&self, expects: u64, text: &str) -> Told {
+        let text = text.to_string();
+        self.on(move |d| Box::pin(async move { d.replace(expects, &text).await })).await
+    }
+
+    pub async fn amend(&self, expects: u64, change: &str) -> Told {
+        let change = change.to_string();
+        self.on(move |d| Box::pin(async move { d.amend(expects, &change).await })).await
+    }
+
+    pub async fn evacuate(&self, area: &str, on: bool) -> Told {
+        let area = area.to_string();
+        self.on(move |d| Box::pin(async move { d.evacuate(&area, on).await })).await
+    }
+
+    pub async fn read(&self) -> Result<Option<(u64, String)>, String> {
+        self.on(|d| Box::pin(async move { d.read().await })).await
+    }
+
+    /// Names of the areas that are evacuated by the newest accepted state.
+    pub async fn evacuated(&self) -> Vec<String> {
+        let core = self.core.clone();
+        let state = self.host.spawn(async move { core.state().await }).await.unwrap().unwrap();
+        state.evacuated.iter().map(|a| a.to_string()).collect()
+    }
+
+    pub fn verdicts(&self) -> usize {
+        self.core.view().ledger.ops.len()
+    }
+
+    pub fn has_verdict(&self, op: &OpId) -> bool {
+        self.core.view().ledger.verdict(op).is_some()
+    }
+}
+
+impl Cluster {
+    /// Starts all seats; `founds` is whether they may found a cluster.
+    pub async fn start(world: Arc<World>, seats: usize, founds: bool) -> Self {
+        let mut at = Vec::new();
+        for n in 0..seats {
+            let host = world.host(ip(n));
+            let s = stand(settings(n, seats, founds), host.clone());
+            at.push(host.spawn(s).await.unwrap());
+        }
+        Self { world, at }
+    }
+
+    /// A cluster that has a leader, and all of whose seats are members.
+    pub async fn formed(world: Arc<World>, seats: usize) -> Self {
+        let c = Self::start(world, seats, true).await;
+        c.until("a leader and all members", |c| {
+            let v = c.at.iter().map(|s| s.core.view());
+            v.into_iter().all(|v| v.leader.is_some() && v.ledger.members.len() == c.at.len())
+        })
+        .await;
+        c
+    }
+
+    /// Virtual time goes on until it is so; a minute is far more than anything here may take.
+    pub async fn until(&self, what: &str, so: impl Fn(&Self) -> bool) {
+        let end = self.world.ms() + 60_000;
+        while !so(self) {
+            assert!(self.world.ms() < end, "never: {what}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub fn leader(&self) -> usize {
+        let lead = self.at.iter().position(|s| {
+            let v = s.core.view();
+            v.leader.is_some_and(|l| l.node == v.me.node)
+        });
+        lead.expect("a seat leads")
+    }
+
+    fn links(&self, n: usize) -> Vec<(IpAddr, IpAddr)> {
+        let own = self.at[n].ip;
+        self.at.iter().filter(|s| s.ip != own).flat_map(|s| [(own, s.ip), (s.ip, own)]).collect()
+    }
+
+    /// Nothing gets to or from this seat.
+    pub fn cut_off(&self, n: usize) {
+        self.world.cut(self.links(n));
+    }
+
+    pub fn mend(&self, n: usize) {
+        self.world.mend(&self.links(n).into_iter().collect());
+    }
+}
--- /dev/null
+++ b/crates/interlocking/tests/desk.rs
@@ -0,0 +1,244 @@
+//! Conformance of the operator's desk with design 4.9, and of small cores with design 2.2.
+
+use gauge::ground::World;
+use interlocking::{
+    desk::{MAX_DOC, Told},
+    ledger::OPS_KEPT,
+};
+use rstest::rstest;
+use std::time::Duration;
+
+mod cluster;
+use cluster::Cluster;
+
+fn held(version: u64, text: &str) -> Result<Option<(u64, String)>, String> {
+    Ok(Some((version, text.to_string())))
+}
+
+fn invalid(t: &Told) -> &str {
+    match t {
+        Told::Invalid(f) => &f[0].message,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A lone seat, and two, are whole cores of their own: they form, accept, and tell what they hold.
+#[rstest]
+fn cores_of_any_size_form_and_accept(#[values(1, 2, 3)] seats: usize) {
+    World::run(7, None, |w| async move {
+        let c = Cluster::formed(w, seats).await;
+        for s in &c.at {
+            assert_eq!(s.read().await, Ok(None));
+        }
+        assert_eq!(c.at[seats - 1].replace(0, "3\nfirst").await, Told::Accepted);
+        for s in &c.at {
+            assert_eq!(s.read().await, held(3, "3\nfirst"));
+        }
+    });
+}
+
+/// Without leave to found, blank seats wait to be readmitted, however many there are.
+#[rstest]
+fn seats_that_may_not_found_never_form(#[values(1, 2, 3)] seats: usize) {
+    World::run(8, None, |w| async move {
+        let c = Cluster::start(w, seats, false).await;
+        tokio::time::sleep(Duration::from_secs(60)).await;
+        assert!(c.at.iter().all(|s| !s.core.view().formed));
+    });
+}
+
+/// Two seats accept nothing while one of them is cut off: a majority of two is both.
+#[test]
+fn one_of_two_seats_accepts_nothing() {
+    World::run(9, None, |w| async move {
+        let c = Cluster::formed(w, 2).await;
+        let at = c.leader();
+        c.cut_off(1 - at);
+        assert_ne!(c.at[at].replace(0, "1\nalone").await, Told::Accepted);
+        c.mend(1 - at);
+        c.until("both are led again", |c| c.at.iter().all(|s| s.core.view().leader.is_some())).await;
+    });
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    Replace,
+    Amend,
+}
+
+async fn send(s: &cluster::Stand, kind: Kind, expects: u64, text: &str) -> Told {
+    match kind {
+        Kind::Replace => s.replace(expects, text).await,
+        Kind::Amend => s.amend(expects, text).await,
+    }
+}
+
+/// Of two changes on top of the same version exactly one is accepted, wherever they are sent; what
+/// is read everywhere is the winner's, and a loser that is sent again loses again.
+#[rstest]
+fn of_two_on_one_version_one_wins(
+    #[values((0, 0), (0, 1), (1, 2), (2, 0))] at: (usize, usize),
+    #[values(Kind::Replace, Kind::Amend)] first: Kind,
+    #[values(Kind::Replace, Kind::Amend)] second: Kind,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    World::run(seed, None, |w| async move {
+        let c = Cluster::formed(w, 3).await;
+        assert_eq!(c.at[0].replace(0, "2\nbase").await, Told::Accepted);
+        let (a, b) = (&c.at[at.0], &c.at[at.1]);
+        let (texts, kinds) = (["5\n, one", "6\n, two"], [first, second]);
+        let told = tokio::join!(send(a, kinds[0], 2, texts[0]), send(b, kinds[1], 2, texts[1]));
+        let told = [told.0, told.1];
+        let won = told.iter().position(|t| *t == Told::Accepted).expect("one is accepted");
+        let version = 5 + won as u64;
+        assert_eq!(told[1 - won], Told::Conflict { current: Some(version) }, "{told:?}");
+        let text = match kinds[won] {
+            Kind::Replace => texts[won].to_string(),
+            Kind::Amend => texts[won].replacen('\n', "\nbase", 1),
+        };
+        for s in &c.at {
+            assert_eq!(s.read().await, held(version, &text));
+            let again = send(s, kinds[1 - won], 2, texts[1 - won]).await;
+            assert_eq!(again, Told::Conflict { current: Some(version) });
+        }
+    });
+}
+
+/// A sending that was accepted is accepted again at each node, also once newer ones were accepted,
+/// and changes nothing any more.
+#[test]
+fn a_resend_answers_as_at_first() {
+    World::run(11, None, |w| async move {
+        let c = Cluster::formed(w, 3).await;
+        let all = [(0, "1\na"), (1, "4\nb"), (4, "9\nc")];
+        for (n, (expects, text)) in all.iter().enumerate() {
+            assert_eq!(c.at[n].replace(*expects, text).await, Told::Accepted);
+            assert_eq!(c.at[n].replace(*expects, text).await, Told::Accepted);
+        }
+        assert_eq!(c.at[1].amend(9, "10\n, d").await, Told::Accepted);
+        for s in &c.at {
+            for (expects, text) in all {
+                assert_eq!(s.replace(expects, text).await, Told::Accepted);
+            }
+            assert_eq!(s.amend(9, "10\n, d").await, Told::Accepted);
+            // The same bytes on top of another version are another change.
+            assert_eq!(s.replace(0, "9\nc").await, Told::Conflict { current: Some(10) });
+            assert_eq!(s.read().await, held(10, "10\nc, d"));
+        }
+    });
+}
+
+/// Verdicts are kept for a while only. What stands there word for word was taken all the same.
+#[test]
+fn a_resend_outlives_its_verdict() {
+    World::run(12, None, |w| async move {
+        let c = Cluster::formed(w, 1).await;
+        let s = &c.at[0];
+        assert_eq!(s.replace(0, "1\na").await, Told::Accepted);
+        let op = s.core.view().ledger.ops[0].0.clone();
+        for n in 0..OPS_KEPT {
+            assert_eq!(s.evacuate("far", n % 2 == 0).await, Told::Accepted);
+        }
+        assert!(s.verdicts() == OPS_KEPT && !s.has_verdict(&op));
+        assert_eq!(s.replace(0, "1\na").await, Told::Accepted);
+    });
+}
+
+#[test]
+fn what_can_not_be_taken_is_told_and_changes_nothing() {
+    World::run(13, None, |w| async move {
+        let c = Cluster::formed(w, 3).await;
+        let s = &c.at[1];
+        assert_eq!(s.replace(3, "4\n").await, Told::Conflict { current: Some(0) });
+        assert!(invalid(&s.replace(0, "0\n").await).contains("allowed: above 0"));
+        assert_eq!(s.replace(0, "6\nkept").await, Told::Accepted);
+        for old in ["6\nother", "5\nother"] {
+            assert!(invalid(&s.replace(6, old).await).contains("allowed: above 6"));
+            assert!(invalid(&s.amend(6, old).await).contains("allowed: above 6"));
+        }
+        assert_eq!(s.replace(0, "7\n").await, Told::Conflict { current: Some(6) });
+        assert_eq!(s.replace(7, "8\n").await, Told::Conflict { current: Some(6) });
+        assert_eq!(invalid(&s.replace(6, "not a version").await), "no version");
+        let long = |n: usize| format!("7\n{}", "x".repeat(n - 2));
+        assert_eq!(s.replace(6, &long(MAX_DOC + 1)).await, Told::TooLarge);
+        assert_eq!(s.amend(6, &long(MAX_DOC)).await, Told::TooLarge, "what comes of it is too long");
+        assert_eq!(s.read().await, held(6, "6\nkept"));
+        // The longest one is taken, from a node that has to send it to the leader.
+        let far = (c.leader() + 1) % 3;
+        assert_eq!(c.at[far].replace(6, &long(MAX_DOC)).await, Told::Accepted);
+        assert_eq!(s.read().await, held(7, &long(MAX_DOC)));
+    });
+}
+
+/// A leader without a majority can't tell; the same sending tells later, and is taken once.
+#[rstest]
+fn what_was_undetermined_is_told_by_sending_again(#[values(1, 2, 3)] seed: u64) {
+    World::run(seed, None, |w| async move {
+        let c = Cluster::formed(w, 3).await;
+        let old = c.leader();
+        assert_eq!(c.at[old].replace(0, "1\na").await, Told::Accepted);
+        c.cut_off(old);
+        assert_eq!(c.at[old].replace(1, "2\nb").await, Told::Undetermined);
+        assert!(matches!(c.at[old].replace(1, "2\nb").await, Told::Undetermined | Told::Unavailable(_)));
+        c.until("another leads", |c| {
+            let v = c.at[(old + 1) % 3].core.view();
+            v.leader.is_some_and(|l| l.node.as_str() != format!("s{old}"))
+        })
+        .await;
+        c.mend(old);
+        let mut told = Told::Undetermined;
+        for _ in 0..100 {
+            told = c.at[old].replace(1, "2\nb").await;
+            if told == Told::Accepted {
+                break;
+            }
+            assert!(matches!(told, Told::Undetermined | Told::Unavailable(_)), "{told:?}");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert_eq!(told, Told::Accepted);
+        for s in &c.at {
+            assert_eq!(s.replace(1, "2\nb").await, Told::Accepted);
+            assert_eq!(s.read().await, held(2, "2\nb"));
+            assert_eq!(s.core.view().ledger.revision.0, 2, "each was taken once");
+        }
+    });
+}
+
+/// Bytes come back as they were sent: no line end, space or letter is changed.
+#[rstest]
+#[case::line_ends("1\r\n\ttab \r\n\r\n")]
+#[case::no_end("1\nend")]
+#[case::letters("1\nñandú, 东, \u{1F682}, \u{0}, \u{FEFF}")]
+fn documents_are_read_back_byte_for_byte(#[case] text: &str) {
+    let text = text.to_string();
+    World::run(21, None, |w| async move {
+        let c = Cluster::formed(w, 3).await;
+        assert_eq!(c.at[2].replace(0, &text).await, Told::Accepted);
+        for s in &c.at {
+            assert_eq!(s.read().await, held(1, &text));
+        }
+    });
+}
+
+#[test]
+fn areas_are_evacuated_and_taken_back() {
+    World::run(31, None, |w| async move {
+        let c = Cluster::formed(w, 3).await;
+        assert_eq!(c.at[0].replace(0, "1\na").await, Told::Accepted);
+        // "far" is known by name only; in "a2" a seat stands.
+        for (at, area) in [(0, "far"), (1, "a2"), (2, "a2")] {
+            assert_eq!(c.at[at].evacuate(area, true).await, Told::Accepted);
+        }
+        assert_eq!(c.at[2].evacuated().await, ["a2", "far"]);
+        // A document takes none back.
+        assert_eq!(c.at[1].replace(1, "2\nb").await, Told::Accepted);
+        assert_eq!(c.at[0].evacuated().await, ["a2", "far"]);
+        for at in 0..2 {
+            assert_eq!(c.at[at].evacuate("far", false).await, Told::Accepted);
+        }
+        assert_eq!(c.at[0].evacuated().await, ["a2"]);
+        assert!(invalid(&c.at[0].evacuate("nowhere", true).await).contains("known to no node"));
+        assert!(invalid(&c.at[0].evacuate("no name", true).await).contains("allowed"));
+        assert_eq!(c.at[1].evacuated().await, ["a2"]);
+    });
+}
