A signalbox holds a text once and reads and fills its files in pieces

Cause: once formed a signalbox had a VmHWM of 10 to 12 MB: a zero buffer of 4 MiB fills each slot, each start reads four files whole, and a text is copied with every read of the state.

Change: Document shares one text; files are filled, looked through and read in pieces of 64 KiB, and of a slot only header and body are read; the read-back's body is the shared text. The store is cut into its files as pieces (raw) and what they mean.

Seen to fail: with pieces that do not overlap, a header across the end of one is missed.

Ruled out: a ledger behind an Arc: without the text a copy of it is small beside the frames that need one.

--- a/crates/interlocking/src/api/document.rs
+++ b/crates/interlocking/src/api/document.rs
@@ -19,7 +19,7 @@
         let Some(doc) = l.text else {
             return early(no(StatusCode::NOT_FOUND, "no document was accepted yet; base revision 0"));
         };
-        let mut r = text(StatusCode::OK, doc);
+        let mut r = text(StatusCode::OK, doc.to_string());
         if let Ok(v) = format!("\"{}\"", l.revision).parse() {
             r.headers_mut().insert("etag", v);
         }
--- a/crates/interlocking/src/change.rs
+++ b/crates/interlocking/src/change.rs
@@ -1,5 +1,6 @@
 //! What the log can hold (design 2.1): every change of the shared state.
 
+use crate::document::Document;
 use gauge::{Area, Incarnation, NodeId, OpId, ReplicaId, Revision, Service, settings::Settings};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -68,7 +69,7 @@
     Apply {
         op: OpId,
         base: Revision,
-        text: String,
+        text: Document,
     },
     Evacuate {
         op: OpId,
--- a/crates/interlocking/src/desk.rs
+++ b/crates/interlocking/src/desk.rs
@@ -9,6 +9,7 @@
 use crate::{
     change::{Change, Verdict},
     core::Core,
+    document::Document,
     ledger::Ledger,
     rail::Proposed,
 };
@@ -83,7 +84,7 @@
     }
 
     /// The newest accepted document and its version.
-    pub async fn read(&self) -> Result<Option<(u64, String)>, String> {
+    pub async fn read(&self) -> Result<Option<(u64, Document)>, String> {
         let l = self.core.state().await?;
         let version = self.version(&l)?;
         Ok(l.text.map(|t| (version, t)))
@@ -131,7 +132,7 @@
                 // once most of the members hold it (design 3.7).
                 Some(Verdict::Accepted { .. }) => {
                     let base = Revision(u64::MAX);
-                    return self.log(Change::Apply { op, base, text: String::new() }).await;
+                    return self.log(Change::Apply { op, base, text: "".into() }).await;
                 }
                 Some(Verdict::Conflict { .. }) => return Told::Conflict { current: self.version(&l).ok() },
                 Some(Verdict::Bounced { reason }) => return invalid(reason),
@@ -153,7 +154,7 @@
         l: &Ledger,
         expects: u64,
         make: impl FnOnce(&str) -> Result<String, Vec<Flaw>>,
-    ) -> Result<String, Told> {
+    ) -> Result<Document, Told> {
         let current = self.version(l).map_err(Told::Unavailable)?;
         if expects != current {
             return Err(Told::Conflict { current: Some(current) });
@@ -166,7 +167,7 @@
         if version <= current {
             return Err(invalid(format!("version: {version}; allowed: above {current}, the current one")));
         }
-        Ok(text)
+        Ok(text.into())
     }
 
     /// 0 where there is no document yet.
--- a/crates/interlocking/src/ledger.rs
+++ b/crates/interlocking/src/ledger.rs
@@ -1,6 +1,7 @@
 //! The shared state, folded from accepted changes alike on every node (design 2.1).
 
 use crate::change::{Card, Change, Holder, Replica, ReplicaMove, Verdict};
+use crate::document::Document;
 use crate::mass::Lost;
 use gauge::{Area, Epoch, Index, NodeId, OpId, ReplicaId, Revision};
 use serde::{Deserialize, Serialize};
@@ -23,7 +24,7 @@
     pub secret: u128,
     pub idx: Index,
     pub revision: Revision,
-    pub text: Option<String>,
+    pub text: Option<Document>,
     pub evacuated: BTreeSet<Area>,
     pub replicas: BTreeMap<ReplicaId, Replica>,
     pub members: BTreeMap<NodeId, Member>,
--- a/crates/interlocking/src/lib.rs
+++ b/crates/interlocking/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod daemon;
 pub mod desk;
 pub mod disk;
+pub mod document;
 pub mod duty;
 pub mod ledger;
 pub mod mass;
@@ -19,5 +20,6 @@
 pub mod tenure;
 
 pub use change::{Change, Replica, ReplicaMove, Role, Verdict};
+pub use document::Document;
 pub use ledger::{Ledger, Member};
 pub use timetable::LANG;
--- a/crates/interlocking/src/seat/room.rs
+++ b/crates/interlocking/src/seat/room.rs
@@ -135,7 +135,7 @@
             Verdict::Bounced { reason } => reason.len() + 32,
             _ => 32,
         };
-        let text = self.text.as_ref().map_or(0, String::len);
+        let text = self.text.as_ref().map_or(0, |t| t.len());
         let areas: usize = self.evacuated.iter().map(|a| a.as_str().len() + 16).sum();
         let replicas: usize = self
             .replicas
--- a/crates/interlocking/tests/cluster/mod.rs
+++ b/crates/interlocking/tests/cluster/mod.rs
@@ -130,7 +130,8 @@
     }
 
     pub async fn read(&self) -> Result<Option<(u64, String)>, String> {
-        self.on(|d| Box::pin(async move { d.read().await })).await
+        let read = self.on(|d| Box::pin(async move { d.read().await })).await;
+        read.map(|r| r.map(|(version, text)| (version, text.to_string())))
     }
 
     /// Names of the areas that are evacuated by the newest accepted state.
--- a/crates/interlocking/tests/rig/mod.rs
+++ b/crates/interlocking/tests/rig/mod.rs
@@ -130,7 +130,10 @@
         let at = self.leader();
         let base = Revision(self.seats[at].ledger.revision.0);
         let text = "x".repeat(len);
-        self.step(at, Ev::Propose(Change::Apply { op: format!("o{n}").as_str().into(), base, text }));
+        self.step(
+            at,
+            Ev::Propose(Change::Apply { op: format!("o{n}").as_str().into(), base, text: text.into() }),
+        );
     }
 
     pub fn well(&self) {
--- a/crates/interlocking/tests/size.rs
+++ b/crates/interlocking/tests/size.rs
@@ -165,7 +165,7 @@
     let op = || "o".repeat(64).as_str().into();
     let area = || card.area.clone();
     let all = [
-        Change::Apply { op: op(), base: Revision(u64::MAX), text: "t".repeat(70_000) },
+        Change::Apply { op: op(), base: Revision(u64::MAX), text: "t".repeat(70_000).into() },
         Change::Evacuate { op: op(), area: area(), on: true },
         Change::Join(card.clone()),
         Change::Lapse { node: card.node.clone(), inc: card.inc, left: false },
@@ -173,7 +173,7 @@
         Change::Roster(holder.clone()),
         named(&"p".repeat(64), &"r".repeat(64), list()),
         named(&"q".repeat(64), &"w".repeat(64), ReplicaMove::Drain),
-        Change::Apply { op: "z".into(), base: Revision(0), text: String::new() },
+        Change::Apply { op: "z".into(), base: Revision(0), text: "".into() },
     ];
     let mut l = Ledger::founded(&"c".repeat(64), vec![holder.clone(), holder.clone(), holder]);
     let mut told = vec![];
--- a/crates/interlocking/tests/store.rs
+++ b/crates/interlocking/tests/store.rs
@@ -162,3 +162,29 @@
     });
     assert_eq!(FileStore::load(d.path()).unwrap(), Found::OtherForm);
 }
+
+/// Logs are looked through in pieces: a header that stands across the end of one is found too.
+#[rstest]
+#[case::within_a_piece(1_000)]
+#[case::across_its_end((64 << 10) - 16)]
+#[case::at_its_end((64 << 10) - 32)]
+#[case::in_the_next((64 << 10) + 5)]
+#[case::near_the_end_of_the_log((2 << 20) - 200)]
+fn what_follows_a_gap_is_found_wherever_it_stands(#[case] behind: usize) {
+    let d = tempfile::tempdir().unwrap();
+    filled(d.path(), 2);
+    let log = fs::read(newest(d.path(), "log")).unwrap();
+    let second = log[records(&log)[1]..][..32].to_vec();
+    let d = tempfile::tempdir().unwrap();
+    filled(d.path(), 1);
+    edit(&newest(d.path(), "log"), |b| {
+        let at = records(b)[0];
+        b[at + 35] ^= 1;
+    });
+    assert_eq!(last(FileStore::load(d.path()).unwrap()), Some(0), "a torn end is cut");
+    edit(&newest(d.path(), "log"), |b| {
+        let at = 32 + behind;
+        b[at..at + 32].copy_from_slice(&second);
+    });
+    assert!(matches!(FileStore::load(d.path()).unwrap(), Found::Damaged(_)));
+}
--- a/crates/trainset/src/sim/check.rs
+++ b/crates/trainset/src/sim/check.rs
@@ -11,7 +11,7 @@
     pub told_accepted: HashMap<OpId, Index>,
     pub told_refused: HashMap<OpId, ()>,
     /// Newest revision and text by the one order.
-    pub newest: (Revision, Option<String>),
+    pub newest: (Revision, Option<interlocking::Document>),
     /// Newest accepted roster, once it was changed.
     pub roster: Option<Vec<Holder>>,
     acts: BTreeMap<Fence, NodeId>,
--- a/crates/trainset/src/sim/operate.rs
+++ b/crates/trainset/src/sim/operate.rs
@@ -27,7 +27,7 @@
             let base = seat.ledger.revision;
             let op = OpId::new(format!("op{}", self.number()));
             let change = if self.rng.random_bool(0.7) {
-                Change::Apply { op: op.clone(), base, text: self.document(&op) }
+                Change::Apply { op: op.clone(), base, text: self.document(&op).into() }
             } else {
                 let area = Area::new(format!("a{}", self.rng.random_range(0..3)));
                 Change::Evacuate { op: op.clone(), area, on: self.rng.random_bool(0.5) }
