Documents of 4 MiB, packed on disk and wire; an entry is fed once, and again when overdue

Cause: documents over 1 MiB were refused. A leader fed all unanswered entries again with each beat, so a long one on a long link was sent many times over and held up the beats.

Change: a document is one LZ4 block wherever it is written or sent, and weighs what it packs to; 4 MiB are allowed, 1 MiB packed, else 413. A follower is fed what it lacks once, and again when the answer is overdue by two beats and a millisecond for each KiB; beats without entries go meanwhile; messages over 64 KiB have a connection and a time of their own. The simulator's and the size tests' documents can't be packed, so that they are as long as before.

Weighed: a log of 8 MiB and slots of 16 would take any 4 MiB, but 48 MiB of a 64 MB disk from the first start on, and messages of eight times the length. Ruled out: feeding only what is new behind what is on its way, since what overtakes would be dropped and wait for the overdue time.

Seen to fail, each by one change: always overdue; never overdue; nothing fed with the answer; no packing; no bound on an unpacked length; a length not compared; documents bounded whole only, and packed only; entries weighed without their text.

Conclusion: what is accepted always fits, and small documents start as they did. Links of 35 to 55 ms were not run.

--- a/crates/interlocking/src/api/document.rs
+++ b/crates/interlocking/src/api/document.rs
@@ -2,6 +2,7 @@
 
 use super::{Call, Early, Res, early, no};
 use crate::{
+    Document, MAX_DOC,
     change::{Change, Verdict},
     ledger::Ledger,
     patch::{self, Patch},
@@ -41,21 +42,26 @@
 
     pub(super) async fn put(&self, bytes: &[u8]) -> Early<Res> {
         let base = self.base()?;
+        let Ok(src) = std::str::from_utf8(bytes) else {
+            return early(no(StatusCode::UNPROCESSABLE_ENTITY, "the document is not UTF-8"));
+        };
+        let text = Document::from(src);
         // A patch may lengthen what it changes.
-        if bytes.len() > super::MAX_DOC {
+        if !text.fits() {
             return early(no(
                 StatusCode::PAYLOAD_TOO_LARGE,
-                format!("the document: {} bytes; allowed: {}", bytes.len(), super::MAX_DOC),
+                format!(
+                    "the document: {} bytes, packed {}; allowed: {MAX_DOC}, packed a quarter",
+                    text.len(),
+                    text.packed_len()
+                ),
             ));
         }
-        let Ok(src) = std::str::from_utf8(bytes) else {
-            return early(no(StatusCode::UNPROCESSABLE_ENTITY, "the document is not UTF-8"));
-        };
         let l = self.state().await?;
         if l.verdict(&self.op).is_none() {
             self.check(src, &l)?;
         }
-        self.propose(Change::Apply { op: self.op.clone(), base, text: src.into() }).await
+        self.propose(Change::Apply { op: self.op.clone(), base, text }).await
     }
 
     /// All flaws at once; nothing was logged, so nothing can take effect (design 4.2).
--- a/crates/interlocking/src/api/mod.rs
+++ b/crates/interlocking/src/api/mod.rs
@@ -5,7 +5,7 @@
 
 pub use document::flaws;
 
-use crate::{change::ReplicaMove, core::Core, ledger::Ledger};
+use crate::{MAX_DOC, change::ReplicaMove, core::Core, ledger::Ledger};
 use gauge::{
     OpId, good_name,
     http::{Body, BoxErr, json, read_body, text},
@@ -15,9 +15,6 @@
 use serde_json::{Value, json as j};
 use std::{net::SocketAddr, sync::Arc};
 
-/// Also the longest patch.
-const MAX_DOC: usize = crate::store::LOG_LEN as usize / 2;
-
 type Res = Response<Body>;
 /// An answer that ends the work early.
 type Early<T> = Result<T, Box<Res>>;
--- a/crates/interlocking/src/core/leader.rs
+++ b/crates/interlocking/src/core/leader.rs
@@ -53,7 +53,8 @@
         };
         while let Some(to) = trail.next() {
             let ask = Ask::Propose { change: change.clone() };
-            match self.lines.call_within(ms + self.set.timing.rail_ms, "propose", to, ask).await {
+            let (line, most) = self.line(change.weight());
+            match line.call_within(ms + most, "propose", to, ask).await {
                 Ok(Reply::Proposed(Proposed::NotLogged { leader, why: w })) => {
                     trail.heard(leader);
                     why = w;
@@ -74,7 +75,7 @@
         };
         let mut why = "no leader under a confirmed view; ask again".to_string();
         while let Some(to) = trail.next() {
-            match self.lines.call("state", to, Ask::State).await {
+            match self.bulk.call("state", to, Ask::State).await {
                 Ok(Reply::State(l)) => return Ok(*l),
                 Ok(Reply::Elsewhere { leader }) => trail.heard(leader),
                 Ok(_) => {}
--- a/crates/interlocking/src/core/mod.rs
+++ b/crates/interlocking/src/core/mod.rs
@@ -26,6 +26,10 @@
 
 pub type SignalLines = Lines<Ask, Reply>;
 
+/// Messages of more than this go by a line of their own, and have a millisecond more for each part.
+const BULK: usize = 64 << 10;
+const BYTES_A_MS: u64 = 512;
+
 struct Inner {
     seat: Seat,
     tenures: Tenures,
@@ -38,6 +42,8 @@
     pub set: Settings,
     pub clock: Clock,
     pub lines: SignalLines,
+    /// For what is long: beats must not wait behind it on their connection (design 2.3).
+    bulk: SignalLines,
     inner: Mutex<Inner>,
     disk: Box<dyn Drive>,
     moved: watch::Sender<Index>,
@@ -71,11 +77,13 @@
         let (moved, _) = watch::channel(seat.accepted());
         let inner =
             Inner { seat, tenures: Tenures::default(), waiting: BTreeMap::new(), reports: BTreeMap::new() };
-        let lines = Lines::new(set.me(), crate::rail::SERVICE);
+        let line = || Lines::new(set.me(), crate::rail::SERVICE);
+        let (lines, bulk) = (line(), line());
         let core = Arc::new_cyclic(|me| Core {
             set,
             clock,
             lines,
+            bulk,
             inner: Mutex::new(inner),
             disk: drive(me.clone()),
             moved,
@@ -103,6 +111,12 @@
         self.carry_out(&mut g, fx);
     }
 
+    /// The line for a message of that weight, and how long it may take.
+    fn line(&self, weight: usize) -> (&SignalLines, u64) {
+        let ms = self.set.timing.rail_ms;
+        if weight <= BULK { (&self.lines, ms) } else { (&self.bulk, 4 * ms + weight as u64 / BYTES_A_MS) }
+    }
+
     /// Hands the lead over before a planned stop, and waits for another to take it.
     pub async fn yield_lead(self: &Arc<Self>) {
         self.step(Ev::Yield);
@@ -114,9 +128,11 @@
         for f in fx {
             match f {
                 Fx::Send { to, msg } => {
-                    let (c, from) = (self.clone(), self.set.rail());
+                    let (c, from, weight) = (self.clone(), self.set.rail(), msg.weight());
                     gauge::ground::spawn(async move {
-                        let _ = c.lines.call("seat", to, Ask::Seat { from, msg: Box::new(msg) }).await;
+                        let (line, ms) = c.line(weight);
+                        let ask = Ask::Seat { from, msg: Box::new(msg) };
+                        let _ = line.call_within(ms, "seat", to, ask).await;
                     });
                 }
                 Fx::Persist { tok, rec } => {
--- a/crates/interlocking/src/desk.rs
+++ b/crates/interlocking/src/desk.rs
@@ -19,8 +19,8 @@
 use timetable::{Flaw, Notation};
 use tokio::time::Instant;
 
-/// The longest document.
-pub const MAX_DOC: usize = crate::store::LOG_LEN as usize / 2;
+pub use crate::document::MAX_DOC;
+
 /// Callers ask elsewhere after a second, or somewhat more where they sent much.
 const WAIT_MS: u64 = 800;
 const BYTES_A_MS: u64 = 2_048;
@@ -106,7 +106,7 @@
                 return invalid(format!("area: {area} is known to no node"));
             }
             let op = OpId::new(crate::api::drawn_op());
-            self.log(Change::Evacuate { op, area, on }).await
+            self.log(Change::Evacuate { op, area, on }, until).await
         })
         .await
     }
@@ -132,7 +132,7 @@
                 // once most of the members hold it (design 3.7).
                 Some(Verdict::Accepted { .. }) => {
                     let base = Revision(u64::MAX);
-                    return self.log(Change::Apply { op, base, text: "".into() }).await;
+                    return self.log(Change::Apply { op, base, text: "".into() }, until).await;
                 }
                 Some(Verdict::Conflict { .. }) => return Told::Conflict { current: self.version(&l).ok() },
                 Some(Verdict::Bounced { reason }) => return invalid(reason),
@@ -141,7 +141,7 @@
                 None => {}
             }
             match self.checked(&l, expects, make) {
-                Ok(text) => self.log(Change::Apply { op, base: l.revision, text }).await,
+                Ok(text) => self.log(Change::Apply { op, base: l.revision, text }, until).await,
                 Err(told) => told,
             }
         })
@@ -159,15 +159,15 @@
         if expects != current {
             return Err(Told::Conflict { current: Some(current) });
         }
-        let text = make(l.text.as_deref().unwrap_or("")).map_err(Told::Invalid)?;
-        if text.len() > MAX_DOC {
+        let text = Document::from(make(l.text.as_deref().unwrap_or("")).map_err(Told::Invalid)?);
+        if !text.fits() {
             return Err(Told::TooLarge);
         }
         let version = self.notation.read(&text).map_err(Told::Invalid)?.version;
         if version <= current {
             return Err(invalid(format!("version: {version}; allowed: above {current}, the current one")));
         }
-        Ok(text.into())
+        Ok(text)
     }
 
     /// 0 where there is no document yet.
@@ -177,8 +177,9 @@
         read.map_err(|f| format!("the current document can't be read: {f:?}"))
     }
 
-    async fn log(&self, ch: Change) -> Told {
-        match self.core.propose(ch, WAIT_MS).await {
+    async fn log(&self, ch: Change, until: Instant) -> Told {
+        let ms = until.duration_since(Instant::now()).as_millis() as u64;
+        match self.core.propose(ch, ms).await {
             Proposed::Settled { verdict: Verdict::Accepted { .. }, .. } => Told::Accepted,
             Proposed::Settled { verdict: Verdict::Conflict { .. }, .. } => {
                 let current = self.core.state().await.ok().and_then(|l| self.version(&l).ok());
--- a/crates/interlocking/src/document.rs
+++ b/crates/interlocking/src/document.rs
@@ -1,35 +1,143 @@
-//! The text of a document: shared by all that hold it, never copied (design 2.8).
+//! The text of a document: shared by all that hold it, and packed wherever it is written or sent
+//! (design 2.8).
 
-use serde::{Deserialize, Serialize};
-use std::{fmt, ops::Deref, sync::Arc};
+use crate::seat::Room;
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Visitor};
+use std::{borrow::Cow, fmt, ops::Deref, sync::Arc};
 
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Document(Arc<str>);
+/// The longest text; packed, it may have a quarter of that (design 2.8).
+pub const MAX_DOC: usize = 4 << 20;
+
+struct Inner {
+    text: Box<str>,
+    /// The text as one LZ4 block after its length; empty where that would not be shorter.
+    packed: Vec<u8>,
+}
+
+#[derive(Clone)]
+pub struct Document(Arc<Inner>);
+
+impl Document {
+    fn new(text: Box<str>) -> Self {
+        let mut packed = lz4_flex::block::compress_prepend_size(text.as_bytes());
+        if packed.len() < text.len() {
+            packed.shrink_to_fit();
+        } else {
+            packed = Vec::new();
+        }
+        Self(Arc::new(Inner { text, packed }))
+    }
+
+    /// Its length on disk and on the wire, but for a few bytes.
+    pub fn packed_len(&self) -> usize {
+        self.sent().1.len()
+    }
+
+    /// Whether it may be logged at all.
+    pub fn fits(&self) -> bool {
+        self.len() <= MAX_DOC && self.packed_len() <= Room::default().doc()
+    }
+
+    /// Whether it is packed, and the bytes that go to disk and wire.
+    fn sent(&self) -> (bool, &[u8]) {
+        match self.0.packed.as_slice() {
+            [] => (false, self.0.text.as_bytes()),
+            packed => (true, packed),
+        }
+    }
+
+    fn taken(packed: bool, bytes: Vec<u8>) -> Result<Self, String> {
+        if !packed {
+            let text = String::from_utf8(bytes).map_err(|e| e.to_string())?;
+            return Ok(Self(Arc::new(Inner { text: text.into(), packed: Vec::new() })));
+        }
+        // What is broken must not make this reserve whatever it says.
+        let (len, _) = lz4_flex::block::uncompressed_size(&bytes).map_err(|e| e.to_string())?;
+        if len > MAX_DOC {
+            return Err(format!("a document of {len} bytes; allowed: {MAX_DOC}"));
+        }
+        let text = lz4_flex::block::decompress_size_prepended(&bytes).map_err(|e| e.to_string())?;
+        if text.len() != len {
+            return Err(format!("a document of {} bytes where {len} were told", text.len()));
+        }
+        let text = String::from_utf8(text).map_err(|e| e.to_string())?;
+        Ok(Self(Arc::new(Inner { text: text.into(), packed: bytes })))
+    }
+}
+
+/// Bytes in one piece, not one by one.
+struct Bytes<'a>(Cow<'a, [u8]>);
+
+impl Serialize for Bytes<'_> {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.serialize_bytes(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Bytes<'static> {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        struct Whole;
+        impl Visitor<'_> for Whole {
+            type Value = Vec<u8>;
+            fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+                f.write_str("the bytes of a document")
+            }
+            fn visit_bytes<E>(self, v: &[u8]) -> Result<Vec<u8>, E> {
+                Ok(v.to_vec())
+            }
+            fn visit_byte_buf<E>(self, v: Vec<u8>) -> Result<Vec<u8>, E> {
+                Ok(v)
+            }
+        }
+        d.deserialize_byte_buf(Whole).map(|v| Bytes(v.into()))
+    }
+}
+
+impl Serialize for Document {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        let (packed, bytes) = self.sent();
+        (packed, Bytes(bytes.into())).serialize(s)
+    }
+}
+
+impl<'de> Deserialize<'de> for Document {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let (packed, bytes) = <(bool, Bytes)>::deserialize(d)?;
+        Document::taken(packed, bytes.0.into_owned()).map_err(serde::de::Error::custom)
+    }
+}
+
+impl PartialEq for Document {
+    fn eq(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.0, &other.0) || self.0.text == other.0.text
+    }
+}
+
+impl Eq for Document {}
 
 impl Deref for Document {
     type Target = str;
     fn deref(&self) -> &str {
-        &self.0
+        &self.0.text
     }
 }
 
 /// For bodies that hold it as it is.
 impl AsRef<[u8]> for Document {
     fn as_ref(&self) -> &[u8] {
-        self.0.as_bytes()
+        self.0.text.as_bytes()
     }
 }
 
 impl From<&str> for Document {
     fn from(s: &str) -> Self {
-        Self(s.into())
+        Self::new(s.into())
     }
 }
 
 impl From<String> for Document {
     fn from(s: String) -> Self {
-        Self(s.into())
+        Self::new(s.into())
     }
 }
 
--- a/crates/interlocking/src/seat/feed.rs
+++ b/crates/interlocking/src/seat/feed.rs
@@ -3,28 +3,54 @@
 use super::*;
 
 impl Seat {
+    /// A beat to all: what is due to each, else a word that the leader is there.
     pub(super) fn feed_all(&mut self, now: Tick, fx: &mut Vec<Fx>) {
-        let rosters = self.ledger.roster.clone();
-        // A newcomer is fed only once its readmission is accepted (design 2.5).
-        for h in self.others().into_iter().filter(|h| rosters.contains(h)) {
-            self.feed(&h, now, fx);
+        for h in self.fed() {
+            let body = self.due_to(&h, now).unwrap_or(Body::Ping);
+            self.feed(&h, body, now, fx);
         }
     }
 
-    fn feed(&self, h: &Holder, now: Tick, fx: &mut Vec<Fx>) {
-        let Post::Leader { peers, .. } = &self.post else { return };
-        let body = match peers.get(&h.seat) {
-            None => Body::Ping,
-            // A follower that lags further than the log reaches takes a frame in its view.
-            Some(p) if !p.installed || p.last < self.base => {
-                let t = self.tail_after(p.accepted);
-                Body::Install { cut: p.accepted, frame: t.frame, entries: t.entries }
+    /// What is due to each, where something is.
+    fn feed_due(&mut self, to: &[Holder], now: Tick, fx: &mut Vec<Fx>) {
+        for h in to {
+            if let Some(body) = self.due_to(h, now) {
+                self.feed(h, body, now, fx);
             }
-            Some(p) => Body::Append {
-                prev: p.last,
-                entries: batch(self.log.iter().filter(|e| e.idx > p.last), self.room.batch()),
-            },
+        }
+    }
+
+    /// A newcomer is fed only once its readmission is accepted (design 2.5).
+    fn fed(&self) -> Vec<Holder> {
+        let mut all = self.others();
+        all.retain(|h| self.ledger.roster.contains(h));
+        all
+    }
+
+    /// What a follower lacks, once. It is fed again only when the answer is overdue: a long entry on
+    /// a long link would be sent many times over, and hold up the beats (design 2.3).
+    fn due_to(&self, h: &Holder, now: Tick) -> Option<Body> {
+        let Post::Leader { peers, .. } = &self.post else { return None };
+        let p = peers.get(&h.seat)?;
+        if p.carried.as_ref().is_some_and(|c| !c.overdue(&self.t, now)) {
+            return None;
+        }
+        // A follower that lags further than the log reaches takes a frame in its view.
+        if !p.installed || p.last < self.base {
+            let t = self.tail_after(p.accepted);
+            return Some(Body::Install { cut: p.accepted, frame: t.frame, entries: t.entries });
+        }
+        let entries = batch(self.log.iter().filter(|e| e.idx > p.last), self.room.batch());
+        (!entries.is_empty()).then_some(Body::Append { prev: p.last, entries })
+    }
+
+    fn feed(&mut self, h: &Holder, body: Body, now: Tick, fx: &mut Vec<Fx>) {
+        let upto = match &body {
+            Body::Ping => None,
+            Body::Install { .. } => Some(self.last()),
+            Body::Append { entries, .. } => entries.last().map(|e| e.idx),
         };
+        let weight = body.weight();
         let msg = SeatMsg::Feed {
             by: self.voter(),
             to: h.seat,
@@ -34,6 +60,11 @@
             body,
         };
         fx.push(Fx::Send { to: h.rail, msg });
+        if let (Post::Leader { peers, .. }, Some(upto)) = (&mut self.post, upto)
+            && let Some(p) = peers.get_mut(&h.seat)
+        {
+            p.carried = Some(Carried::new(now, upto, weight));
+        }
     }
 
     pub(super) fn on_propose(&mut self, change: Change, now: Tick, fx: &mut Vec<Fx>) {
@@ -52,7 +83,7 @@
         fx.push(Fx::Logged { idx: e.idx, change: e.change.clone() });
         let accepted = self.accepted();
         self.persist(Rec::Append { accepted, entries: vec![e] }, now, Vec::new(), fx);
-        self.feed_all(now, fx);
+        self.feed_due(&self.fed(), now, fx);
     }
 
     pub(super) fn on_feed(&mut self, f: Feed, now: Tick, fx: &mut Vec<Fx>) {
@@ -145,17 +176,13 @@
         let stale = was.installed && (!p.installed || p.last < was.last);
         let mut new = if stale { was.clone() } else { p.clone() };
         new.stamp = was.stamp.max(p.stamp);
-        let first = !was.installed;
-        peers.insert(by.seat, new.clone());
+        new.carried = was.carried.filter(|c| !c.held_by(&new));
+        peers.insert(by.seat, new);
         self.advance(now, fx);
         self.heed_plea(now, fx);
-        // Installing goes on at once; the rest follows with the beat.
-        if first || new.last < self.last() {
-            let h = self.ledger.roster.iter().find(|h| h.seat == by.seat).cloned();
-            if let Some(h) = h.filter(|_| !new.installed || was.last != new.last) {
-                self.feed(&h, now, fx);
-            }
-        }
+        // What is due goes on at once; the rest follows with the beat.
+        let to: Vec<Holder> = self.fed().into_iter().filter(|h| h.seat == by.seat).collect();
+        self.feed_due(&to, now, fx);
     }
 
     /// Accepts what a majority of the roster in force has synced in this view (design 2.3).
--- a/crates/interlocking/src/seat/mod.rs
+++ b/crates/interlocking/src/seat/mod.rs
@@ -10,7 +10,7 @@
 mod view;
 
 pub(crate) use post::Feed;
-pub use post::{Peer, Post};
+pub use post::{Carried, Peer, Post};
 pub use room::{Room, batch};
 
 pub use msg::{Body, Ev, Fx, Image, LogEntry, Rec, SeatMsg, Tail, Voter};
@@ -212,7 +212,7 @@
                 self.on_feed(f, now, fx)
             }
             SeatMsg::Held { by, view, installed, last, accepted, stamp } => {
-                let p = Peer { installed, last, accepted, stamp };
+                let p = Peer { installed, last, accepted, stamp, carried: None };
                 self.on_held(by, view, p, now, fx)
             }
         }
--- a/crates/interlocking/src/seat/room.rs
+++ b/crates/interlocking/src/seat/room.rs
@@ -4,6 +4,7 @@
 use super::{LogEntry, Seat};
 use crate::{
     change::{Change, Holder, ReplicaMove, Verdict},
+    document::Document,
     ledger::Ledger,
 };
 use gauge::Index;
@@ -23,7 +24,7 @@
 }
 
 impl Room {
-    /// The longest document.
+    /// The longest document, packed.
     pub fn doc(&self) -> usize {
         self.log / 2
     }
@@ -49,7 +50,7 @@
     /// No less than its length on disk and on the wire; a test holds it to that.
     pub fn weight(&self) -> usize {
         64 + match self {
-            Change::Apply { op, text, .. } => op.as_str().len() + text.len(),
+            Change::Apply { op, text, .. } => op.as_str().len() + text.packed_len(),
             Change::Evacuate { op, area, .. } => op.as_str().len() + area.as_str().len(),
             Change::Replica { op, id, what } => {
                 let list = match what {
@@ -135,7 +136,7 @@
             Verdict::Bounced { reason } => reason.len() + 32,
             _ => 32,
         };
-        let text = self.text.as_ref().map_or(0, |t| t.len());
+        let text = self.text.as_ref().map_or(0, Document::packed_len);
         let areas: usize = self.evacuated.iter().map(|a| a.as_str().len() + 16).sum();
         let replicas: usize = self
             .replicas
@@ -162,7 +163,7 @@
     /// Why a change can't be logged now, in whatever order the rest of the log is accepted.
     pub(super) fn no_room(&self, ch: &Change) -> Option<&'static str> {
         let text = match ch {
-            Change::Apply { text, .. } => text.len(),
+            Change::Apply { text, .. } => text.packed_len(),
             _ => 0,
         };
         let pending = self.weight_after(self.accepted()) + ch.weight() + 16;
--- a/crates/interlocking/tests/desk.rs
+++ b/crates/interlocking/tests/desk.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 mod cluster;
+mod noise;
 use cluster::Cluster;
+use noise::noise;
 
 fn held(version: u64, text: &str) -> Result<Option<(u64, String)>, String> {
     Ok(Some((version, text.to_string())))
@@ -55,6 +57,7 @@
         let at = c.leader();
         c.cut_off(1 - at);
         assert_ne!(c.at[at].replace(0, "1\nalone").await, Told::Accepted);
+        assert_eq!(c.at[at].core.view().ledger.revision.0, 0, "nothing came into force");
         c.mend(1 - at);
         c.until("both are led again", |c| c.at.iter().all(|s| s.core.view().leader.is_some())).await;
     });
@@ -161,6 +164,7 @@
         assert_eq!(invalid(&s.replace(6, "not a version").await), "no version");
         let long = |n: usize| format!("7\n{}", "x".repeat(n - 2));
         assert_eq!(s.replace(6, &long(MAX_DOC + 1)).await, Told::TooLarge);
+        assert_eq!(s.replace(6, &format!("7\n{}", noise(1, MAX_DOC / 4))).await, Told::TooLarge);
         assert_eq!(s.amend(6, &long(MAX_DOC)).await, Told::TooLarge, "what comes of it is too long");
         assert_eq!(s.read().await, held(6, "6\nkept"));
         // The longest one is taken, from a node that has to send it to the leader.
--- /dev/null
+++ b/crates/interlocking/tests/feed.rs
@@ -0,0 +1,76 @@
+//! What a leader feeds, and when it feeds it again (design 2.3): long entries on long links go once,
+//! and beats go meanwhile.
+
+use gauge::Index;
+use std::collections::VecDeque;
+
+mod rig;
+use rig::{DOC, Rig, start};
+
+/// Feeds to a seat since a moment: those that carry a document, and all.
+fn fed(r: &Rig, to: usize, since: gauge::Tick) -> (usize, usize) {
+    let to_it = r.fed.iter().filter(|f| f.0 == to && f.1 >= since);
+    (to_it.clone().filter(|f| f.2 >= DOC).count(), to_it.count())
+}
+
+fn rig(dir: &std::path::Path) -> (Rig, usize) {
+    let mut r = start(dir);
+    r.run(5_000);
+    let far = (r.leader() + 1) % 3;
+    (r, far)
+}
+
+/// Its disk takes a second: nothing is lost, and nothing is sent twice.
+#[test]
+fn a_long_entry_is_fed_once_while_its_answer_may_be_on_its_way() {
+    let dir = tempfile::tempdir().unwrap();
+    let (mut r, far) = rig(dir.path());
+    r.slow = Some((far, VecDeque::new()));
+    let since = r.now;
+    r.stalled = true;
+    r.apply(0, DOC);
+    r.run(1_000);
+    let (long, all) = fed(&r, far, since);
+    assert_eq!(long, 1);
+    assert!(all >= 10, "{all} beats in a second");
+    r.stalled = false;
+    r.run(2_000);
+    r.well();
+}
+
+/// What was lost is fed again, once its answer is overdue and not with every beat.
+#[test]
+fn a_lost_entry_is_fed_again_when_its_answer_is_overdue() {
+    let dir = tempfile::tempdir().unwrap();
+    let (mut r, far) = rig(dir.path());
+    r.cut = Some(far);
+    let since = r.now;
+    r.apply(0, DOC);
+    r.run(5_000);
+    let (long, all) = fed(&r, far, since);
+    assert!((3..=5).contains(&long), "{long} times in five seconds");
+    assert!(all >= 50, "{all} beats in five seconds");
+    r.cut = None;
+    r.run(2_000);
+    r.well();
+}
+
+/// Changes that are logged while a feed is on its way follow with its answer, in their order.
+#[test]
+fn what_is_logged_meanwhile_follows_with_the_answer() {
+    let dir = tempfile::tempdir().unwrap();
+    let (mut r, _) = rig(dir.path());
+    let at = r.leader();
+    let before = r.seats[at].last();
+    for n in 0..20 {
+        r.apply(n, 10);
+    }
+    assert_eq!(r.seats[at].last(), Index(before.0 + 20));
+    // Once there for the first, there with it and the rest, and there for the last acceptance.
+    r.run(75);
+    for s in &r.seats {
+        assert_eq!(s.last(), r.seats[at].last());
+    }
+    r.run(200);
+    r.well();
+}
--- a/crates/interlocking/tests/rig/mod.rs
+++ b/crates/interlocking/tests/rig/mod.rs
@@ -1,5 +1,10 @@
 //! Three seats on real files, with a network that can be cut.
 
+#![allow(dead_code)]
+
+#[path = "../noise/mod.rs"]
+pub mod noise;
+
 use gauge::{Incarnation, Revision, Tick, settings::Timing, wire};
 use interlocking::{
     Change, Ledger,
@@ -8,6 +13,7 @@
     seat::{Ev, Fx, Image, Seat, SeatMsg},
     store::FileStore,
 };
+use noise::noise;
 use std::{collections::VecDeque, net::SocketAddr, path::Path};
 
 pub const DOC: usize = 1 << 20;
@@ -23,11 +29,15 @@
     mail: VecDeque<(usize, usize, SeatMsg)>,
     pub cut: Option<usize>,
     pub slow: Option<(usize, VecDeque<u64>)>,
-    now: Tick,
+    /// The slow disk syncs nothing.
+    pub stalled: bool,
+    pub now: Tick,
     dead: Vec<String>,
     widest: usize,
     pub logged: usize,
     pub bounced: usize,
+    /// Feeds: to whom, when, and what they weigh.
+    pub fed: Vec<(usize, Tick, usize)>,
 }
 
 pub fn start(dir: &Path) -> Rig {
@@ -50,8 +60,23 @@
     }
     let (mail, dead) = Default::default();
     let (widest, logged, bounced) = (0, 0, 0);
+    let fed = vec![];
     let dir = dir.to_path_buf();
-    Rig { dir, seats, disks, mail, cut: None, slow: None, now: Tick(10_000), dead, widest, logged, bounced }
+    Rig {
+        dir,
+        seats,
+        disks,
+        mail,
+        cut: None,
+        slow: None,
+        stalled: false,
+        now: Tick(10_000),
+        dead,
+        widest,
+        logged,
+        bounced,
+        fed,
+    }
 }
 
 impl Rig {
@@ -62,6 +87,9 @@
                 Fx::Send { to, msg } => {
                     let len = wire::enc(&msg).unwrap().len();
                     self.widest = self.widest.max(len);
+                    if let SeatMsg::Feed { to, body, .. } = &msg {
+                        self.fed.push((usize::from(*to), self.now, body.weight()));
+                    }
                     if len < wire::MAX_FRAME {
                         self.mail.push_back((n, usize::from(to.port()) - 7000, msg));
                     }
@@ -87,7 +115,8 @@
         for _ in 0..ms / 25 {
             self.now = self.now + 25;
             for n in 0..3 {
-                let tok = self.slow.as_mut().filter(|s| s.0 == n).and_then(|s| s.1.pop_front());
+                let tok =
+                    self.slow.as_mut().filter(|s| s.0 == n && !self.stalled).and_then(|s| s.1.pop_front());
                 tok.into_iter().for_each(|tok| self.step(n, Ev::Synced(tok)));
                 self.step(n, Ev::Wakeup);
             }
@@ -129,7 +158,7 @@
     pub fn apply(&mut self, n: u64, len: usize) {
         let at = self.leader();
         let base = Revision(self.seats[at].ledger.revision.0);
-        let text = "x".repeat(len);
+        let text = noise(n, len);
         self.step(
             at,
             Ev::Propose(Change::Apply { op: format!("o{n}").as_str().into(), base, text: text.into() }),
--- a/crates/interlocking/tests/size.rs
+++ b/crates/interlocking/tests/size.rs
@@ -14,7 +14,7 @@
 use std::collections::VecDeque;
 
 mod rig;
-use rig::{DOC, addr, start};
+use rig::{DOC, addr, noise::noise, start};
 
 /// Documents in quick succession, while a follower is cut off, slow, or neither.
 #[rstest]
@@ -165,7 +165,8 @@
     let op = || "o".repeat(64).as_str().into();
     let area = || card.area.clone();
     let all = [
-        Change::Apply { op: op(), base: Revision(u64::MAX), text: "t".repeat(70_000).into() },
+        Change::Apply { op: op(), base: Revision(u64::MAX), text: noise(1, 70_000).into() },
+        Change::Apply { op: "y".into(), base: Revision(1), text: "t".repeat(70_000).into() },
         Change::Evacuate { op: op(), area: area(), on: true },
         Change::Join(card.clone()),
         Change::Lapse { node: card.node.clone(), inc: card.inc, left: false },
--- a/crates/trainset/src/sim/operate.rs
+++ b/crates/trainset/src/sim/operate.rs
@@ -10,7 +10,7 @@
     Change,
     seat::{Ev, Fx},
 };
-use rand::Rng;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 impl World {
     /// Operators send documents and evacuations to whichever seats they like, at times two at
@@ -37,11 +37,13 @@
         Ok(())
     }
 
-    /// A good part of the documents is about as long as they may be.
+    /// A good part of the documents is about as long as they may be, and can't be packed.
     fn document(&mut self, op: &OpId) -> String {
         let len = if self.rng.random_bool(0.3) { self.rng.random_range(0..ROOM.doc()) } else { 0 };
         let text = format!("document of {op}");
-        text.clone() + &" ".repeat(len.saturating_sub(text.len()))
+        let mut own = SmallRng::seed_from_u64(self.serial);
+        let rest = len.saturating_sub(text.len());
+        text + &(0..rest).map(|_| char::from(own.random_range(b' '..=b'~'))).collect::<String>()
     }
 
     fn propose(&mut self, n: usize, op: OpId, change: Change) -> Result<(), String> {
