--- a/crates/interlocking/src/desk.rs
+++ b/crates/interlocking/src/desk.rs
@@ -9,6 +9,7 @@
 use crate::{
     change::{Change, Verdict},
     core::Core,
+    document::Document,
     ledger::Ledger,
     rail::Proposed,
 };
@@ -16,9 +17,10 @@
 use siphasher::sip128::{Hasher128, SipHasher13};
 use std::{collections::BTreeSet, hash::Hasher, sync::Arc, time::Duration};
 use timetable::{Flaw, Notation};
+use tokio::time::Instant;
+
+pub use crate::document::MAX_DOC;
 
-/// The longest document.
-pub const MAX_DOC: usize = crate::store::LOG_LEN as usize / 2;
 /// Callers ask elsewhere after a second, or somewhat more where they sent much.
 const WAIT_MS: u64 = 800;
 const BYTES_A_MS: u64 = 2_048;
@@ -47,6 +49,10 @@
     areas: BTreeSet<Area>,
 }
 
+fn within(ms: u64) -> Instant {
+    Instant::now() + Duration::from_millis(ms)
+}
+
 fn invalid(message: impl Into<String>) -> Told {
     Told::Invalid(vec![Flaw { line: 1, column: 1, message: message.into() }])
 }
@@ -78,7 +84,7 @@
     }
 
     /// The newest accepted document and its version.
-    pub async fn read(&self) -> Result<Option<(u64, String)>, String> {
+    pub async fn read(&self) -> Result<Option<(u64, Document)>, String> {
         let l = self.core.state().await?;
         let version = self.version(&l)?;
         Ok(l.text.map(|t| (version, t)))
@@ -90,16 +96,17 @@
             return invalid("area: allowed: 1 to 64 letters, digits, '-', '_' or '.'");
         }
         let area = Area::new(area);
-        self.within(WAIT_MS, async {
-            let l = match self.core.state().await {
+        let until = within(WAIT_MS);
+        self.told_by(until, async {
+            let l = match self.newest(until).await {
                 Ok(l) => l,
-                Err(why) => return Told::Unavailable(why),
+                Err(told) => return told,
             };
             if !self.areas.contains(&area) && !stands_in(&l, &area) {
                 return invalid(format!("area: {area} is known to no node"));
             }
             let op = OpId::new(crate::api::drawn_op());
-            self.log(Change::Evacuate { op, area, on }).await
+            self.log(Change::Evacuate { op, area, on }, until).await
         })
         .await
     }
@@ -114,17 +121,18 @@
         if body.len() > MAX_DOC {
             return Told::TooLarge;
         }
-        self.within(WAIT_MS + body.len() as u64 / BYTES_A_MS, async {
-            let l = match self.core.state().await {
+        let until = within(WAIT_MS + body.len() as u64 / BYTES_A_MS);
+        self.told_by(until, async {
+            let l = match self.newest(until).await {
                 Ok(l) => l,
-                Err(why) => return Told::Unavailable(why),
+                Err(told) => return told,
             };
             match l.verdict(&op) {
                 // Logged once more with nothing in it: the verdict stays, and it is told again only
                 // once most of the members hold it (design 3.7).
                 Some(Verdict::Accepted { .. }) => {
                     let base = Revision(u64::MAX);
-                    return self.log(Change::Apply { op, base, text: String::new() }).await;
+                    return self.log(Change::Apply { op, base, text: "".into() }, until).await;
                 }
                 Some(Verdict::Conflict { .. }) => return Told::Conflict { current: self.version(&l).ok() },
                 Some(Verdict::Bounced { reason }) => return invalid(reason),
@@ -133,7 +141,7 @@
                 None => {}
             }
             match self.checked(&l, expects, make) {
-                Ok(text) => self.log(Change::Apply { op, base: l.revision, text }).await,
+                Ok(text) => self.log(Change::Apply { op, base: l.revision, text }, until).await,
                 Err(told) => told,
             }
         })
@@ -146,13 +154,13 @@
         l: &Ledger,
         expects: u64,
         make: impl FnOnce(&str) -> Result<String, Vec<Flaw>>,
-    ) -> Result<String, Told> {
+    ) -> Result<Document, Told> {
         let current = self.version(l).map_err(Told::Unavailable)?;
         if expects != current {
             return Err(Told::Conflict { current: Some(current) });
         }
-        let text = make(l.text.as_deref().unwrap_or("")).map_err(Told::Invalid)?;
-        if text.len() > MAX_DOC {
+        let text = Document::from(make(l.text.as_deref().unwrap_or("")).map_err(Told::Invalid)?);
+        if !text.fits() {
             return Err(Told::TooLarge);
         }
         let version = self.notation.read(&text).map_err(Told::Invalid)?.version;
@@ -169,8 +177,9 @@
         read.map_err(|f| format!("the current document can't be read: {f:?}"))
     }
 
-    async fn log(&self, ch: Change) -> Told {
-        match self.core.propose(ch, WAIT_MS).await {
+    async fn log(&self, ch: Change, until: Instant) -> Told {
+        let ms = until.duration_since(Instant::now()).as_millis() as u64;
+        match self.core.propose(ch, ms).await {
             Proposed::Settled { verdict: Verdict::Accepted { .. }, .. } => Told::Accepted,
             Proposed::Settled { verdict: Verdict::Conflict { .. }, .. } => {
                 let current = self.core.state().await.ok().and_then(|l| self.version(&l).ok());
@@ -182,8 +191,14 @@
         }
     }
 
-    async fn within(&self, ms: u64, fut: impl Future<Output = Told>) -> Told {
-        tokio::time::timeout(Duration::from_millis(ms), fut).await.unwrap_or(Told::Undetermined)
+    /// Nothing is sent for logging before the newest state is known: without it, nothing was.
+    async fn newest(&self, until: Instant) -> Result<Ledger, Told> {
+        let state = tokio::time::timeout_at(until, self.core.state()).await;
+        state.unwrap_or_else(|_| Err("no leader answered in time".into())).map_err(Told::Unavailable)
+    }
+
+    async fn told_by(&self, until: Instant, fut: impl Future<Output = Told>) -> Told {
+        tokio::time::timeout_at(until, fut).await.unwrap_or(Told::Undetermined)
     }
 }
 
--- a/crates/interlocking/tests/store.rs
+++ b/crates/interlocking/tests/store.rs
@@ -48,7 +48,7 @@
 fn records(b: &[u8]) -> Vec<usize> {
     let mut at = vec![];
     let mut pos = 32;
-    while b[pos..].starts_with(b"fshunt04") {
+    while b[pos..].starts_with(b"fshunt05") {
         at.push(pos);
         let len = u64::from_le_bytes(b[pos + 16..pos + 24].try_into().unwrap());
         pos += 32 + len as usize;
@@ -125,7 +125,7 @@
     let slot = newest(d.path(), "slot");
     let other = d.path().join(if slot.ends_with("slot-0") { "slot-1" } else { "slot-0" });
     edit(&other, |b| {
-        b[..8].copy_from_slice(b"fshunt04");
+        b[..8].copy_from_slice(b"fshunt05");
         b[8..40].fill(7);
     });
     assert_eq!(last(FileStore::load(d.path()).unwrap()), Some(2));
@@ -162,3 +162,29 @@
     });
     assert_eq!(FileStore::load(d.path()).unwrap(), Found::OtherForm);
 }
+
+/// Logs are looked through in pieces: a header that stands across the end of one is found too.
+#[rstest]
+#[case::within_a_piece(1_000)]
+#[case::across_its_end((64 << 10) - 16)]
+#[case::at_its_end((64 << 10) - 32)]
+#[case::in_the_next((64 << 10) + 5)]
+#[case::near_the_end_of_the_log((2 << 20) - 200)]
+fn what_follows_a_gap_is_found_wherever_it_stands(#[case] behind: usize) {
+    let d = tempfile::tempdir().unwrap();
+    filled(d.path(), 2);
+    let log = fs::read(newest(d.path(), "log")).unwrap();
+    let second = log[records(&log)[1]..][..32].to_vec();
+    let d = tempfile::tempdir().unwrap();
+    filled(d.path(), 1);
+    edit(&newest(d.path(), "log"), |b| {
+        let at = records(b)[0];
+        b[at + 35] ^= 1;
+    });
+    assert_eq!(last(FileStore::load(d.path()).unwrap()), Some(0), "a torn end is cut");
+    edit(&newest(d.path(), "log"), |b| {
+        let at = 32 + behind;
+        b[at..at + 32].copy_from_slice(&second);
+    });
+    assert!(matches!(FileStore::load(d.path()).unwrap(), Found::Damaged(_)));
+}
--- a/crates/trainset/src/sim/operate.rs
+++ b/crates/trainset/src/sim/operate.rs
@@ -3,14 +3,14 @@
 use super::{
     Broken,
     nodes::ROOM,
-    world::{Proposal, QUIET_AT, SEATS, What, World},
+    world::{Proposal, QUIET_AT, What, World},
 };
 use gauge::{Area, OpId};
 use interlocking::{
     Change,
     seat::{Ev, Fx},
 };
-use rand::Rng;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 impl World {
     /// Operators send documents and evacuations to whichever seats they like, at times two at
@@ -22,12 +22,12 @@
         }
         let twice = self.rng.random_bool(0.2);
         for _ in 0..=usize::from(twice) {
-            let n = self.rng.random_range(0..SEATS);
+            let n = self.rng.random_range(0..self.seats.len());
             let Some(seat) = self.seats[n].seat.as_ref().filter(|s| s.formed) else { continue };
             let base = seat.ledger.revision;
             let op = OpId::new(format!("op{}", self.number()));
             let change = if self.rng.random_bool(0.7) {
-                Change::Apply { op: op.clone(), base, text: self.document(&op) }
+                Change::Apply { op: op.clone(), base, text: self.document(&op).into() }
             } else {
                 let area = Area::new(format!("a{}", self.rng.random_range(0..3)));
                 Change::Evacuate { op: op.clone(), area, on: self.rng.random_bool(0.5) }
@@ -37,11 +37,13 @@
         Ok(())
     }
 
-    /// A good part of the documents is about as long as they may be.
+    /// A good part of the documents is about as long as they may be, and can't be packed.
     fn document(&mut self, op: &OpId) -> String {
         let len = if self.rng.random_bool(0.3) { self.rng.random_range(0..ROOM.doc()) } else { 0 };
         let text = format!("document of {op}");
-        text.clone() + &" ".repeat(len.saturating_sub(text.len()))
+        let mut own = SmallRng::seed_from_u64(self.serial);
+        let rest = len.saturating_sub(text.len());
+        text + &(0..rest).map(|_| char::from(own.random_range(b' '..=b'~'))).collect::<String>()
     }
 
     fn propose(&mut self, n: usize, op: OpId, change: Change) -> Result<(), String> {
