Tests of a request's way under virtual time, from its head to the last byte

Cause: what becomes of a request after its bytes went out (sent on or not, refused or not, a stream taken up or left) was held by runs of the whole only.

Change: the binary `serving` gets a stage: one router with a test's own dialect, document and boards in a world in memory, and replicas that do what a script tells (close, hold, break off, decline, another id, no seal, another life, a cut or a pause inside an event). After each scene nothing may be open any more.

--- a/crates/track/tests/serving/main.rs
+++ b/crates/track/tests/serving/main.rs
@@ -1,6 +1,7 @@
 //! One binary for serving by routes: its pure rooms, then the way of a request in a world in memory.
 
 mod board;
+mod carried;
 mod choose;
 mod cold;
 mod events;
@@ -11,3 +12,4 @@
 mod plan;
 mod reading;
 mod retries;
+mod stage;
--- /dev/null
+++ b/crates/track/tests/serving/stage.rs
@@ -0,0 +1,440 @@
+//! One router and its replicas in a world in memory, under virtual time. Replicas do what a script
+//! tells, in the order in which requests reach them, whichever replica that is.
+
+use crate::kit::{areas, board, names, prompt, row};
+use futures::StreamExt;
+use gauge::{
+    Area, Clock, Epoch, Incarnation, Region,
+    ground::{Listener, Stream, World, bind, spawn},
+    http::{self, Body, full},
+    settings::{Settings, Timing},
+};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{HeaderMap, Request, StatusCode, body::Frame};
+use interlocking::{Change, Ledger, Role, change::Card, member::Member, news::News};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex, atomic::Ordering},
+    time::Duration,
+};
+use timetable::{Backend, Notation, RequestLimits, Route, RouteMap, place::Flaw};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    sync::watch,
+    time::{sleep, timeout},
+};
+use track::{
+    router::{Router, lock},
+    serving::{Bounds, Dialect, EngineReport, Listing, Lookup, Names, Prompt, Serving, Site, board::Row},
+};
+
+const ROUTER: [u8; 4] = [10, 0, 0, 1];
+const CLIENT: [u8; 4] = [10, 0, 0, 9];
+/// Events of a whole stream.
+pub const EVENTS: u64 = 10;
+pub const MOST_BODY: usize = 64;
+
+/// What a replica does with a request whose bytes have all come.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    /// A whole answer with its seal; a series of events where the path asks for one.
+    Answer,
+    /// The same with another status.
+    Says(u16),
+    /// The same, and closes behind it.
+    Leaves,
+    /// Did not run it, and says so after so many milliseconds.
+    Declines(u16, u64),
+    /// Closes without a word.
+    Closes,
+    /// Holds it and says nothing.
+    Holds,
+    /// An answer whose body breaks off.
+    Breaks,
+    /// A body whose end can't be told from a cut.
+    Endless,
+    /// Events up to this one, half of the next, and a cut.
+    Cut(u64),
+    /// Events up to this one, half of the next, a pause, and the rest.
+    Pause(u64, u64),
+    OtherId,
+    NoSeal,
+    /// Another life stands at this address.
+    OtherLife,
+}
+
+/// A request as a replica read it.
+#[derive(Clone, Debug)]
+pub struct Came {
+    pub replica: String,
+    pub after: Option<String>,
+    pub wanted: Option<String>,
+}
+
+#[derive(Default)]
+struct Script {
+    acts: Mutex<VecDeque<Act>>,
+    came: Mutex<Vec<Came>>,
+}
+
+struct Wire(Names);
+
+impl Dialect for Wire {
+    fn names(&self) -> &Names {
+        &self.0
+    }
+    fn report(&self, _: &[u8]) -> Option<EngineReport> {
+        None
+    }
+    fn listing(&self, _: &[u8]) -> Option<Listing> {
+        None
+    }
+    fn listing_path(&self, _: &Area, _: Option<&str>) -> String {
+        "/".into()
+    }
+    fn prompt(&self, _: &HeaderMap) -> Prompt {
+        prompt(&[], 100)
+    }
+    fn lookup(&self, _: &str) -> Lookup {
+        Lookup { region: String::new(), area: String::new() }
+    }
+    fn places(&self, _: &[SocketAddr], _: u64) -> String {
+        String::new()
+    }
+}
+
+struct Unread;
+
+impl Notation for Unread {
+    fn read(&self, _: &str) -> Result<RouteMap, Vec<Flaw>> {
+        Err(vec![])
+    }
+    fn amend(&self, _: &str, _: &str) -> Result<String, Vec<Flaw>> {
+        Err(vec![])
+    }
+}
+
+async fn read_request(s: &mut Stream) -> Option<String> {
+    let mut got = Vec::new();
+    let head = loop {
+        if let Some(at) = got.windows(4).position(|w| w == b"\r\n\r\n") {
+            break at + 4;
+        }
+        let mut buf = [0u8; 4096];
+        match s.read(&mut buf).await {
+            Ok(n) if n > 0 => got.extend_from_slice(&buf[..n]),
+            _ => return None,
+        }
+    };
+    let text = String::from_utf8_lossy(&got[..head]).into_owned();
+    let body = field(&text, "content-length").and_then(|v| v.parse().ok()).unwrap_or(0usize);
+    while got.len() < head + body {
+        let mut buf = [0u8; 4096];
+        match s.read(&mut buf).await {
+            Ok(n) if n > 0 => got.extend_from_slice(&buf[..n]),
+            _ => return None,
+        }
+    }
+    Some(text)
+}
+
+fn field(head: &str, name: &str) -> Option<String> {
+    head.lines().find_map(|l| Some(l.strip_prefix(name)?.strip_prefix(": ")?.to_string()))
+}
+
+fn event(n: u64) -> String {
+    format!("id: {n}\ndata: token {n}\n\n")
+}
+
+pub fn events(of: std::ops::RangeInclusive<u64>) -> String {
+    of.map(event).collect()
+}
+
+async fn chunk(s: &mut Stream, b: &str) -> Option<()> {
+    s.write_all(format!("{:x}\r\n{b}\r\n", b.len()).as_bytes()).await.ok()
+}
+
+/// Answers one request; nothing where the connection is to be closed.
+async fn act(s: &mut Stream, a: Act, me: &str, head: &str) -> Option<()> {
+    let own = field(head, "x-request").map(|id| format!("x-request: {id}\r\n")).unwrap_or_default();
+    let (id, seal) = match a {
+        Act::OtherId => ("x-request: another\r\n".to_string(), "x-seal: s\r\n"),
+        Act::NoSeal => (own, ""),
+        _ => (own, "x-seal: s\r\n"),
+    };
+    let code = match a {
+        Act::Says(c) | Act::Declines(c, _) => c,
+        Act::OtherLife => 421,
+        _ => 200,
+    };
+    match a {
+        Act::Closes => return None,
+        Act::Holds => {
+            sleep(Duration::from_secs(3_600)).await;
+            return None;
+        }
+        Act::Declines(_, ms) => {
+            sleep(Duration::from_millis(ms)).await;
+            let says = format!("HTTP/1.1 {code} No\r\nx-not-run: yes\r\ncontent-length: 0\r\n\r\n");
+            return s.write_all(says.as_bytes()).await.ok();
+        }
+        Act::Endless => {
+            let says = format!("HTTP/1.1 200 OK\r\n{id}{seal}\r\nfrom {me}");
+            let _ = s.write_all(says.as_bytes()).await;
+            return None;
+        }
+        _ => {}
+    }
+    if !head.contains("/talk/") || code != 200 {
+        let (says, more) = (format!("from {me}"), if a == Act::Breaks { 9 } else { 0 });
+        let n = says.len() + more;
+        let says = format!("HTTP/1.1 {code} X\r\n{id}{seal}content-length: {n}\r\n\r\n{says}");
+        s.write_all(says.as_bytes()).await.ok()?;
+        return (more == 0 && a != Act::Leaves).then_some(());
+    }
+    let says = format!("HTTP/1.1 200 OK\r\n{id}{seal}content-type: text/event-stream\r\n");
+    s.write_all(format!("{says}transfer-encoding: chunked\r\n\r\n").as_bytes()).await.ok()?;
+    let after = field(head, "x-last-event").and_then(|v| v.parse().ok()).unwrap_or(0u64);
+    for n in after + 1..=EVENTS {
+        sleep(Duration::from_millis(20)).await;
+        let e = event(n);
+        let (first, second) = e.split_at(9);
+        chunk(s, first).await?;
+        match a {
+            Act::Cut(last) if last + 1 == n => return None,
+            Act::Pause(last, ms) if last + 1 == n => sleep(Duration::from_millis(ms)).await,
+            _ => {}
+        }
+        chunk(s, second).await?;
+    }
+    s.write_all(b"0\r\n\r\n").await.ok()
+}
+
+async fn replica(lst: Listener, me: String, script: Arc<Script>) {
+    while let Ok((mut s, _)) = lst.accept().await {
+        let (me, script) = (me.clone(), script.clone());
+        spawn(async move {
+            while let Some(head) = read_request(&mut s).await {
+                let (after, wanted) = (field(&head, "x-last-event"), field(&head, "x-wanted"));
+                lock(&script.came).push(Came { replica: me.clone(), after, wanted });
+                let a = lock(&script.acts).pop_front().unwrap_or(Act::Answer);
+                if act(&mut s, a, &me, &head).await.is_none() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// An answer as a client read it.
+#[derive(Debug)]
+pub struct Told {
+    pub code: StatusCode,
+    pub head: HeaderMap,
+    pub body: String,
+    /// The body came to its end in good order.
+    pub whole: bool,
+    pub ms: u64,
+}
+
+impl Told {
+    /// Refused, with when to come back.
+    pub fn refused(&self) -> bool {
+        let after = self.head.get("retry-after").and_then(|v| v.to_str().ok()?.parse::<f64>().ok());
+        self.code == StatusCode::SERVICE_UNAVAILABLE && after.is_some_and(|s| s > 0.0)
+    }
+}
+
+pub struct Stage {
+    world: Arc<World>,
+    s: Arc<Serving>,
+    script: Arc<Script>,
+    http: SocketAddr,
+    ledger: Ledger,
+}
+
+/// Replicas by area; those of `gone` are listed and nobody listens there.
+pub struct Cast {
+    pub rows: BTreeMap<&'static str, Vec<Row>>,
+    pub gone: Vec<usize>,
+    pub evacuated: Option<&'static str>,
+    /// Further tries in hand.
+    pub tries: f64,
+}
+
+impl Default for Cast {
+    fn default() -> Self {
+        let rows = [("n1", (1..=3).map(|n| row(n, 0)).collect())].into();
+        Self { rows, gone: vec![], evacuated: None, tries: 20.0 }
+    }
+}
+
+fn settings() -> Settings {
+    Settings {
+        cluster: "line".into(),
+        node: "p1".into(),
+        area: "n1".into(),
+        rail: (ROUTER, 1).into(),
+        http: (ROUTER, 80).into(),
+        rail_advertise: None,
+        http_advertise: None,
+        seeds: vec![],
+        founds: true,
+        data: None,
+        timing: Timing { tenure_ms: 600_000, ..Timing::default() },
+        log: "error".into(),
+    }
+}
+
+impl Stage {
+    pub async fn new(world: Arc<World>, cast: Cast, routes: Vec<Route>, acts: &[Act]) -> Self {
+        let (set, clock) = (settings(), Clock::default());
+        let card = Card::of(&set, Role::Router, Incarnation(1));
+        let mut l = Ledger::founded("line", vec![]);
+        let mut add = |ch: Change| l.fold(l.idx.next(), &ch);
+        add(Change::Apply { op: "a".into(), base: Default::default(), text: "kept elsewhere".into() });
+        add(Change::Join(card.clone()));
+        if let Some(a) = cast.evacuated {
+            add(Change::Evacuate { op: "e".into(), area: a.into(), on: true });
+        }
+        let member = Member::new(set.clone(), card, clock.clone());
+        member.hold(Epoch(l.idx.0), clock.now());
+        member.install(News::Frame(Box::new(l.clone())), "test");
+        let site = Site {
+            region: Region::new("north"),
+            areas: areas(),
+            readiness: None,
+            directory: None,
+            list: (ROUTER, 9).into(),
+            list_per_s: 10.0,
+            list_lag_ms: 0,
+            bounds: Bounds {
+                cold_overrun: 1.0,
+                cold_slack: 0.0,
+                retry_ratio: 0.1,
+                extra_tries: 64.0,
+                keep_ms: 1_000,
+                grace_ms: 10_000,
+            },
+        };
+        let (router, wire) = (Router::new(set, member, clock), Arc::new(Wire(names())));
+        let s = Serving::new(router, wire, Arc::new(Unread), site);
+        let backend = Backend {
+            name: "chat".into(),
+            health_path: "/".into(),
+            max_conns: 100,
+            cold_for_ms: 0,
+            cold_per_s: 0.0,
+            engine: None,
+        };
+        let limits = RequestLimits { max_body_bytes: MOST_BODY, ..RequestLimits::default() };
+        s.map.store(Some(Arc::new(RouteMap::new(1, routes, vec![backend], limits))));
+        let script: Arc<Script> = Arc::default();
+        lock(&script.acts).extend(acts);
+        let here = |area: &str, rows: &[Row]| board(area, 1, rows.to_vec());
+        let boards: Vec<_> = cast.rows.iter().map(|(a, rows)| here(a, rows)).collect();
+        for rows in cast.rows.into_values() {
+            for (_, r) in rows.iter().enumerate().filter(|(n, _)| !cast.gone.contains(n)) {
+                let lst = bind(r.addr).await.expect("a replica's own address");
+                spawn(replica(lst, r.id.to_string(), script.clone()));
+            }
+        }
+        {
+            let mut folds = lock(&s.folds);
+            boards.into_iter().for_each(|b| assert!(folds.take(b, s.now())));
+            s.fleet.store(Arc::new(folds.fleet(&areas(), 1, 3_000)));
+        }
+        // One is in hand from the start.
+        s.retries.earn(&"chat".into(), (cast.tries - 1.0) / 0.8, 64.0);
+        let http: SocketAddr = (ROUTER, 80).into();
+        let (me, lst) = (s.clone(), bind(http).await.expect("the router's address"));
+        let (end, ended) = watch::channel(false);
+        spawn(async move {
+            http::serve(lst, Arc::default(), ended, move |peer, req| me.clone().serve(peer, req)).await;
+            drop(end);
+        });
+        Self { world, s, script, http, ledger: l }
+    }
+
+    /// From now on an area is evacuated.
+    pub fn evacuate(&self, area: &str) {
+        let mut l = self.ledger.clone();
+        l.fold(l.idx.next(), &Change::Evacuate { op: "later".into(), area: area.into(), on: true });
+        self.s.router.member.install(News::Frame(Box::new(l)), "test");
+    }
+
+    pub async fn send(&self, path: &str, more: &[(&str, &str)], body: Body) -> Told {
+        self.send_to("example.org:80", path, more, body).await
+    }
+
+    pub async fn send_to(&self, host: &str, path: &str, more: &[(&str, &str)], body: Body) -> Told {
+        let began = self.world.ms();
+        let asked = async {
+            let mut tx = http::open(IpAddr::from(CLIENT), self.http, 1_000).await.expect("the router");
+            let req = Request::post(path).header("host", host).header("x-request", "own");
+            let req = more.iter().fold(req, |r, (k, v)| r.header(*k, *v));
+            let res = tx.send_request(req.body(body).expect("a request")).await.expect("an answer");
+            let (head, mut body) = res.into_parts();
+            let (mut got, mut whole) = (Vec::new(), true);
+            while let Some(f) = body.frame().await {
+                match f {
+                    Ok(f) => got.extend_from_slice(f.data_ref().expect("data")),
+                    Err(_) => whole = false,
+                }
+            }
+            let body = String::from_utf8(got).expect("text");
+            Told { code: head.status, head: head.headers, body, whole, ms: self.world.ms() - began }
+        };
+        timeout(Duration::from_secs(300), asked).await.expect("an end within five minutes")
+    }
+
+    pub async fn ask(&self, path: &str) -> Told {
+        self.send(path, &[], full("ask")).await
+    }
+
+    /// A body whose length is not told before.
+    pub async fn ask_in_chunks(&self, path: &str, chunks: usize) -> Told {
+        let parts = futures::stream::iter(0..chunks).map(|_| Ok(Frame::data("0123456789".into())));
+        self.send(path, &[], BodyExt::boxed(StreamBody::new(parts))).await
+    }
+
+    /// A body whose length is told, and which never comes.
+    pub async fn ask_without_its_body(&self, path: &str, long: usize) -> Told {
+        let never = StreamBody::new(futures::stream::pending());
+        self.send(path, &[("content-length", &long.to_string())], BodyExt::boxed(never)).await
+    }
+
+    /// What replicas do from now on.
+    pub fn next(&self, acts: &[Act]) {
+        *lock(&self.script.acts) = acts.iter().copied().collect();
+    }
+
+    pub fn came(&self) -> Vec<Came> {
+        lock(&self.script.came).clone()
+    }
+
+    /// Nothing is open any more, neither here nor at a replica.
+    pub async fn at_rest(&self) {
+        sleep(Duration::from_secs(1)).await;
+        let fleet = self.s.fleet.load();
+        let open: i64 = fleet.by_service.values().flatten().map(|c| c.own.open.load(Ordering::Relaxed)).sum();
+        let abroad: i64 = lock(&self.s.abroad).values().sum();
+        assert_eq!((open, abroad, self.s.router.busy.open()), (0, 0, 0), "all was given back");
+    }
+}
+
+/// Runs one scene from a seed.
+pub fn scene<F: Future<Output = ()>>(
+    seed: u64,
+    cast: Cast,
+    routes: Vec<Route>,
+    acts: &[Act],
+    f: impl FnOnce(Arc<Stage>) -> F,
+) {
+    World::run(seed, None, |w| async move {
+        let stage = Arc::new(Stage::new(w, cast, routes, acts).await);
+        f(stage.clone()).await;
+        stage.at_rest().await;
+    });
+}
