--- a/crates/interlocking/src/seat/mod.rs
+++ b/crates/interlocking/src/seat/mod.rs
@@ -217,8 +217,8 @@
                 self.on_census(from, holder, formed, (roster, idx), now, fx)
             }
             SeatMsg::Found { ledger } => self.on_found(ledger, now, fx),
-            SeatMsg::Asks { life } => self.on_asks(from, life, fx),
-            SeatMsg::Rests { life } => self.on_rests(from, life, now),
+            SeatMsg::Asks(life) => self.on_asks(from, life, fx),
+            SeatMsg::Rests(life) => self.on_rests(from, life, now),
             SeatMsg::Yield { by, view } => self.on_yield(by, view, now),
             SeatMsg::Plea { holder } => self.on_plea(holder, now),
             SeatMsg::Canvass { by, view } => self.on_canvass(from, by, view, now, fx),
--- a/crates/interlocking/src/seat/msg.rs
+++ b/crates/interlocking/src/seat/msg.rs
@@ -63,13 +63,9 @@
         holder: Holder,
     },
     /// A seat that has just started asks whether the other leads.
-    Asks {
-        life: Tick,
-    },
+    Asks(Tick),
     /// It does not.
-    Rests {
-        life: Tick,
-    },
+    Rests(Tick),
     /// A leader that is about to stop gives up its view: the others need not wait out its silence.
     Yield {
         by: Voter,
--- a/crates/interlocking/src/seat/wake.rs
+++ b/crates/interlocking/src/seat/wake.rs
@@ -10,13 +10,13 @@
         let waits = now.since(self.started) < self.t.patience_ms();
         if waits && !self.is_leader() && now.since(self.last_beat) >= self.t.beat_ms() {
             self.last_beat = now;
-            self.tell_others(SeatMsg::Asks { life: self.life }, fx);
+            self.tell_others(SeatMsg::Asks(self.life), fx);
         }
     }
 
     pub(super) fn on_asks(&self, from: SocketAddr, life: Tick, fx: &mut Vec<Fx>) {
         if !self.is_leader() {
-            fx.push(Fx::Send { to: from, msg: SeatMsg::Rests { life } });
+            fx.push(Fx::Send { to: from, msg: SeatMsg::Rests(life) });
         }
     }
 
--- a/crates/interlocking/tests/wake.rs
+++ b/crates/interlocking/tests/wake.rs
@@ -45,13 +45,13 @@
     let mut r = rig::start(dir.path());
     r.run(6_000);
     let (lead, now) = (r.leader(), r.now);
-    let asks = |life| Ev::Msg(rig::addr((lead + 1) % 3), SeatMsg::Asks { life });
-    let rests = |fx: Vec<Fx>| fx.iter().any(|f| matches!(f, Fx::Send { msg: SeatMsg::Rests { .. }, .. }));
+    let asks = |life| Ev::Msg(rig::addr((lead + 1) % 3), SeatMsg::Asks(life));
+    let rests = |fx: Vec<Fx>| fx.iter().any(|f| matches!(f, Fx::Send { msg: SeatMsg::Rests(_), .. }));
     assert!(!rests(r.seats[lead].step(asks(Tick(1)), now)));
     assert!(rests(r.seats[(lead + 2) % 3].step(asks(Tick(1)), now)));
     r.restart(lead, None);
     for n in (0..3).filter(|n| *n != lead) {
-        r.seats[lead].step(Ev::Msg(rig::addr(n), SeatMsg::Rests { life: Tick(1) }), now);
+        r.seats[lead].step(Ev::Msg(rig::addr(n), SeatMsg::Rests(Tick(1))), now);
     }
     let fx = r.seats[lead].step(Ev::Wakeup, now + 250);
     assert!(!fx.iter().any(|f| matches!(f, Fx::Send { msg: SeatMsg::Canvass { .. }, .. })));
