--- a/crates/gauge/src/http.rs
+++ b/crates/common/src/http.rs
@@ -204,7 +204,7 @@
 ) -> eyre::Result<(StatusCode, hyper::HeaderMap, Bytes)> {
     eyre::ensure!(
         !seats.is_empty(),
-        "--core: missing; allowed: the HTTP address of a signalbox, up to three times"
+        "--core: missing; allowed: the HTTP address of a control node, up to three times"
     );
     let (ip, mut last) = (IpAddr::V4(Ipv4Addr::UNSPECIFIED), String::new());
     for to in seats {
--- a/crates/gauge/src/settings.rs
+++ b/crates/common/src/settings.rs
@@ -24,7 +24,7 @@
     pub area: String,
     /// Where own processes reach this one.
     pub rail: SocketAddr,
-    /// Where callers (pointsman) or operators (signalbox) reach this one.
+    /// Where callers (router) or operators (control node) reach this one.
     pub http: SocketAddr,
     /// What others are told instead, where a relay stands in between.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -139,7 +139,7 @@
     #[bpaf(long("seed"), argument("IP:PORT"))]
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub seeds: Vec<SocketAddr>,
-    /// Data folder (signalbox only)
+    /// Data folder (control node only)
     #[bpaf(argument("DIR"))]
     #[serde(skip_serializing_if = "Option::is_none")]
     pub data: Option<PathBuf>,
--- a/crates/gauge/tests/environment.rs
+++ b/crates/common/tests/environment.rs
@@ -1,7 +1,7 @@
 //! Settings from the environment, in a process of their own: a variable that is set stands for all
 //! tests of a process at once.
 
-use gauge::settings::{Flags, Settings};
+use common::settings::{Flags, Settings};
 use std::path::PathBuf;
 
 const GOOD: &str = r#"
--- a/crates/gauge/tests/modules/journal.rs
+++ b/crates/common/tests/modules/journal.rs
@@ -1,6 +1,6 @@
-//! Tests of `gauge::journal`.
+//! Tests of `common::journal`.
 
-use gauge::journal::{Fold, Journal};
+use common::journal::{Fold, Journal};
 
 #[derive(Clone, Default)]
 struct Sum(u64);
--- a/crates/gauge/tests/modules/wire.rs
+++ b/crates/common/tests/modules/wire.rs
@@ -1,7 +1,7 @@
-//! Tests of `gauge::wire`.
+//! Tests of `common::wire`.
 
 use bytes::BytesMut;
-use gauge::wire::{Codec, MAX_FRAME, dec, enc};
+use common::wire::{Codec, MAX_FRAME, dec, enc};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use tokio_util::codec::Decoder;
--- a/crates/gauge/tests/settings.rs
+++ b/crates/common/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Bad settings: one message that names the field, its value and what is allowed (design 1.10).
 
-use gauge::settings::{Flags, Settings};
+use common::settings::{Flags, Settings};
 use rstest::rstest;
 use std::path::PathBuf;
 
--- a/crates/gauge/tests/steps.rs
+++ b/crates/common/tests/steps.rs
@@ -1,7 +1,7 @@
 //! Errors keep the step at which they arose (design 1.4): what is known of a call rests on it.
 
 use bytes::Bytes;
-use gauge::{
+use common::{
     http::{ask, ask_in_turn},
     link::{Lines, Me},
 };
--- a/crates/timetable/src/compile.rs
+++ b/crates/configuration/src/compile.rs
@@ -6,7 +6,7 @@
     place::{Flaw, flaw, locate},
     table::{Entry, KeyPart, Kind, Policy, Table},
 };
-use gauge::{Area, Region, Service, Tenant, good_name};
+use common::{Area, Region, Service, Tenant, good_name};
 use std::collections::{BTreeMap, BTreeSet};
 
 const MAX_DEADLINE: f64 = 3.6e6;
--- a/crates/timetable/src/fleet.rs
+++ b/crates/configuration/src/fleet.rs
@@ -4,7 +4,7 @@
     place::{Flaw, flaw, locate},
     table::Table,
 };
-use gauge::{Area, Region, Service};
+use common::{Area, Region, Service};
 use std::collections::BTreeSet;
 
 /// Homes in which no replica of the needed service is listed.
--- a/crates/timetable/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operator's document: reading, checks, the small language and its compiler (design 4).
 //! Pure: no input or output, the same result on every node.
 
-/// Version of the language; a node that reads an older one is told by `wheeltapper`.
+/// Version of the language; a node that reads an older one is told by `foldshunt-check`.
 pub const LANG: u32 = 1;
 
 pub mod compile;
--- a/crates/timetable/src/routes.rs
+++ b/crates/configuration/src/routes.rs
@@ -2,7 +2,7 @@
 //! A notation reads a document into this form: the product's own, or an adapter's.
 
 use crate::place::Flaw;
-use gauge::{Region, Service};
+use common::{Region, Service};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
--- a/crates/timetable/src/table.rs
+++ b/crates/configuration/src/table.rs
@@ -1,7 +1,7 @@
 //! The compiled plan table, and how a job finds its entry in it (design 4.5).
 
 use crate::doc::Tuning;
-use gauge::{Area, Region, Service, Tenant};
+use common::{Area, Region, Service, Tenant};
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -123,7 +123,7 @@
 
     /// Regions in which a job may run: the entry's homes met with the tenant's (design 5.2).
     pub fn homes(&self, e: &Entry, t: Option<&Tenant>) -> BTreeSet<Region> {
-        if gauge::ground::broken("no-homes") {
+        if common::ground::broken("no-homes") {
             return self.regions();
         }
         let tenant = t.and_then(|t| self.tenants.get(t)).and_then(|h| h.as_ref());
--- a/crates/timetable/tests/compile.rs
+++ b/crates/configuration/tests/compile.rs
@@ -1,8 +1,8 @@
 //! Conformance of the compiler with design 4.2 to 4.5: every flaw, with its place.
 
-use gauge::{Region, Tenant};
+use common::{Region, Tenant};
+use configuration::{KeyPart, check_fleet, compile};
 use rstest::rstest;
-use timetable::{KeyPart, check_fleet, compile};
 
 const DOC: &str = include_str!("../../../examples/rinaldi.toml");
 
@@ -70,7 +70,7 @@
     let e = |name: &str| t.entries.iter().find(|e| e.name == name).unwrap();
     let clerk = Tenant::new("clerks");
     let cordoba = Tenant::new("cordoba-register");
-    let names = |e: &timetable::Entry, x: &Tenant| -> Vec<String> {
+    let names = |e: &configuration::Entry, x: &Tenant| -> Vec<String> {
         t.homes(e, Some(x)).iter().map(Region::to_string).collect()
     };
     assert_eq!(names(e("register-matches"), &clerk), ["buenos-aires", "cordoba"]);
@@ -96,7 +96,7 @@
 #[test]
 fn homes_without_replicas_are_flaws() {
     let t = compile(DOC).unwrap();
-    let all = |areas: &[&str]| -> Vec<(gauge::Service, gauge::Area)> {
+    let all = |areas: &[&str]| -> Vec<(common::Service, common::Area)> {
         let both = |a: &&str| [("match".into(), (*a).into()), ("tickets".into(), (*a).into())];
         areas.iter().flat_map(both).collect()
     };
--- a/crates/interlocking/src/api/document.rs
+++ b/crates/control-plane/src/api/document.rs
@@ -7,7 +7,7 @@
     ledger::Ledger,
     patch::{self, Patch},
 };
-use gauge::{
+use common::{
     Area, Revision, Service,
     http::{json, text},
 };
@@ -95,17 +95,17 @@
 }
 
 /// Why a document is not to be logged, seen from the state as it is.
-pub fn flaws(cluster: &str, src: &str, l: &Ledger) -> Vec<timetable::Flaw> {
+pub fn flaws(cluster: &str, src: &str, l: &Ledger) -> Vec<configuration::Flaw> {
     let listed: Vec<(Service, Area)> =
         l.replicas.values().filter(|r| !r.draining).map(|r| (r.service.clone(), r.area.clone())).collect();
-    match timetable::compile(src) {
-        Ok(t) if t.cluster != cluster => vec![timetable::Flaw {
+    match configuration::compile(src) {
+        Ok(t) if t.cluster != cluster => vec![configuration::Flaw {
             line: 1,
             column: 1,
             message: format!("cluster: {:?}; allowed: {:?}", t.cluster, cluster),
         }],
         Ok(t) => {
-            let old = l.members.values().filter(|m| m.card.lang < t.lang).map(|m| timetable::Flaw {
+            let old = l.members.values().filter(|m| m.card.lang < t.lang).map(|m| configuration::Flaw {
                 line: 1,
                 column: 1,
                 message: format!(
@@ -113,7 +113,7 @@
                     m.card.node, m.card.lang, t.lang
                 ),
             });
-            timetable::check_fleet(src, &t, &listed).into_iter().chain(old).collect()
+            configuration::check_fleet(src, &t, &listed).into_iter().chain(old).collect()
         }
         Err(f) => f,
     }
--- a/crates/interlocking/src/api/mod.rs
+++ b/crates/control-plane/src/api/mod.rs
@@ -1,4 +1,4 @@
-//! The operators' and the platform's HTTP (design 4.6), the same at each signalbox.
+//! The operators' and the platform's HTTP (design 4.6), the same at each control node.
 
 mod document;
 mod moves;
@@ -6,7 +6,7 @@
 pub use document::flaws;
 
 use crate::{MAX_DOC, change::ReplicaMove, core::Core, ledger::Ledger};
-use gauge::{
+use common::{
     OpId, good_name,
     http::{Body, BoxErr, json, read_body, text},
 };
@@ -45,7 +45,7 @@
 /// Two operators in the same moment must never share a verdict: each call without a name of its own
 /// gets one that is drawn.
 pub fn drawn_op() -> String {
-    format!("drawn-{:032x}", gauge::ground::draw::<u128>())
+    format!("drawn-{:032x}", common::ground::draw::<u128>())
 }
 
 /// One operator's call, with what its headers and query say.
@@ -85,9 +85,9 @@
         (&Method::GET, ["readyz"]) => Ok(call.ready()),
         (&Method::GET, ["metrics"]) => Ok(text(StatusCode::OK, call.metrics())),
         (&Method::GET, ["v1", "status"]) => Ok(json(StatusCode::OK, &call.status())),
-        (&Method::GET, ["v1", "configuration"]) => call.show().await,
-        (&Method::PUT, ["v1", "configuration"]) => call.put(&bytes).await,
-        (&Method::PATCH, ["v1", "configuration"]) => call.patch(&bytes).await,
+        (&Method::GET, ["v1", "timetable"]) => call.show().await,
+        (&Method::PUT, ["v1", "timetable"]) => call.put(&bytes).await,
+        (&Method::PATCH, ["v1", "timetable"]) => call.patch(&bytes).await,
         (&Method::GET, ["v1", "evacuations"]) => {
             call.state().await.map(|l| json(StatusCode::OK, &l.evacuated))
         }
@@ -117,7 +117,7 @@
 
     fn metrics(&self) -> String {
         let v = self.core.view();
-        let m = gauge::meter::Meter::default();
+        let m = common::meter::Meter::default();
         let row = [
             ("view", "Number of the view that this seat has promised", v.view as i64),
             ("accepted_index", "Place of the newest accepted change", v.ledger.idx.0 as i64),
--- a/crates/interlocking/src/api/moves.rs
+++ b/crates/control-plane/src/api/moves.rs
@@ -5,7 +5,7 @@
     change::{Change, ReplicaMove, Verdict},
     rail::Proposed,
 };
-use gauge::{Area, Index, OpId, ReplicaId, good_name, http::json};
+use common::{Area, Index, OpId, ReplicaId, good_name, http::json};
 use hyper::StatusCode;
 use serde_json::json as j;
 use std::time::Duration;
@@ -70,7 +70,7 @@
                 Err(_) => return vec!["unknown: asked at a seat that does not lead; see status".into()],
             };
             let lags =
-                |n: &gauge::NodeId| v.reports.get(n).is_none_or(|r| r.0 < idx || r.1 < v.ledger.revision);
+                |n: &common::NodeId| v.reports.get(n).is_none_or(|r| r.0 < idx || r.1 < v.ledger.revision);
             let behind: Vec<String> =
                 v.ledger.members.keys().filter(|n| lags(n)).map(|n| n.to_string()).collect();
             if behind.is_empty() || self.core.clock.now() >= until {
@@ -83,7 +83,7 @@
     pub(super) async fn evacuate(&self, area: &str, on: bool) -> Early<Res> {
         self.named("area", area)?;
         let l = self.state().await?;
-        let named = l.text.as_deref().and_then(|t| timetable::compile(t).ok());
+        let named = l.text.as_deref().and_then(|t| configuration::compile(t).ok());
         if let Some(t) = named.filter(|t| on && !t.areas.contains_key(&Area::new(area))) {
             let all: Vec<String> = t.areas.keys().map(|a| a.to_string()).collect();
             return early(no(
@@ -110,7 +110,7 @@
     /// An operator's word that a lost node is down.
     pub(super) async fn down(&self, node: &str) -> Early<Res> {
         self.named("node", node)?;
-        self.propose(Change::Down { op: self.op.clone(), node: gauge::NodeId::new(node) }).await
+        self.propose(Change::Down { op: self.op.clone(), node: common::NodeId::new(node) }).await
     }
 
     fn named(&self, field: &str, v: &str) -> Early<()> {
--- a/crates/interlocking/src/change.rs
+++ b/crates/control-plane/src/change.rs
@@ -1,7 +1,7 @@
 //! What the log can hold (design 2.1): every change of the shared state.
 
 use crate::document::Document;
-use gauge::{Area, Incarnation, NodeId, OpId, ReplicaId, Revision, Service, settings::Settings};
+use common::{Area, Incarnation, NodeId, OpId, ReplicaId, Revision, Service, settings::Settings};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -56,7 +56,7 @@
             node: set.node.as_str().into(),
             inc,
             role,
-            lang: timetable::LANG,
+            lang: configuration::LANG,
             area: set.area.as_str().into(),
             rail: set.rail(),
             http: set.http_told(),
--- a/crates/interlocking/src/core/drive.rs
+++ b/crates/control-plane/src/core/drive.rs
@@ -6,7 +6,7 @@
     seat::{Ev, Image, Rec},
     store::FileStore,
 };
-use gauge::{jot, settings::Settings};
+use common::{jot, settings::Settings};
 use std::sync::{Weak, mpsc};
 
 /// Takes records in order, and tells the core of each once it is synced, or that a sync failed.
--- a/crates/interlocking/src/core/folder.rs
+++ b/crates/control-plane/src/core/folder.rs
@@ -6,14 +6,14 @@
     seat::{Image, Seat},
     store::FileStore,
 };
-use gauge::{Incarnation, jot, settings::Settings};
+use common::{Incarnation, jot, settings::Settings};
 use std::path::Path;
 
 /// The holder that a blank folder begins: its incarnation is drawn, so that no two are alike.
 pub fn blank(set: &Settings) -> Holder {
     Holder {
         seat: u8::MAX,
-        inc: Incarnation(gauge::ground::draw::<u64>() >> 1),
+        inc: Incarnation(common::ground::draw::<u64>() >> 1),
         node: set.node.as_str().into(),
         area: set.area.as_str().into(),
         rail: set.rail(),
@@ -49,7 +49,7 @@
             )
         }
         Found::Damaged(why) => {
-            let aside = dir.with_extension(format!("damaged-{}", gauge::clock::wall_ms()));
+            let aside = dir.with_extension(format!("damaged-{}", common::clock::wall_ms()));
             jot!(Error, "data folder", "cause" => why, "moved_to" => aside.display().to_string());
             std::fs::rename(dir, &aside)?;
             Ok(fresh)
--- a/crates/interlocking/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -16,7 +16,7 @@
     seat::{Ev, Fx, Image, LogEntry, Seat},
     tenure::Tenures,
 };
-use gauge::{Clock, Index, NodeId, Revision, Tick, jot, link::Lines, settings::Settings};
+use common::{Clock, Index, NodeId, Revision, Tick, jot, link::Lines, settings::Settings};
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard},
@@ -73,7 +73,7 @@
             Some(img),
             clock.now(),
         );
-        seat.secret = gauge::ground::draw();
+        seat.secret = common::ground::draw();
         seat.founds = set.founds;
         seat.expects = seats;
         let (moved, _) = watch::channel(seat.accepted());
@@ -91,7 +91,7 @@
             moved,
         });
         let c = core.clone();
-        gauge::ground::spawn(async move {
+        common::ground::spawn(async move {
             let mut wakeup =
                 tokio::time::interval(Duration::from_millis((c.set.timing.beat_ms() / 2).max(5)));
             loop {
@@ -131,7 +131,7 @@
             match f {
                 Fx::Send { to, msg } => {
                     let (c, from, weight) = (self.clone(), self.set.rail(), msg.weight());
-                    gauge::ground::spawn(async move {
+                    common::ground::spawn(async move {
                         let (line, ms) = c.line(weight);
                         let ask = Ask::Seat { from, msg: Box::new(msg) };
                         let _ = line.call_within(ms, "seat", to, ask).await;
--- a/crates/interlocking/src/core/reach.rs
+++ b/crates/control-plane/src/core/reach.rs
@@ -3,14 +3,14 @@
 
 use super::{Core, Inner};
 use crate::{change::Change, mass::stale_majority};
-use gauge::{Index, NodeId, Tick};
+use common::{Index, NodeId, Tick};
 use std::{sync::Arc, time::Duration};
 
 impl Core {
     /// Why a change must not be logged now: routers that it would not reach may be serving on.
     pub(super) fn may_miss(&self, g: &Inner, ch: &Change) -> Option<String> {
         let now = self.clock.now();
-        if !ch.narrows() || !g.seat.current(now) || gauge::ground::broken("narrows-unheard") {
+        if !ch.narrows() || !g.seat.current(now) || common::ground::broken("narrows-unheard") {
             return None;
         }
         let silent = g.tenures.silent(&g.seat.ledger, &self.set.timing, now);
--- a/crates/interlocking/src/core/serve.rs
+++ b/crates/control-plane/src/core/serve.rs
@@ -8,7 +8,7 @@
     rail::{Ask, Reply},
     seat::Ev,
 };
-use gauge::{Epoch, Index, Revision, jot};
+use common::{Epoch, Index, Revision, jot};
 use std::{sync::Arc, time::Duration};
 
 impl Core {
--- a/crates/interlocking/src/daemon.rs
+++ b/crates/control-plane/src/daemon.rs
@@ -1,4 +1,4 @@
-//! A signalbox from its start to its planned stop (design 1.1): the same in the program and under
+//! A control node from its start to its planned stop (design 1.1): the same in the program and under
 //! virtual time.
 
 use crate::{
@@ -8,7 +8,7 @@
     rail,
     seat::Image,
 };
-use gauge::{
+use common::{
     Clock,
     ground::{Listener, spawn},
     http, jot,
--- a/crates/interlocking/src/desk.rs
+++ b/crates/control-plane/src/desk.rs
@@ -1,5 +1,5 @@
 //! The operator's desk (design 4.9): a document in any notation, replaced, amended and read back, and
-//! areas emptied and taken back, by sendings that may be repeated at any signalbox.
+//! areas emptied and taken back, by sendings that may be repeated at any control node.
 //!
 //! A document carries its own version; a change names the version that it builds on. The name of an
 //! operation is the hash of what was sent, so a sending that is repeated has the verdict of the first.
@@ -13,10 +13,10 @@
     ledger::Ledger,
     rail::Proposed,
 };
-use gauge::{Area, OpId, Revision, good_name};
+use common::{Area, OpId, Revision, good_name};
+use configuration::{Flaw, Notation};
 use siphasher::sip128::{Hasher128, SipHasher13};
 use std::{collections::BTreeSet, hash::Hasher, sync::Arc, time::Duration};
-use timetable::{Flaw, Notation};
 use tokio::time::Instant;
 
 pub use crate::document::MAX_DOC;
--- a/crates/interlocking/src/ledger.rs
+++ b/crates/control-plane/src/ledger.rs
@@ -3,7 +3,7 @@
 use crate::change::{Card, Change, Holder, Replica, ReplicaMove, Verdict};
 use crate::document::Document;
 use crate::mass::Lost;
-use gauge::{Area, Epoch, Index, NodeId, OpId, ReplicaId, Revision};
+use common::{Area, Epoch, Index, NodeId, OpId, ReplicaId, Revision};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/crates/interlocking/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -20,6 +20,6 @@
 pub mod tenure;
 
 pub use change::{Change, Replica, ReplicaMove, Role, Verdict};
+pub use configuration::LANG;
 pub use document::{Document, MAX_DOC};
 pub use ledger::{Ledger, Member};
-pub use timetable::LANG;
--- a/crates/interlocking/src/mass.rs
+++ b/crates/control-plane/src/mass.rs
@@ -2,7 +2,7 @@
 //! over the ledger and who is silent now.
 
 use crate::{change::Change, change::ReplicaMove, ledger::Ledger};
-use gauge::NodeId;
+use common::NodeId;
 use serde::{Deserialize, Serialize};
 
 /// A member whose tenure lapsed without its leaving, and how many members there were before that.
--- a/crates/interlocking/src/member.rs
+++ b/crates/control-plane/src/member.rs
@@ -10,7 +10,7 @@
     tenure::Held,
 };
 use arc_swap::ArcSwap;
-use gauge::{Clock, Epoch, Index, Revision, Tick, jot, settings::Settings};
+use common::{Clock, Epoch, Index, Revision, Tick, jot, settings::Settings};
 use std::{
     collections::VecDeque,
     net::SocketAddr,
@@ -63,7 +63,7 @@
 
     pub fn start(self: &Arc<Self>) {
         let me = self.clone();
-        gauge::ground::spawn(async move {
+        common::ground::spawn(async move {
             // Without a tenure it asks with each beat: a joining is accepted within one or two.
             let mut moved = me.moved.subscribe();
             while !me.leaving.load(Ordering::Acquire) {
@@ -76,7 +76,7 @@
             }
         });
         let me = self.clone();
-        gauge::ground::spawn(async move {
+        common::ground::spawn(async move {
             loop {
                 if !me.follow().await {
                     tokio::time::sleep(Duration::from_millis(me.set.timing.beat_ms())).await;
--- a/crates/interlocking/src/news.rs
+++ b/crates/control-plane/src/news.rs
@@ -5,7 +5,7 @@
     ledger::Ledger,
     seat::{LogEntry, Room},
 };
-use gauge::Index;
+use common::Index;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
--- a/crates/interlocking/src/rail.rs
+++ b/crates/control-plane/src/rail.rs
@@ -1,4 +1,4 @@
-//! What a signalbox is asked by other processes (design 3.4).
+//! What a control node is asked by other processes (design 3.4).
 
 use crate::{
     change::{Card, Change, Holder, Verdict},
@@ -6,7 +6,7 @@
     news::News,
     seat::SeatMsg,
 };
-use gauge::{Epoch, Index, Revision};
+use common::{Epoch, Index, Revision};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -84,11 +84,11 @@
     }
 }
 
-/// Answers all of it at a signalbox.
+/// Answers all of it at a control node.
 pub async fn listen(
-    lst: gauge::ground::Listener,
-    me: gauge::link::Me,
+    lst: common::ground::Listener,
+    me: common::link::Me,
     core: std::sync::Arc<crate::core::Core>,
 ) {
-    gauge::link::listen(lst, me, SERVICE, move |_node, ask| core.clone().answer(ask)).await
+    common::link::listen(lst, me, SERVICE, move |_node, ask| core.clone().answer(ask)).await
 }
--- a/crates/interlocking/src/seat/mod.rs
+++ b/crates/control-plane/src/seat/mod.rs
@@ -20,7 +20,7 @@
     change::{Change, Holder},
     ledger::Ledger,
 };
-use gauge::{Incarnation, Index, Tick, View, settings::Timing};
+use common::{Incarnation, Index, Tick, View, settings::Timing};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
--- a/crates/interlocking/src/seat/msg.rs
+++ b/crates/control-plane/src/seat/msg.rs
@@ -4,7 +4,7 @@
     change::{Change, Holder, Verdict},
     ledger::Ledger,
 };
-use gauge::{Incarnation, Index, Tick, View};
+use common::{Incarnation, Index, Tick, View};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
--- a/crates/interlocking/src/seat/post.rs
+++ b/crates/control-plane/src/seat/post.rs
@@ -1,7 +1,7 @@
 //! A seat's part in its view (design 2.3).
 
 use super::{Body, Tail, Voter};
-use gauge::{Incarnation, Index, Tick, View, settings::Timing};
+use common::{Incarnation, Index, Tick, View, settings::Timing};
 use std::{collections::BTreeMap, net::SocketAddr};
 
 #[derive(Clone, Debug, Default)]
--- a/crates/interlocking/src/seat/room.rs
+++ b/crates/control-plane/src/seat/room.rs
@@ -7,7 +7,7 @@
     document::Document,
     ledger::Ledger,
 };
-use gauge::Index;
+use common::Index;
 
 /// Longest name in a change.
 const NAME: usize = 64;
--- a/crates/interlocking/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -10,7 +10,7 @@
     disk::{Disk, Found},
     seat::{Image, Rec},
 };
-use gauge::wire;
+use common::wire;
 use raw::{HEAD, MAGIC, PIECE, body, fill, head, header, open, parse, piece, reserve};
 use std::{
     fs::File,
--- a/crates/interlocking/src/tenure.rs
+++ b/crates/control-plane/src/tenure.rs
@@ -4,7 +4,7 @@
     change::{Card, Change},
     ledger::Ledger,
 };
-use gauge::{Epoch, NodeId, Tick, settings::Timing};
+use common::{Epoch, NodeId, Tick, settings::Timing};
 use std::collections::BTreeMap;
 
 /// Kept by the leader only. A new leader gives each member a full tenure from its start.
--- a/crates/interlocking/tests/cluster/mod.rs
+++ b/crates/control-plane/tests/cluster/mod.rs
@@ -1,12 +1,13 @@
 //! Seats as daemons run them, on hosts of a world in memory: virtual time, links that can be cut,
 //! disks that sync after a moment.
 
-use gauge::{
+use common::{
     Clock, OpId,
     ground::{Host, World, bind, spawn, spawn_at},
     settings::{Settings, Timing},
 };
-use interlocking::{
+use configuration::{Flaw, Notation, RequestLimits, RouteMap};
+use control_plane::{
     Role,
     change::Card,
     core::{Core, Drive, MakeDrive, blank},
@@ -20,7 +21,6 @@
     sync::{Arc, Weak},
     time::Duration,
 };
-use timetable::{Flaw, Notation, RequestLimits, RouteMap};
 use tokio::time::sleep;
 
 /// A document is its version's number on a line of its own, then whatever follows.
--- a/crates/interlocking/tests/desk.rs
+++ b/crates/control-plane/tests/desk.rs
@@ -1,7 +1,7 @@
 //! Conformance of the operator's desk with design 4.9, and of small cores with design 2.2.
 
-use gauge::ground::World;
-use interlocking::{
+use common::ground::World;
+use control_plane::{
     desk::{MAX_DOC, Told},
     ledger::OPS_KEPT,
 };
--- a/crates/interlocking/tests/document.rs
+++ b/crates/control-plane/tests/document.rs
@@ -1,8 +1,8 @@
 //! Documents on disk and on the wire (design 2.8): packed where that is shorter, back byte for byte,
 //! and never longer than they are weighed.
 
-use gauge::wire;
-use interlocking::{Document, MAX_DOC, seat::Room};
+use common::wire;
+use control_plane::{Document, MAX_DOC, seat::Room};
 use rstest::rstest;
 
 mod noise;
--- a/crates/interlocking/tests/drawn.rs
+++ b/crates/control-plane/tests/drawn.rs
@@ -1,7 +1,7 @@
 //! What must never be alike by chance of time or process (design 2.5, 4.6).
 
-use gauge::settings::{Settings, Timing};
-use interlocking::{api::drawn_op, core::blank};
+use common::settings::{Settings, Timing};
+use control_plane::{api::drawn_op, core::blank};
 use std::collections::BTreeSet;
 
 fn settings() -> Settings {
@@ -34,5 +34,5 @@
 fn no_two_operations_share_a_name() {
     let all: BTreeSet<_> = (0..1_000).map(|_| drawn_op()).collect();
     assert_eq!(all.len(), 1_000);
-    assert!(all.iter().all(|o| gauge::good_name(o)));
+    assert!(all.iter().all(|o| common::good_name(o)));
 }
--- a/crates/interlocking/tests/feed.rs
+++ b/crates/control-plane/tests/feed.rs
@@ -1,14 +1,14 @@
 //! What a leader feeds, and when it feeds it again (design 2.3): long entries on long links go once,
 //! and beats go meanwhile.
 
-use gauge::Index;
+use common::Index;
 use std::collections::VecDeque;
 
 mod rig;
 use rig::{DOC, Rig, start};
 
 /// Feeds to a seat since a moment: those that carry a document, and all.
-fn fed(r: &Rig, to: usize, since: gauge::Tick) -> (usize, usize) {
+fn fed(r: &Rig, to: usize, since: common::Tick) -> (usize, usize) {
     let to_it = r.fed.iter().filter(|f| f.0 == to && f.1 >= since);
     (to_it.clone().filter(|f| f.2 >= DOC).count(), to_it.count())
 }
--- a/crates/interlocking/tests/larger.rs
+++ b/crates/control-plane/tests/larger.rs
@@ -1,7 +1,7 @@
 //! Cores of more than three seats (design 2.2, 2.3, 2.5), message by message.
 
-use gauge::{Incarnation, Index, Tick, View, settings::Timing};
-use interlocking::{
+use common::{Incarnation, Index, Tick, View, settings::Timing};
+use control_plane::{
     Change, Ledger,
     change::Holder,
     seat::{Ev, Fx, Image, LogEntry, MOST_SEATS, Seat, SeatMsg, Tail, Voter},
--- a/crates/interlocking/tests/modules/ledger.rs
+++ b/crates/control-plane/tests/modules/ledger.rs
@@ -1,7 +1,7 @@
-//! Tests of `interlocking::ledger`.
+//! Tests of `control_plane::ledger`.
 
-use gauge::{Incarnation, Index, OpId, Revision, wire};
-use interlocking::{Change, Ledger, ReplicaMove, Verdict, change::Card};
+use common::{Incarnation, Index, OpId, Revision, wire};
+use control_plane::{Change, Ledger, ReplicaMove, Verdict, change::Card};
 
 fn apply(op: &str, base: u64, text: &str) -> Change {
     Change::Apply { op: OpId::new(op), base: Revision(base), text: text.into() }
@@ -27,7 +27,7 @@
     let card = Card {
         node: "n".into(),
         inc: Incarnation(3),
-        role: interlocking::change::Role::Router,
+        role: control_plane::change::Role::Router,
         lang: 1,
         area: "a".into(),
         rail: addr,
--- a/crates/interlocking/tests/modules/mass.rs
+++ b/crates/control-plane/tests/modules/mass.rs
@@ -1,7 +1,7 @@
-//! Tests of `interlocking::mass`.
+//! Tests of `control_plane::mass`.
 
-use gauge::{Epoch, Incarnation, NodeId};
-use interlocking::{
+use common::{Epoch, Incarnation, NodeId};
+use control_plane::{
     Ledger, Member, Role,
     change::Card,
     mass::{Lost, stale_majority},
--- a/crates/interlocking/tests/modules/news.rs
+++ b/crates/control-plane/tests/modules/news.rs
@@ -1,7 +1,7 @@
-//! Tests of `interlocking::news`.
+//! Tests of `control_plane::news`.
 
-use gauge::{Area, Index, OpId};
-use interlocking::{
+use common::{Area, Index, OpId};
+use control_plane::{
     Change, Ledger,
     news::{News, Taken, take},
     seat::LogEntry,
--- a/crates/interlocking/tests/modules/patch.rs
+++ b/crates/control-plane/tests/modules/patch.rs
@@ -1,6 +1,6 @@
-//! Tests of `interlocking::patch`.
+//! Tests of `control_plane::patch`.
 
-use interlocking::patch::{Patch, Swap, apply};
+use control_plane::patch::{Patch, Swap, apply};
 use std::collections::BTreeMap;
 
 #[test]
--- a/crates/interlocking/tests/modules/tenure.rs
+++ b/crates/control-plane/tests/modules/tenure.rs
@@ -1,7 +1,7 @@
-//! Tests of `interlocking::tenure`.
+//! Tests of `control_plane::tenure`.
 
-use gauge::{Epoch, Incarnation, Index, Tick, settings::Timing};
-use interlocking::{Change, Ledger, Role, change::Card, tenure::Tenures};
+use common::{Epoch, Incarnation, Index, Tick, settings::Timing};
+use control_plane::{Change, Ledger, Role, change::Card, tenure::Tenures};
 
 /// Found by the simulator (seed 53): a lapse waited in the log behind a slow disk while the
 /// node, thawed, had its tenure renewed; the lapse then took effect under a valid tenure.
--- a/crates/interlocking/tests/outlived.rs
+++ b/crates/control-plane/tests/outlived.rs
@@ -1,7 +1,7 @@
 //! A killed node that is back at its address does not wait for its former self (design 3.1).
 
-use gauge::{Incarnation, Index, NodeId, Tick, settings::Timing};
-use interlocking::{Change, Ledger, Role, change::Card, tenure::Tenures};
+use common::{Incarnation, Index, NodeId, Tick, settings::Timing};
+use control_plane::{Change, Ledger, Role, change::Card, tenure::Tenures};
 use rstest::rstest;
 
 fn card(inc: u64, port: u16) -> Card {
--- a/crates/interlocking/tests/rig/mod.rs
+++ b/crates/control-plane/tests/rig/mod.rs
@@ -5,8 +5,8 @@
 #[path = "../noise/mod.rs"]
 pub mod noise;
 
-use gauge::{Incarnation, Revision, Tick, settings::Timing, wire};
-use interlocking::{
+use common::{Incarnation, Revision, Tick, settings::Timing, wire};
+use control_plane::{
     Change, Ledger,
     change::Holder,
     disk::{Disk, Found},
--- a/crates/interlocking/tests/seat.rs
+++ b/crates/control-plane/tests/seat.rs
@@ -1,7 +1,7 @@
 //! Conformance of a seat with design 2.3 to 2.5, message by message.
 
-use gauge::{Incarnation, Index, Tick, View, settings::Timing};
-use interlocking::{
+use common::{Incarnation, Index, Tick, View, settings::Timing};
+use control_plane::{
     Change, Ledger,
     change::Holder,
     seat::{Body, Ev, Fx, Image, Seat, SeatMsg, Tail, Voter},
--- a/crates/interlocking/tests/size.rs
+++ b/crates/control-plane/tests/size.rs
@@ -1,8 +1,8 @@
 //! Whatever is accepted for logging fits the short log, the slot and the wire, in every
 //! interleaving (design 2.8): three seats on real files, with documents near their limit.
 
-use gauge::{Incarnation, Index, Revision, View, wire};
-use interlocking::{
+use common::{Incarnation, Index, Revision, View, wire};
+use control_plane::{
     Change, Ledger, ReplicaMove, Role,
     change::{Card, Holder},
     disk::Found,
--- a/crates/interlocking/tests/store.rs
+++ b/crates/control-plane/tests/store.rs
@@ -1,7 +1,7 @@
 //! Conformance of the data folder with design 2.6: torn ends are cut, damage is told.
 
-use gauge::{Incarnation, Index, View};
-use interlocking::{
+use common::{Incarnation, Index, View};
+use control_plane::{
     Change, Ledger,
     change::Holder,
     disk::{Disk, Found},
--- a/crates/interlocking/tests/wake.rs
+++ b/crates/control-plane/tests/wake.rs
@@ -2,8 +2,8 @@
 
 mod rig;
 
-use gauge::{Tick, settings::Timing};
-use interlocking::seat::{Ev, Fx, SeatMsg};
+use common::{Tick, settings::Timing};
+use control_plane::seat::{Ev, Fx, SeatMsg};
 use rstest::rstest;
 use tempfile::tempdir;
 
--- a/crates/track/src/answer.rs
+++ b/crates/data-plane/src/answer.rs
@@ -5,8 +5,8 @@
     rail::{Ask, Reply},
     router::{Router, lock},
 };
-use gauge::{Area, Fence, Service, jot, settings::Settings};
-use interlocking::{news, seat::Room};
+use common::{Area, Fence, Service, jot, settings::Settings};
+use control_plane::{news, seat::Room};
 use std::{
     collections::VecDeque,
     sync::{Arc, atomic::Ordering},
@@ -108,28 +108,31 @@
     }
 
     /// Starts all standing work of a router.
-    pub fn start(self: &Arc<Self>, set: &Settings, rail: gauge::ground::Listener) {
+    pub fn start(self: &Arc<Self>, set: &Settings, rail: common::ground::Listener) {
         self.member.start();
-        gauge::ground::spawn(self.clone().govern());
-        gauge::ground::spawn(self.clone().hail());
-        gauge::ground::spawn(self.clone().watch_all());
-        gauge::ground::spawn(self.clone().lend());
-        gauge::ground::spawn(self.clone().fill_purse());
+        common::ground::spawn(self.clone().govern());
+        common::ground::spawn(self.clone().hail());
+        common::ground::spawn(self.clone().watch_all());
+        common::ground::spawn(self.clone().lend());
+        common::ground::spawn(self.clone().fill_purse());
         self.start_listening(set, rail);
     }
 
     /// Starts the standing work of a router that serves by routes.
-    pub fn start_serving(self: &Arc<Self>, set: &Settings, rail: gauge::ground::Listener) {
+    pub fn start_serving(self: &Arc<Self>, set: &Settings, rail: common::ground::Listener) {
         self.member.start();
-        gauge::ground::spawn(self.clone().hail());
+        common::ground::spawn(self.clone().hail());
         self.start_listening(set, rail);
     }
 
-    fn start_listening(self: &Arc<Self>, set: &Settings, rail: gauge::ground::Listener) {
-        gauge::ground::spawn(self.clone().gather());
+    fn start_listening(self: &Arc<Self>, set: &Settings, rail: common::ground::Listener) {
+        common::ground::spawn(self.clone().gather());
         let me = self.clone();
-        gauge::ground::spawn(gauge::link::listen(rail, set.me(), crate::rail::SERVICE, move |node, ask| {
-            me.clone().answer(node, ask)
-        }));
+        common::ground::spawn(common::link::listen(
+            rail,
+            set.me(),
+            crate::rail::SERVICE,
+            move |node, ask| me.clone().answer(node, ask),
+        ));
     }
 }
--- a/crates/track/src/away.rs
+++ b/crates/data-plane/src/away.rs
@@ -7,12 +7,12 @@
     plan::Plan,
     router::{Router, hop_id, lock},
 };
-use gauge::{
+use common::{
     Fault, Region, Step,
     http::{Body, BusyGuard},
 };
+use control_plane::Member;
 use hyper::Response;
-use interlocking::Member;
 use std::{
     sync::{Arc, atomic::Ordering},
     time::Duration,
--- a/crates/track/src/body.rs
+++ b/crates/data-plane/src/body.rs
@@ -2,8 +2,8 @@
 //! upstream broke, and holding what must live until the last byte.
 
 use bytes::Bytes;
+use common::http::{Body, BoxErr};
 use futures::FutureExt;
-use gauge::http::{Body, BoxErr};
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use std::{
@@ -37,7 +37,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxErr>>> {
         match Pin::new(&mut self.inner).poll_frame(cx) {
-            Poll::Ready(Some(Err(_))) if gauge::ground::broken("cut-looks-whole") => Poll::Ready(None),
+            Poll::Ready(Some(Err(_))) if common::ground::broken("cut-looks-whole") => Poll::Ready(None),
             Poll::Ready(r) => {
                 let next = tokio::time::Instant::now() + self.idle;
                 self.timer.as_mut().reset(next);
--- a/crates/track/src/carry.rs
+++ b/crates/data-plane/src/carry.rs
@@ -7,11 +7,12 @@
     plan::Plan,
     router::{Router, lock},
 };
-use gauge::{
+use common::{
     Fault, Region, ReplicaId, Tick,
     http::{Body, BusyGuard},
     jot,
 };
+use configuration::Kind;
 use hyper::Response;
 use std::{
     collections::BTreeSet,
@@ -19,7 +20,6 @@
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
-use timetable::Kind;
 
 /// The part of its deadline that a job may spend on the waitlist.
 const WAIT_RATIO: u64 = 8;
@@ -83,7 +83,7 @@
                 Next::MayHaveRun(e) => {
                     let again = self.again(p, &past, After::MayHaveRun);
                     jot!(Warn, e.step, "peer" => e.peer, "cause" => e.cause, "job" => p.job, "again" => again);
-                    if !again && gauge::ground::broken("unknown-called-bounced") {
+                    if !again && common::ground::broken("unknown-called-bounced") {
                         return bounced(self, p, "go failed", 1);
                     }
                     if !again {
@@ -104,7 +104,7 @@
     /// No more listed there, draining, or in an area that was evacuated since it was picked.
     fn departed(&self, id: &ReplicaId, addr: SocketAddr) -> bool {
         let l = self.ledger();
-        if gauge::ground::broken("departed-still-used") {
+        if common::ground::broken("departed-still-used") {
             return false;
         }
         l.replicas.get(id).is_none_or(|r| r.draining || r.addr != addr || l.evacuated.contains(&r.area))
@@ -158,7 +158,7 @@
                     let open =
                         |r: &Region| !avoid.contains(r) && lock(&self.purse).has(r, &p.entry.to, self.now());
                     let c = crate::choose::candidates(&seen, &p.homes, t.policy(&p.entry), &open);
-                    crate::choose::draw(&c, gauge::ground::draw())
+                    crate::choose::draw(&c, common::ground::draw())
                 })
                 .map(|r| (r, false))
             }
@@ -201,7 +201,7 @@
 
     /// The final answer, at once: bounced only where no go of the job can have run.
     fn given_up(&self, p: &Plan, past: &Past, why: &'static str, secs: u64) -> Response<Body> {
-        match past.maybe.as_ref().filter(|_| !gauge::ground::broken("unknown-called-bounced")) {
+        match past.maybe.as_ref().filter(|_| !common::ground::broken("unknown-called-bounced")) {
             None => bounced(self, p, why, secs),
             Some(e) => unknown(self, p, e, false),
         }
--- a/crates/track/src/choose.rs
+++ b/crates/data-plane/src/choose.rs
@@ -1,9 +1,9 @@
 //! The source's rule (design 5.1): tests for reuse, and the weighted draw.
 
 use crate::pressure::RegionPressure;
-use gauge::{Region, rank};
+use common::{Region, rank};
+use configuration::Policy;
 use std::collections::{BTreeMap, BTreeSet};
-use timetable::Policy;
 
 /// Region healthy, model healthy there, and not overloaded.
 pub fn passes(p: Option<&RegionPressure>, pol: &Policy) -> bool {
--- a/crates/track/src/cut.rs
+++ b/crates/data-plane/src/cut.rs
@@ -6,9 +6,9 @@
     rail::{Ask, Reply},
     router::{Router, lock},
 };
-use gauge::{Index, NodeId};
+use common::{Index, NodeId};
+use control_plane::{Role, rail as signal};
 use hyper::{Response, StatusCode};
-use interlocking::{Role, rail as signal};
 use std::{collections::HashMap, sync::Arc, sync::atomic::Ordering, time::Duration};
 
 impl Router {
@@ -54,13 +54,13 @@
             wakeup.tick().await;
             let l = self.ledger();
             self.note_standing();
-            let turns = if gauge::ground::broken("hails-squared") { l.members.len() / 4 } else { 1 };
+            let turns = if common::ground::broken("hails-squared") { l.members.len() / 4 } else { 1 };
             let others = l.members.values().filter(|m| m.card.node != *self.node());
             for m in others.flat_map(|m| std::iter::repeat_n(m, turns)) {
                 let (me, m, idx) = (self.clone(), m.clone(), l.idx);
                 // Counted from here: an answer may lie in a socket for as long as this node is frozen.
                 let asked = me.now();
-                gauge::ground::spawn(async move {
+                common::ground::spawn(async move {
                     let to = m.card.rail;
                     let idx = match m.card.role {
                         Role::Router => match me.lines.call("hail", to, Ask::Hail { idx }).await {
@@ -102,9 +102,9 @@
         }
     }
 
-    fn hear(&self, n: NodeId, asked: gauge::Tick) {
+    fn hear(&self, n: NodeId, asked: common::Tick) {
         let mut heard = lock(&self.heard);
-        if gauge::ground::broken("hears-by-pair") {
+        if common::ground::broken("hears-by-pair") {
             let by = |m: &NodeId| NodeId::new(format!("{n}/{m}"));
             heard.extend(self.ledger().members.keys().map(|m| (by(m), asked)));
         }
@@ -135,7 +135,7 @@
     }
 
     /// Fit to take new work, as the platform asks it.
-    pub fn ready(&self) -> Response<gauge::http::Body> {
+    pub fn ready(&self) -> Response<common::http::Body> {
         let l = self.ledger();
         let why: Vec<&str> = [
             (self.governing.load().is_none(), "no configuration"),
@@ -150,7 +150,7 @@
         .collect();
         let code = if why.is_empty() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         let revision = self.member.governs.load(Ordering::Acquire);
-        gauge::http::json(
+        common::http::json(
             code,
             &serde_json::json!({"ready": why.is_empty(), "why": why, "revision": revision, "idx": l.idx}),
         )
--- a/crates/track/src/daemon.rs
+++ b/crates/data-plane/src/daemon.rs
@@ -1,14 +1,14 @@
-//! A pointsman from its start to the end of its drain (design 1.1, 6.5): the same in the program and
+//! A router from its start to the end of its drain (design 1.1, 6.5): the same in the program and
 //! under virtual time.
 
 use crate::router::Router;
-use gauge::{
+use common::{
     Clock, Incarnation,
     ground::{Listener, draw, spawn},
     http, jot,
     settings::Settings,
 };
-use interlocking::{Role, change::Card, member::Member};
+use control_plane::{Role, change::Card, member::Member};
 use std::{
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -35,7 +35,7 @@
     tokio::time::sleep(Duration::from_millis(set.timing.renew_ms())).await;
     let _ = tell.send(true);
     let _ = serving.await;
-    let drain_ms = if gauge::ground::broken("no-drain") { 0 } else { set.timing.drain_ms };
+    let drain_ms = if common::ground::broken("no-drain") { 0 } else { set.timing.drain_ms };
     let end = clock.now() + drain_ms;
     while (router.busy.open() > 0 || conns.open() > 0) && clock.now() < end {
         tokio::time::sleep(Duration::from_millis(20)).await;
--- a/crates/track/src/digest.rs
+++ b/crates/data-plane/src/digest.rs
@@ -1,7 +1,7 @@
 //! What happened at a router lately, and what that adds up to (design 1.5): events appended to
 //! the journal, one view folded from them, both shown on `/foldshunt/journal`.
 
-use gauge::{Epoch, ReplicaId, Revision, Tick, journal::Fold};
+use common::{Epoch, ReplicaId, Revision, Tick, journal::Fold};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/track/src/edge.rs
+++ b/crates/data-plane/src/edge.rs
@@ -6,13 +6,13 @@
     plan::{Plan, header_of},
     router::{Governing, Router, stands_in},
 };
-use gauge::{
+use common::{
     Fault, JobId,
     http::{Body, BoxErr, BusyGuard, json, read_body, text},
     jot,
 };
+use control_plane::Member;
 use hyper::{Request, Response, StatusCode, body::Incoming, http::request::Parts};
-use interlocking::Member;
 use serde_json::json as j;
 use std::{
     net::SocketAddr,
@@ -43,7 +43,7 @@
     let mut res =
         json(code, &j!({"outcome": "bounced", "reason": reason, "job": job, "retry_after_s": retry_s}));
     if retry_s > 0
-        && !gauge::ground::broken("no-retry-after")
+        && !common::ground::broken("no-retry-after")
         && let Ok(v) = retry_s.to_string().parse()
     {
         res.headers_mut().insert("retry-after", v);
@@ -199,7 +199,7 @@
 
     /// A router of a region that is heard, not evacuated and not tried yet; drawn, so that
     /// no one of them gets it all.
-    pub fn router_in(&self, p: &Plan, region: &gauge::Region, tried: &[String]) -> Option<Member> {
+    pub fn router_in(&self, p: &Plan, region: &common::Region, tried: &[String]) -> Option<Member> {
         let l = self.ledger();
         let all: Vec<Member> = l
             .routers()
@@ -210,7 +210,7 @@
             .filter(|m| self.starting() || self.hears(&m.card.node))
             .cloned()
             .collect();
-        (!all.is_empty()).then(|| all[gauge::ground::draw_in(0..all.len())].clone())
+        (!all.is_empty()).then(|| all[common::ground::draw_in(0..all.len())].clone())
     }
 }
 
--- a/crates/track/src/go.rs
+++ b/crates/data-plane/src/go.rs
@@ -3,7 +3,7 @@
 
 use crate::body::{Passing, ends_surely};
 use bytes::Bytes;
-use gauge::{
+use common::{
     Fault,
     fault::At,
     http::{Body, full, open},
--- a/crates/track/src/heir.rs
+++ b/crates/data-plane/src/heir.rs
@@ -4,8 +4,8 @@
     rail::{Ask, Reply},
     router::Router,
 };
-use gauge::{Area, Service};
-use interlocking::duty;
+use common::{Area, Service};
+use control_plane::duty;
 
 impl Router {
     /// Whether no router of the area outlived the last figures: then the area was lost, and what is
--- a/crates/track/src/hop.rs
+++ b/crates/data-plane/src/hop.rs
@@ -6,7 +6,7 @@
     router::{Router, lock},
     tab::UserKey,
 };
-use gauge::{Epoch, JobId, NodeId, Region, Revision, Service, Tenant, rank::stable_hash, wire};
+use common::{Epoch, JobId, NodeId, Region, Revision, Service, Tenant, rank::stable_hash, wire};
 use serde::{Deserialize, Serialize};
 use siphasher::sip128::{Hasher128, SipHasher24};
 use std::hash::Hasher;
--- a/crates/track/src/key.rs
+++ b/crates/data-plane/src/key.rs
@@ -1,7 +1,7 @@
 //! The user key (design 5.2): learned from what callers do send, in the order of the policy.
 
 use crate::tab::UserKey;
-use timetable::KeyPart;
+use configuration::KeyPart;
 
 /// Fields in which a prompt is looked for when its opening serves as the key.
 const PROMPTS: &[&str] = &["prompt", "input", "messages", "text"];
--- a/crates/track/src/lend.rs
+++ b/crates/data-plane/src/lend.rs
@@ -1,7 +1,7 @@
 //! Lending passes (design 5.5): no input or output. A lender hands out a share of measured
 //! headroom; a purse holds what was handed out; each pick elsewhere uses one.
 
-use gauge::{Fence, NodeId, Region, Service, Tick};
+use common::{Fence, NodeId, Region, Service, Tick};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
--- a/crates/track/src/lending.rs
+++ b/crates/data-plane/src/lending.rs
@@ -5,10 +5,10 @@
     rail::{Ask, Reply},
     router::{Router, lock, stands_in},
 };
-use gauge::{NodeId, Region, Service};
-use interlocking::{Member, duty};
+use common::{NodeId, Region, Service};
+use configuration::Table;
+use control_plane::{Member, duty};
 use std::{sync::Arc, time::Duration};
-use timetable::Table;
 
 impl Router {
     /// The one router that lends for a region.
@@ -109,7 +109,7 @@
                 for svc in g.table.services.keys() {
                     let (me, region, svc) = (self.clone(), region.clone(), svc.clone());
                     let to = lender.card.rail;
-                    gauge::ground::spawn(async move {
+                    common::ground::spawn(async move {
                         let asked = me.now();
                         let ask = Ask::Passes {
                             region: region.clone(),
--- a/crates/track/src/numbers.rs
+++ b/crates/data-plane/src/numbers.rs
@@ -1,6 +1,6 @@
 //! What a router counts (design 1.7).
 
-use gauge::meter::Meter;
+use common::meter::Meter;
 use prometheus::{IntCounterVec, IntGaugeVec};
 
 pub struct Numbers {
--- a/crates/track/src/place.rs
+++ b/crates/data-plane/src/place.rs
@@ -8,8 +8,8 @@
     router::{Cached, Router, lock},
     tab::{Copy, Settled, UserKey},
 };
-use gauge::{Region, Service, Tick};
-use interlocking::{Member, duty};
+use common::{Region, Service, Tick};
+use control_plane::{Member, duty};
 use std::{collections::BTreeSet, sync::Arc};
 
 /// Where a job is to go, and whether it needs a pass to be there.
@@ -37,7 +37,7 @@
         let count = |how: &str| self.numbers.placements.with_label_values(&[how]).inc();
         let Some(key) = p.key else {
             count("no key");
-            return draw(&cands, gauge::ground::draw()).map(|region| Placed { region, stored: false });
+            return draw(&cands, common::ground::draw()).map(|region| Placed { region, stored: false });
         };
         let good = |r: &Region| p.homes.contains(r) && !avoid.contains(r) && passes(seen.get(r), pol);
         let mut stale = None;
@@ -48,7 +48,7 @@
             }
             stale = Some(c.ver);
         }
-        let pick = draw(&cands, gauge::ground::draw());
+        let pick = draw(&cands, common::ground::draw());
         for _ in 0..2 {
             let asked = self.now();
             match self
@@ -128,7 +128,7 @@
     /// The owner's side: settles and tells the followers of what it won.
     pub fn settle_here(
         self: &Arc<Self>,
-        fence: gauge::Fence,
+        fence: common::Fence,
         key: UserKey,
         service: &Service,
         stale: Option<u64>,
@@ -154,12 +154,12 @@
     }
 
     /// Two followers, in other areas where that can be had.
-    fn tell_followers(self: &Arc<Self>, shard: u16, fence: gauge::Fence, owners: Vec<Member>, row: Copy) {
+    fn tell_followers(self: &Arc<Self>, shard: u16, fence: common::Fence, owners: Vec<Member>, row: Copy) {
         let (far, near): (Vec<_>, Vec<_>) =
             owners.into_iter().skip(1).partition(|m| m.card.area != *self.area());
         for m in far.into_iter().chain(near).take(2) {
             let (me, rows) = (self.clone(), vec![row.clone()]);
-            gauge::ground::spawn(async move {
+            common::ground::spawn(async move {
                 let ask = Ask::Copy { fence, shard, rows };
                 let _ = me.lines.call("copy", m.card.rail, ask).await;
             });
@@ -180,7 +180,7 @@
                 }
                 for m in owners.into_iter().skip(1).take(3) {
                     let (me, to) = (self.clone(), m.card.rail);
-                    gauge::ground::spawn(async move {
+                    common::ground::spawn(async move {
                         if let Ok(Reply::Rows(rows)) = me.lines.call("fetch", to, Ask::Fetch { shard }).await
                         {
                             me.take_copies(rows);
--- a/crates/track/src/plan.rs
+++ b/crates/data-plane/src/plan.rs
@@ -6,10 +6,10 @@
     router::{Governing, Router},
     tab::UserKey,
 };
-use gauge::{JobId, Region, Tenant, Tick};
+use common::{JobId, Region, Tenant, Tick};
+use configuration::Entry;
 use hyper::{StatusCode, http::request::Parts};
 use std::{collections::BTreeSet, sync::Arc};
-use timetable::Entry;
 
 /// All that is decided from the head alone.
 #[derive(Clone)]
--- a/crates/track/src/pressure.rs
+++ b/crates/data-plane/src/pressure.rs
@@ -1,6 +1,6 @@
 //! Pressure (design 5.4): what each home node publishes, and how regions are folded from it.
 
-use gauge::{Area, Fence, NodeId, Region, ReplicaId, Service, Tick};
+use common::{Area, Fence, NodeId, Region, ReplicaId, Service, Tick};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, HashMap},
--- a/crates/track/src/probe.rs
+++ b/crates/data-plane/src/probe.rs
@@ -9,11 +9,11 @@
     router::{Router, lock},
     watched::{Checked, Report, Watched},
 };
-use gauge::{Area, Fence, NodeId, ReplicaId, Service, Tick, http::ask, jot};
+use common::{Area, Fence, NodeId, ReplicaId, Service, Tick, http::ask, jot};
+use configuration::Table;
+use control_plane::{Member, Replica, duty};
 use hyper::Method;
-use interlocking::{Member, Replica, duty};
 use std::{collections::BTreeMap, sync::Arc, sync::atomic::Ordering, time::Duration};
-use timetable::Table;
 use tokio::{sync::watch, task::JoinHandle};
 
 type Key = (Service, Area);
@@ -56,9 +56,9 @@
                 tasks.entry(k.clone()).or_insert_with(|| {
                     let (me, holder) = (self.clone(), m.card.node.to_string());
                     let task = if m.card.node == *self.node() {
-                        gauge::ground::spawn(me.probe(k))
+                        common::ground::spawn(me.probe(k))
                     } else {
-                        gauge::ground::spawn(me.subscribe(k, m))
+                        common::ground::spawn(me.subscribe(k, m))
                     };
                     (holder, task)
                 });
--- a/crates/track/src/rail.rs
+++ b/crates/data-plane/src/rail.rs
@@ -1,4 +1,4 @@
-//! What a pointsman is asked by other processes (design 5.7).
+//! What a router is asked by other processes (design 5.7).
 
 use crate::{
     lend::{Pass, Spent},
@@ -6,8 +6,8 @@
     serving::{board::Board, reading::Note},
     tab::{Copy, Settled, UserKey},
 };
-use gauge::{Area, Fence, Incarnation, Index, NodeId, Region, Service};
-use interlocking::news::News;
+use common::{Area, Fence, Incarnation, Index, NodeId, Region, Service};
+use control_plane::news::News;
 use serde::{Deserialize, Serialize};
 
 pub const SERVICE: &str = "points";
--- a/crates/track/src/replay.rs
+++ b/crates/data-plane/src/replay.rs
@@ -2,7 +2,7 @@
 //! numbers its hops within its membership; who is asked keeps a sliding window of the numbers it
 //! took from each member, as IPsec does (RFC 4303, 3.4.3).
 
-use gauge::{Epoch, NodeId};
+use common::{Epoch, NodeId};
 use std::collections::HashMap;
 
 /// Hops of one sender that may overtake another one of its: 2 KiB for each member.
--- a/crates/track/src/replica.rs
+++ b/crates/data-plane/src/replica.rs
@@ -5,13 +5,13 @@
     router::{Router, stands_in},
     tab::UserKey,
 };
-use gauge::{NodeId, Region, Service, rank::stable_hash};
-use interlocking::Ledger;
+use common::{NodeId, Region, Service, rank::stable_hash};
+use configuration::{Kind, Table};
+use control_plane::Ledger;
 use std::{
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
 };
-use timetable::{Kind, Table};
 
 /// Share of a region's capacity in use from which users keep to their first replicas.
 const PRESSED: f64 = 0.75;
@@ -19,7 +19,7 @@
 /// A replica that was picked; while this lives the job counts as open there.
 pub struct Picked {
     pub addr: SocketAddr,
-    pub id: gauge::ReplicaId,
+    pub id: common::ReplicaId,
     pub own: Arc<Own>,
     router: Arc<Router>,
 }
@@ -33,7 +33,7 @@
 
 /// This router's part of `whole` places at a replica, cut over the region's routers by rank.
 fn share(line: &[NodeId], me: &str, key: &str, whole: u32) -> i64 {
-    let ranked = gauge::rank::ranked(key, line, |n| n.as_str());
+    let ranked = common::rank::ranked(key, line, |n| n.as_str());
     let n = ranked.len().max(1) as u32;
     let place = ranked.iter().position(|m| m.as_str() == me).unwrap_or(usize::MAX);
     i64::from(whole / n) + i64::from((place as u64) < u64::from(whole % n))
@@ -74,7 +74,7 @@
         svc: &Service,
         kind: Kind,
         key: Option<UserKey>,
-        tried: &[gauge::ReplicaId],
+        tried: &[common::ReplicaId],
     ) -> Result<Picked, bool> {
         let region = self.own_region(t).ok_or(false)?;
         let l = self.ledger();
--- a/crates/track/src/router.rs
+++ b/crates/data-plane/src/router.rs
@@ -13,11 +13,12 @@
     waitlist::Waitlist,
 };
 use arc_swap::ArcSwapOption;
-use gauge::{
+use common::{
     Area, Clock, Fence, NodeId, Region, Revision, Service, Tick, http::Busy, jot, journal::Journal,
     link::Lines, settings::Settings,
 };
-use interlocking::{Ledger, Member, member};
+use configuration::Table;
+use control_plane::{Ledger, Member, member};
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     sync::{
@@ -25,7 +26,6 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
-use timetable::Table;
 use tokio::sync::watch;
 
 /// A compiled document and the revision that it came from.
@@ -148,7 +148,7 @@
             let l = self.ledger();
             let have = self.governing.load().as_ref().map(|g| g.revision).unwrap_or_default();
             if let Some(text) = l.text.as_ref().filter(|_| l.revision > have) {
-                match timetable::compile(text) {
+                match configuration::compile(text) {
                     Ok(table) => {
                         let revision = l.revision;
                         self.governing.store(Some(Arc::new(Governing { revision, table })));
@@ -190,7 +190,7 @@
     pub fn usable(&self, svc: &Service) -> Vec<Candidate> {
         let l = self.ledger();
         self.pressure.replicas(svc, self.now(), self.set.timing.stale_ms(), &|g, area| {
-            if gauge::ground::broken("departed-still-used") {
+            if common::ground::broken("departed-still-used") {
                 return true;
             }
             !l.evacuated.contains(area)
@@ -240,6 +240,6 @@
 }
 
 /// Under this name own hops to a region are counted.
-pub fn hop_id(r: &Region, svc: &Service) -> gauge::ReplicaId {
-    gauge::ReplicaId::new(format!("hop/{r}/{svc}"))
+pub fn hop_id(r: &Region, svc: &Service) -> common::ReplicaId {
+    common::ReplicaId::new(format!("hop/{r}/{svc}"))
 }
--- a/crates/track/src/serving/attempt.rs
+++ b/crates/data-plane/src/serving/attempt.rs
@@ -3,7 +3,7 @@
 
 use super::{fleet::Candidate, plan::Plan, state::Serving};
 use crate::{body::ends_surely, go::strip, router::lock};
-use gauge::{
+use common::{
     Fault,
     fault::At,
     http::{Sender, full, open},
@@ -65,7 +65,7 @@
         p: &Plan,
         c: &Candidate,
         after: Option<&str>,
-    ) -> Result<Request<gauge::http::Body>, Fault> {
+    ) -> Result<Request<common::http::Body>, Fault> {
         let (step, names) = ("build request", self.dialect.names());
         let path = p.uri.path_and_query().map_or("/", |x| x.as_str());
         let mut req = Request::builder()
--- a/crates/track/src/serving/board.rs
+++ b/crates/data-plane/src/serving/board.rs
@@ -1,14 +1,14 @@
 //! Figures of the replicas of one area, as its home publishes them (design 9.3). Pure data.
 
 use super::dialect::{EngineReport, Listed};
-use gauge::{Area, Fence, Service, Tick};
+use common::{Area, Fence, Service, Tick};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, net::SocketAddr};
 
 /// One replica of an area.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
-    pub id: gauge::ReplicaId,
+    pub id: common::ReplicaId,
     pub service: Service,
     pub addr: SocketAddr,
     pub slots: u32,
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Board {
     pub area: Area,
-    pub publisher: gauge::NodeId,
+    pub publisher: common::NodeId,
     pub fence: Fence,
     pub seq: u64,
     /// How old the figures were when they were sent, and how long the question lay before that.
--- a/crates/track/src/serving/carry.rs
+++ b/crates/data-plane/src/serving/carry.rs
@@ -11,15 +11,15 @@
 };
 use crate::router::lock;
 use bytes::Bytes;
-use gauge::{
+use common::{
     Fault, ReplicaId,
     http::{Body, BusyGuard, Sender, full, json},
     jot,
 };
+use configuration::RouteKind;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Response, StatusCode, body::Incoming, http::response::Parts};
 use std::{sync::Arc, time::Duration};
-use timetable::RouteKind;
 
 /// Attempts that reach nobody, after which the request is given up.
 const MOST_UNSENT: u32 = 4;
@@ -106,7 +106,7 @@
             reads_per_ms: READS_PER_MS,
             now,
             hold_ms: self.hold_ms(&p.service),
-            unit: gauge::ground::draw(),
+            unit: common::ground::draw(),
         };
         let fit = |c: &&Candidate| choose::fits(c, &p.prompt) && warm(c) && conns(c);
         let home = |c: &Candidate| p.route.homes.is_empty() || p.route.homes.contains(&c.region);
--- a/crates/track/src/serving/choose.rs
+++ b/crates/data-plane/src/serving/choose.rs
@@ -2,7 +2,7 @@
 //! as far as figures and own counts tell. Pure.
 
 use super::{dialect::Prompt, fleet::Candidate, reading::Reading};
-use gauge::{Area, Region, Tick, rank::stable_hash};
+use common::{Area, Region, Tick, rank::stable_hash};
 
 /// Prompt tokens that a replica reads in a millisecond, where nothing else is known.
 pub const READS_PER_MS: f64 = 50.0;
--- a/crates/track/src/serving/cold.rs
+++ b/crates/data-plane/src/serving/cold.rs
@@ -1,7 +1,7 @@
 //! What all routers together may send to a cold replica (design 9.5), cut into parts that need no
 //! talk: a few routers by rank, each with its own bucket. Pure.
 
-use gauge::{NodeId, ReplicaId, Tick, rank::stable_hash};
+use common::{NodeId, ReplicaId, Tick, rank::stable_hash};
 
 /// Share of the bound that is used: clocks and travel differ a little.
 const USED: f64 = 0.8;
--- a/crates/track/src/serving/daemon.rs
+++ b/crates/data-plane/src/serving/daemon.rs
@@ -6,18 +6,18 @@
     state::{Serving, Site},
 };
 use crate::router::Router;
-use gauge::{
+use common::{
     Clock, Incarnation,
     ground::{Listener, bind, draw, spawn},
     http, jot,
     settings::Settings,
 };
-use interlocking::{Role, change::Card, member::Member};
+use configuration::Notation;
+use control_plane::{Role, change::Card, member::Member};
 use std::{
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
-use timetable::Notation;
 use tokio::sync::watch;
 
 /// What a serving router is made of, besides its settings.
--- a/crates/track/src/serving/dialect.rs
+++ b/crates/data-plane/src/serving/dialect.rs
@@ -1,7 +1,7 @@
 //! What an adapter tells the data plane: the names that stand on the wire and the shapes behind
 //! them (design 9.1). Owns no state and decides nothing.
 
-use gauge::{Area, ReplicaId, Service};
+use common::{Area, ReplicaId, Service};
 use hyper::{HeaderMap, header::HeaderName};
 use std::net::SocketAddr;
 
--- a/crates/track/src/serving/directory.rs
+++ b/crates/data-plane/src/serving/directory.rs
@@ -3,7 +3,7 @@
 
 use super::state::Serving;
 use crate::router::lock;
-use gauge::{
+use common::{
     Area, Region,
     http::{Body, BoxErr, json, text},
 };
@@ -44,7 +44,7 @@
         let l = r.ledger();
         let mine = self.unfit().is_none();
         let fit =
-            |n: &gauge::NodeId| if n == r.node() { mine } else { r.hears(n) && !lock(&r.unfit).contains(n) };
+            |n: &common::NodeId| if n == r.node() { mine } else { r.hears(n) && !lock(&r.unfit).contains(n) };
         let all = l.routers().into_iter().filter(|m| fit(&m.card.node));
         all.map(|m| Edge {
             addr: m.card.http,
--- a/crates/track/src/serving/events.rs
+++ b/crates/data-plane/src/serving/events.rs
@@ -10,7 +10,7 @@
     state::Serving,
 };
 use bytes::Bytes;
-use gauge::{
+use common::{
     Fault, Tick,
     http::{Body, BoxErr, BusyGuard, Sender},
     jot,
@@ -50,7 +50,7 @@
 ) -> Response<Body> {
     let (out, mut rx) = mpsc::channel(4);
     let s = s.clone();
-    gauge::ground::spawn(async move {
+    common::ground::spawn(async move {
         let _busy = busy;
         run(s, p, past, open, (body, tx), out).await;
     });
--- a/crates/track/src/serving/fleet.rs
+++ b/crates/data-plane/src/serving/fleet.rs
@@ -2,7 +2,7 @@
 //! itself. Read by read-copy-update on a request's way; knows no request.
 
 use super::{board::Board, cold::Bucket};
-use gauge::{Area, Region, ReplicaId, Service, Tick};
+use common::{Area, Region, ReplicaId, Service, Tick};
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
--- a/crates/track/src/serving/front.rs
+++ b/crates/data-plane/src/serving/front.rs
@@ -7,17 +7,17 @@
     state::Serving,
 };
 use crate::{go::strip, router::lock};
-use gauge::{
+use common::{
     http::{Body, BoxErr, read_body},
     jot,
 };
+use configuration::Route;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use std::{
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
-use timetable::Route;
 
 type Res = Response<Body>;
 
@@ -84,7 +84,7 @@
         let Some(route) = self.route(&head) else {
             return no(StatusCode::NOT_FOUND, "no route", None);
         };
-        let service = route.service(gauge::ground::draw()).cloned();
+        let service = route.service(common::ground::draw()).cloned();
         let Some((service, backend)) = service.and_then(|s| map.backends.get(&s).cloned().map(|b| (s, b)))
         else {
             return no(StatusCode::NOT_FOUND, "the route has no service", None);
--- a/crates/track/src/serving/mix.rs
+++ b/crates/data-plane/src/serving/mix.rs
@@ -2,9 +2,9 @@
 //! that they are kept apart. Pure.
 
 use super::choose::READS_PER_MS;
-use gauge::{Region, Service, Tick};
+use common::{Region, Service, Tick};
+use configuration::Route;
 use std::{collections::HashMap, sync::Arc};
-use timetable::Route;
 
 /// A prompt is long where reading it takes this part of a pause that streams may make.
 const LONG_PART: f64 = 1.0 / 8.0;
--- a/crates/track/src/serving/pieces.rs
+++ b/crates/data-plane/src/serving/pieces.rs
@@ -3,7 +3,7 @@
 
 use super::{attempt::Open, plan::Plan};
 use bytes::{Bytes, BytesMut};
-use gauge::{Tick, jot};
+use common::{Tick, jot};
 
 /// Cuts whole events out of what has come so far.
 #[derive(Debug, Default)]
--- a/crates/track/src/serving/place.rs
+++ b/crates/data-plane/src/serving/place.rs
@@ -12,7 +12,7 @@
     router::{Cached, lock},
     tab::{Settled, UserKey},
 };
-use gauge::Region;
+use common::Region;
 use std::{collections::BTreeMap, sync::Arc};
 
 /// The source's values (design 0): 15 minutes, 0.95 and 0.05.
@@ -62,7 +62,7 @@
         let cands = if own.is_empty() { cands } else { own };
         let first = match p.key {
             Some(key) => self.placed(key, p, &seen, &cands),
-            None => draw(&cands, gauge::ground::draw()),
+            None => draw(&cands, common::ground::draw()),
         };
         let mut rest: Vec<Region> =
             seen.keys().filter(|r| Some(*r) != first.as_ref() && open(r)).cloned().collect();
@@ -89,7 +89,7 @@
             let stale = known.filter(|c| c.until > now && !good(&c.region)).map(|c| c.ver);
             self.remember(key, p, Cached { region: pick.clone(), ver: 0, heard: now, until: now + TTL_MS });
             let (me, svc, pick) = (self.clone(), p.service.clone(), pick.clone());
-            gauge::ground::spawn(async move {
+            common::ground::spawn(async move {
                 let asked = me.now();
                 let told = me
                     .router
--- a/crates/track/src/serving/plan.rs
+++ b/crates/data-plane/src/serving/plan.rs
@@ -3,10 +3,10 @@
 use super::dialect::{Names, Prompt};
 use crate::tab::UserKey;
 use bytes::Bytes;
-use gauge::{Region, Service, Tick, rank::stable_hash};
+use common::{Region, Service, Tick, rank::stable_hash};
+use configuration::{Backend, Route};
 use hyper::{HeaderMap, Method, Uri};
 use std::sync::Arc;
-use timetable::{Backend, Route};
 
 pub struct Plan {
     pub route: Arc<Route>,
--- a/crates/track/src/serving/pool.rs
+++ b/crates/data-plane/src/serving/pool.rs
@@ -1,6 +1,6 @@
 //! Connections kept to replicas (design 9.4). Knows lives of replicas, not what is sent to them.
 
-use gauge::{ReplicaId, Tick, http::Sender};
+use common::{ReplicaId, Tick, http::Sender};
 use std::{collections::HashMap, sync::Mutex};
 
 /// A connection that may be dying is not worth a request: idle ones are used for this long at most,
--- a/crates/track/src/serving/publication.rs
+++ b/crates/data-plane/src/serving/publication.rs
@@ -2,7 +2,7 @@
 
 use super::board::Board;
 use crate::router::{Publication, Router, lock};
-use gauge::{Area, Tick};
+use common::{Area, Tick};
 use std::{sync::Arc, time::Duration};
 
 impl Router {
--- a/crates/track/src/serving/retries.rs
+++ b/crates/data-plane/src/serving/retries.rs
@@ -1,7 +1,7 @@
 //! Further tries (design 9.6): what all routers may send beyond each request's first arrival, cut
 //! into parts that need no talk. Pure but for one lock.
 
-use gauge::Service;
+use common::Service;
 use std::{collections::HashMap, sync::Mutex};
 
 /// Share of the bound that is used.
--- a/crates/track/src/serving/state.rs
+++ b/crates/data-plane/src/serving/state.rs
@@ -10,13 +10,13 @@
 };
 use crate::router::{Router, lock};
 use arc_swap::{ArcSwap, ArcSwapOption};
-use gauge::{Area, NodeId, Region, Service, Tick, jot};
+use common::{Area, NodeId, Region, Service, Tick, jot};
+use configuration::{Backend, Notation, RouteMap};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, atomic::Ordering},
 };
-use timetable::{Backend, Notation, RouteMap};
 
 /// The bounds that all routers keep together, as the platform tells them.
 #[derive(Clone, Debug)]
@@ -95,7 +95,7 @@
     /// Reads the newest document as soon as it is there; an older one never comes back.
     pub async fn govern(self: Arc<Self>) {
         let mut moved = self.router.member.moved.subscribe();
-        let (mut evacuated, mut have) = (BTreeSet::new(), gauge::Revision(0));
+        let (mut evacuated, mut have) = (BTreeSet::new(), common::Revision(0));
         loop {
             let l = self.router.ledger();
             for a in evacuated.difference(&l.evacuated) {
--- a/crates/track/src/serving/tell.rs
+++ b/crates/data-plane/src/serving/tell.rs
@@ -32,14 +32,14 @@
         self.router.heard_of(&note);
         let l = self.router.ledger();
         let few = l.members.len() <= TELL_ALL;
-        let near = |m: &&interlocking::Member| {
+        let near = |m: &&control_plane::Member| {
             let r = self.site.areas.get(&m.card.area);
             let same = r == Some(&self.site.region) || r == Some(&c.region);
             (few || same) && m.card.node != *self.router.node()
         };
         for m in l.routers().into_iter().filter(near) {
             let (me, to, note) = (self.router.clone(), m.card.rail, note.clone());
-            gauge::ground::spawn(async move {
+            common::ground::spawn(async move {
                 let _ = me.lines.call("note", to, Ask::Note { note }).await;
             });
         }
--- a/crates/track/src/serving/watch.rs
+++ b/crates/data-plane/src/serving/watch.rs
@@ -11,9 +11,9 @@
     rail::{Ask, Reply},
     router::lock,
 };
-use gauge::{Area, Fence, NodeId, ReplicaId, Tick, fault::Fault, http::ask, jot};
+use common::{Area, Fence, NodeId, ReplicaId, Tick, fault::Fault, http::ask, jot};
+use control_plane::{Member, duty};
 use hyper::{Method, StatusCode};
-use interlocking::{Member, duty};
 use std::{
     collections::{BTreeMap, HashMap},
     sync::Arc,
@@ -45,8 +45,8 @@
     /// Subscribes to each area's figures, and publishes those that are this node's to publish.
     pub fn watch_all(self: &Arc<Self>) {
         for area in self.site.areas.keys() {
-            gauge::ground::spawn(self.clone().publish(area.clone()));
-            gauge::ground::spawn(self.clone().subscribe(area.clone()));
+            common::ground::spawn(self.clone().publish(area.clone()));
+            common::ground::spawn(self.clone().subscribe(area.clone()));
         }
     }
 
--- a/crates/track/src/waitlist.rs
+++ b/crates/data-plane/src/waitlist.rs
@@ -1,7 +1,7 @@
 //! The waitlist (design 5.9): bounded, in order of deadline, and honest at once with those
 //! whose deadline can't be met.
 
-use gauge::Tick;
+use common::Tick;
 use std::collections::BTreeMap;
 use tokio::sync::oneshot;
 
--- a/crates/track/tests/edge.rs
+++ b/crates/data-plane/tests/edge.rs
@@ -3,13 +3,13 @@
 
 mod kit;
 
-use gauge::{Clock, Epoch, Index, Tick};
-use interlocking::{Ledger, member::Member, news::News};
+use common::{Clock, Epoch, Index, Tick};
+use control_plane::{Ledger, member::Member, news::News};
+use data_plane::router::Router;
 use kit::{Back, IP, back, card, hears_p9, post, router, say, settings};
 use rstest::rstest;
 use std::sync::{Arc, atomic::Ordering};
 use tokio::net::TcpListener;
-use track::router::Router;
 
 const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
 const LOOKUP: &str = "GET /v1/contacts/7 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
--- a/crates/track/tests/goes.rs
+++ b/crates/data-plane/tests/goes.rs
@@ -1,6 +1,7 @@
 //! A go against an upstream that fails at each stage (design 6.2, 6.3): what is certain
 //! afterwards, and that no cut body ever ends cleanly.
 
+use data_plane::go::{Outcome, Sent, Way, go, strip};
 use http_body_util::BodyExt;
 use rstest::rstest;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -8,7 +9,6 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
-use track::go::{Outcome, Sent, Way, go, strip};
 
 const IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
--- a/crates/track/tests/heir.rs
+++ b/crates/data-plane/tests/heir.rs
@@ -2,14 +2,14 @@
 
 mod kit;
 
-use gauge::{Area, Service};
-use kit::{Back, IP, back, router};
-use std::{sync::Arc, time::Duration};
-use tokio::net::TcpListener;
-use track::{
+use common::{Area, Service};
+use data_plane::{
     pressure::Figures,
     router::{Router, lock},
 };
+use kit::{Back, IP, back, router};
+use std::{sync::Arc, time::Duration};
+use tokio::net::TcpListener;
 
 const WELL: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 45\r\n\r\n\
     {\"healthy\":true,\"capacity\":8,\"consumption\":0}\n";
--- a/crates/track/tests/kit/mod.rs
+++ b/crates/data-plane/tests/kit/mod.rs
@@ -1,11 +1,15 @@
 //! One router with a document, figures and back ends made by the test (design 7.6).
 #![allow(dead_code)]
 
-use gauge::{
+use common::{
     Clock, Epoch, Fence, Incarnation, Tick, http,
     settings::{Settings, Timing},
 };
-use interlocking::{Change, Ledger, ReplicaMove, Role, change::Card, member::Member, news::News};
+use control_plane::{Change, Ledger, ReplicaMove, Role, change::Card, member::Member, news::News};
+use data_plane::{
+    pressure::{Figures, Gauge},
+    router::Router,
+};
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{
@@ -18,10 +22,6 @@
     net::{TcpListener, TcpStream},
     sync::watch,
 };
-use track::{
-    pressure::{Figures, Gauge},
-    router::Router,
-};
 
 pub const IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 pub const DOC: &str = include_str!("../../../../examples/bitacora.toml");
@@ -142,5 +142,5 @@
 }
 
 pub fn hears_p9(r: &Router) {
-    track::router::lock(&r.heard).insert("p9".into(), r.now());
+    data_plane::router::lock(&r.heard).insert("p9".into(), r.now());
 }
--- a/crates/track/tests/lag.rs
+++ b/crates/data-plane/tests/lag.rs
@@ -2,8 +2,8 @@
 
 mod kit;
 
-use gauge::{Clock, Revision};
-use interlocking::{Change, Ledger, api::flaws, news::News};
+use common::{Clock, Revision};
+use control_plane::{Change, Ledger, api::flaws, news::News};
 use kit::{Back, DOC, back, post, router_at, say};
 use rstest::rstest;
 use std::sync::{Arc, atomic::AtomicU64, atomic::Ordering};
@@ -16,7 +16,7 @@
     (job, say(at, &get("/readyz")).await, say(at, &get("/metrics")).await)
 }
 
-async fn one(b: &Back) -> (Arc<track::router::Router>, std::net::SocketAddr, Arc<AtomicU64>) {
+async fn one(b: &Back) -> (Arc<data_plane::router::Router>, std::net::SocketAddr, Arc<AtomicU64>) {
     let (clock, hand) = Clock::hand();
     let (r, at) = router_at(clock, "verdict", std::slice::from_ref(b)).await;
     (r, at, hand)
@@ -87,7 +87,8 @@
     let (r, _, _hand) = one(&b).await;
     let mut l = (*r.ledger()).clone();
     let list = |area: &str, service: &str| {
-        let what = interlocking::ReplicaMove::List { service: service.into(), area: area.into(), addr: b.at };
+        let what =
+            control_plane::ReplicaMove::List { service: service.into(), area: area.into(), addr: b.at };
         Change::Replica {
             op: format!("{area}{service}").as_str().into(),
             id: format!("{area}{service}").as_str().into(),
--- a/crates/track/tests/leap.rs
+++ b/crates/data-plane/tests/leap.rs
@@ -3,8 +3,12 @@
 
 mod kit;
 
-use gauge::{Clock, Fence, Tick};
-use interlocking::news::News;
+use common::{Clock, Fence, Tick};
+use control_plane::news::News;
+use data_plane::{
+    pressure::Figures,
+    rail::{Ask, Reply},
+};
 use kit::{back, figures, hears_p9, post, router_at, say};
 use rstest::rstest;
 use std::{
@@ -15,10 +19,6 @@
     time::{Duration, Instant},
 };
 use tokio::net::TcpListener;
-use track::{
-    pressure::Figures,
-    rail::{Ask, Reply},
-};
 
 const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
 
@@ -37,7 +37,7 @@
     let backs = std::slice::from_ref(&b);
     r.take_figures(figures("verdict", backs, fence, 2, 8.0), r.now());
     let job = tokio::spawn(async move { say(at, &post("/v1/verdicts", "", "{\"station\":\"x\"}")).await });
-    while track::router::lock(&r.waitlist).is_empty() {
+    while data_plane::router::lock(&r.waitlist).is_empty() {
         tokio::task::yield_now().await;
     }
     hand.fetch_add(ms, Ordering::AcqRel);
@@ -100,19 +100,24 @@
     r.member.install(News::Frame(Box::new(l)), "test");
     let (asked, asks) = (Arc::new(AtomicUsize::new(0)), hand.clone());
     let count = asked.clone();
-    tokio::spawn(gauge::link::listen(lst, kit::settings().me(), track::rail::SERVICE, move |_, ask| {
-        // The answer is on its way when this node freezes for an hour.
-        let first = count.fetch_add(1, Ordering::AcqRel) == 0;
-        asks.fetch_add(if first { 3_600_000 } else { 0 }, Ordering::AcqRel);
-        async move {
-            match ask {
-                Ask::Hail { idx } => Reply::Hailed { idx, inc: gauge::Incarnation(1), fit: true },
-                _ => Reply::Done,
+    tokio::spawn(common::link::listen(
+        lst,
+        kit::settings().me(),
+        data_plane::rail::SERVICE,
+        move |_, ask| {
+            // The answer is on its way when this node freezes for an hour.
+            let first = count.fetch_add(1, Ordering::AcqRel) == 0;
+            asks.fetch_add(if first { 3_600_000 } else { 0 }, Ordering::AcqRel);
+            async move {
+                match ask {
+                    Ask::Hail { idx } => Reply::Hailed { idx, inc: common::Incarnation(1), fit: true },
+                    _ => Reply::Done,
+                }
             }
-        }
-    }));
+        },
+    ));
     let hails = tokio::spawn(r.clone().hail());
-    while track::router::lock(&r.heard).is_empty() {
+    while data_plane::router::lock(&r.heard).is_empty() {
         tokio::task::yield_now().await;
     }
     assert!(!r.hears(&"p9".into()) && r.cut_off(), "heard an hour ago");
--- a/crates/track/tests/modules/again.rs
+++ b/crates/data-plane/tests/modules/again.rs
@@ -1,7 +1,7 @@
-//! Tests of `track::again`.
+//! Tests of `data_plane::again`.
 
+use data_plane::again::{After, may_go_again};
 use rstest::rstest;
-use track::again::{After, may_go_again};
 
 /// Conformance, design 6.2: `once` goes again only where nothing of it was sent.
 #[rstest]
--- a/crates/track/tests/modules/budget.rs
+++ b/crates/data-plane/tests/modules/budget.rs
@@ -1,6 +1,6 @@
-//! Tests of `track::budget`.
+//! Tests of `data_plane::budget`.
 
-use track::budget::Budget;
+use data_plane::budget::Budget;
 
 #[test]
 fn extra_goes_stay_a_fifth() {
--- a/crates/track/tests/modules/choose.rs
+++ b/crates/data-plane/tests/modules/choose.rs
@@ -1,13 +1,13 @@
-//! Tests of `track::choose`.
+//! Tests of `data_plane::choose`.
 
-use gauge::Region;
-use rstest::rstest;
-use std::collections::BTreeMap;
-use timetable::Policy;
-use track::{
+use common::Region;
+use configuration::Policy;
+use data_plane::{
     choose::{candidates, draw, draw_by_key, passes, weight},
     pressure::RegionPressure,
 };
+use rstest::rstest;
+use std::collections::BTreeMap;
 
 fn p(healthy: bool, capacity: f64, consumption: f64) -> RegionPressure {
     RegionPressure { healthy, capacity, consumption }
--- a/crates/track/tests/modules/digest.rs
+++ b/crates/data-plane/tests/modules/digest.rs
@@ -1,7 +1,7 @@
-//! Tests of `track::digest`.
+//! Tests of `data_plane::digest`.
 
-use gauge::{ReplicaId, Revision, Tick, journal::Journal};
-use track::digest::{Digest, Event, Happened};
+use common::{ReplicaId, Revision, Tick, journal::Journal};
+use data_plane::digest::{Digest, Event, Happened};
 
 #[test]
 fn the_view_is_what_the_events_add_up_to() {
--- a/crates/track/tests/modules/hop.rs
+++ b/crates/data-plane/tests/modules/hop.rs
@@ -1,7 +1,7 @@
-//! Tests of `track::hop`.
+//! Tests of `data_plane::hop`.
 
-use gauge::{Epoch, Revision};
-use track::{
+use common::{Epoch, Revision};
+use data_plane::{
     hop::{Hop, sign, verify},
     tab::UserKey,
 };
--- a/crates/track/tests/modules/key.rs
+++ b/crates/data-plane/tests/modules/key.rs
@@ -1,8 +1,8 @@
-//! Tests of `track::key`.
+//! Tests of `data_plane::key`.
 
+use configuration::KeyPart;
+use data_plane::{key::user_key, tab::UserKey};
 use rstest::rstest;
-use timetable::KeyPart;
-use track::{key::user_key, tab::UserKey};
 
 /// Conformance, design 5.2: the first part that yields something is used.
 #[rstest]
--- a/crates/track/tests/modules/lend.rs
+++ b/crates/data-plane/tests/modules/lend.rs
@@ -1,7 +1,7 @@
-//! Tests of `track::lend`.
+//! Tests of `data_plane::lend`.
 
-use gauge::{Fence, Region, Service, Tick};
-use track::lend::{Lender, Pass, Spent};
+use common::{Fence, Region, Service, Tick};
+use data_plane::lend::{Lender, Pass, Spent};
 
 fn spent(p: &Pass, node: &str) -> Spent {
     Spent {
--- a/crates/track/tests/modules/replay.rs
+++ b/crates/data-plane/tests/modules/replay.rs
@@ -1,8 +1,8 @@
-//! Tests of `track::replay`.
+//! Tests of `data_plane::replay`.
 
-use gauge::{Epoch, NodeId};
+use common::{Epoch, NodeId};
+use data_plane::replay::{ReplayGuard, WINDOW};
 use std::collections::BTreeMap;
-use track::replay::{ReplayGuard, WINDOW};
 
 fn members(all: &[(&str, u64)]) -> BTreeMap<NodeId, Epoch> {
     all.iter().map(|(n, e)| (NodeId::new(*n), Epoch(*e))).collect()
--- a/crates/track/tests/modules/replica.rs
+++ b/crates/data-plane/tests/modules/replica.rs
@@ -1,11 +1,11 @@
-//! Tests of `track::replica`.
+//! Tests of `data_plane::replica`.
 
-use gauge::{NodeId, Tick};
-use std::sync::{Arc, atomic::Ordering};
-use track::{
+use common::{NodeId, Tick};
+use data_plane::{
     pressure::{Candidate, Gauge},
     replica::has_room,
 };
+use std::sync::{Arc, atomic::Ordering};
 
 fn seen(consumption: f64, allowance: Option<u32>, seq: u64) -> Candidate {
     let gauge = Gauge {
--- a/crates/track/tests/modules/tab.rs
+++ b/crates/data-plane/tests/modules/tab.rs
@@ -1,7 +1,7 @@
-//! Tests of `track::tab`.
+//! Tests of `data_plane::tab`.
 
-use gauge::{Fence, Region, Service, Tick};
-use track::tab::{Copy, Settled, Tab, UserKey};
+use common::{Fence, Region, Service, Tick};
+use data_plane::tab::{Copy, Settled, Tab, UserKey};
 
 fn held(s: Settled) -> (String, u64, bool) {
     match s {
--- a/crates/track/tests/modules/waitlist.rs
+++ b/crates/data-plane/tests/modules/waitlist.rs
@@ -1,7 +1,7 @@
-//! Tests of `track::waitlist`.
+//! Tests of `data_plane::waitlist`.
 
-use gauge::Tick;
-use track::waitlist::{Bounce, Waitlist};
+use common::Tick;
+use data_plane::waitlist::{Bounce, Waitlist};
 
 #[test]
 fn earliest_deadline_first_and_bounced_at_once() {
--- a/crates/track/tests/modules/watched.rs
+++ b/crates/data-plane/tests/modules/watched.rs
@@ -1,8 +1,8 @@
-//! Tests of `track::watched`.
+//! Tests of `data_plane::watched`.
 
-use gauge::Tick;
+use common::Tick;
+use data_plane::watched::{Checked, Report, Watched};
 use rstest::rstest;
-use track::watched::{Checked, Report, Watched};
 
 fn rep(healthy: Option<bool>, capacity: Option<f64>, consumption: Option<f64>) -> Option<Report> {
     Some(Report { healthy, capacity, consumption })
--- a/crates/track/tests/replay.rs
+++ b/crates/data-plane/tests/replay.rs
@@ -3,14 +3,14 @@
 
 mod kit;
 
-use gauge::Epoch;
-use kit::{back, post, router, say};
-use rstest::rstest;
-use std::{sync::Arc, sync::atomic::Ordering};
-use track::{
+use common::Epoch;
+use data_plane::{
     hop::{self, Hop},
     router::Router,
 };
+use kit::{back, post, router, say};
+use rstest::rstest;
+use std::{sync::Arc, sync::atomic::Ordering};
 
 const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
 
--- a/crates/track/tests/serving/board.rs
+++ b/crates/data-plane/tests/serving/board.rs
@@ -1,14 +1,14 @@
-//! Tests of `track::serving::board` and of what a probe's head tells.
+//! Tests of `data_plane::serving::board` and of what a probe's head tells.
 
 use crate::kit::{board, row};
-use gauge::Tick;
-use hyper::{HeaderMap, header::HeaderValue};
-use rstest::rstest;
-use track::serving::{
+use common::Tick;
+use data_plane::serving::{
     EngineReport, Listed,
     board::{Probed, Row, Watched, lends},
     watch::load_of,
 };
+use hyper::{HeaderMap, header::HeaderValue};
+use rstest::rstest;
 
 const TOLD: EngineReport = EngineReport { running: 3, waiting: 1, memory_used: 5, memory_total: 9 };
 
--- a/crates/track/tests/serving/carried.rs
+++ b/crates/data-plane/tests/serving/carried.rs
@@ -4,11 +4,11 @@
     kit::{route, row},
     stage::{Act, Cast, EVENTS, MOST_BODY, Stage, events, scene},
 };
-use gauge::{Region, http::full};
+use common::{Region, http::full};
+use configuration::{Route, RouteKind};
+use data_plane::serving::board::Row;
 use rstest::rstest;
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
-use timetable::{Route, RouteKind};
-use track::serving::board::Row;
 
 use Act::*;
 
--- a/crates/track/tests/serving/choose.rs
+++ b/crates/data-plane/tests/serving/choose.rs
@@ -1,15 +1,15 @@
-//! Tests of `track::serving::choose`.
+//! Tests of `data_plane::serving::choose`.
 
 use crate::kit::{candidates, prompt, row};
-use gauge::{ReplicaId, Tick};
-use rstest::rstest;
-use std::collections::BTreeSet;
-use track::serving::{
+use common::{ReplicaId, Tick};
+use data_plane::serving::{
     Prompt,
     choose::{READS_PER_MS, Wish, best, fits, hopeless},
     fleet::Candidate,
     reading::{Note, Reading, prefixes},
 };
+use rstest::rstest;
+use std::collections::BTreeSet;
 
 const NOW: Tick = Tick(100_000);
 
@@ -120,7 +120,7 @@
 #[case::exactly(1_100, 1_000, true)]
 #[case::one_less(1_099, 1_000, false)]
 fn fits_by_memory(#[case] memory_total: u64, #[case] tokens_in: u32, #[case] want: bool) {
-    let c = &candidates(vec![track::serving::board::Row { memory_total, ..row(0, 0) }], 1)[0];
+    let c = &candidates(vec![data_plane::serving::board::Row { memory_total, ..row(0, 0) }], 1)[0];
     assert_eq!(fits(c, &prompt(&[], tokens_in)), want);
 }
 
--- a/crates/track/tests/serving/cold.rs
+++ b/crates/data-plane/tests/serving/cold.rs
@@ -1,9 +1,9 @@
-//! Tests of `track::serving::cold`.
+//! Tests of `data_plane::serving::cold`.
 
 use crate::kit::nodes;
-use gauge::{ReplicaId, Tick};
+use common::{ReplicaId, Tick};
+use data_plane::serving::cold::{Bucket, rate};
 use rstest::rstest;
-use track::serving::cold::{Bucket, rate};
 
 /// All times at which greedy routers send, the first of each at its phase.
 fn sent(rates: &[f64], phase: &dyn Fn(usize) -> u64) -> Vec<u64> {
@@ -51,7 +51,7 @@
 fn all_agree_on_who_sends(#[values(1, 3, 12, 40, 93)] n: usize, #[values(5.0, 30.0, 100.0)] bound: f64) {
     let all = nodes(n);
     let id = ReplicaId::new("r1");
-    let who = |order: &[gauge::NodeId]| -> Vec<gauge::NodeId> {
+    let who = |order: &[common::NodeId]| -> Vec<common::NodeId> {
         all.iter().filter(|me| rate(bound, &id, me, order).is_some()).cloned().collect()
     };
     let mut order = all.clone();
--- a/crates/track/tests/serving/events.rs
+++ b/crates/data-plane/tests/serving/events.rs
@@ -1,7 +1,7 @@
-//! Tests of `track::serving::events::Splitter`.
+//! Tests of `data_plane::serving::events::Splitter`.
 
+use data_plane::serving::events::Splitter;
 use rstest::rstest;
-use track::serving::events::Splitter;
 
 const EVENTS: [&str; 4] =
     ["id: 1\ndata: a\n\n", ": note\n\n", "data: é\ndata: id: 9\nid:2\n\n", "id: 3\nevent: end\n\n"];
--- a/crates/track/tests/serving/fleet.rs
+++ b/crates/data-plane/tests/serving/fleet.rs
@@ -1,15 +1,15 @@
-//! Tests of `track::serving::fleet`.
+//! Tests of `data_plane::serving::fleet`.
 
 use crate::kit::{areas, board, prompt, row};
-use gauge::{Region, Service, Tick};
-use rand::{Rng, SeedableRng, rngs::SmallRng};
-use rstest::rstest;
-use std::{collections::BTreeMap, sync::atomic::Ordering};
-use track::serving::{
+use common::{Region, Service, Tick};
+use data_plane::serving::{
     choose::{READS_PER_MS, Wish, best},
     fleet::{Candidate, Fleet, Folds, RegionLoad},
     reading::Reading,
 };
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+use std::{collections::BTreeMap, sync::atomic::Ordering};
 
 /// Design 9.3: held are figures of `p0`, number 5, fresh at 100.
 #[rstest]
@@ -126,7 +126,7 @@
 #[test]
 fn regions_count_what_is_usable() {
     let mut f = Folds::default();
-    let gone = track::serving::board::Row { draining: true, ..row(2, 5) };
+    let gone = data_plane::serving::board::Row { draining: true, ..row(2, 5) };
     assert!(f.take(board("n1", 1, vec![row(0, 3), gone]), Tick(0)));
     assert!(f.take(board("n2", 1, vec![row(1, 4)]), Tick(0)));
     assert!(f.take(board("s1", 1, vec![row(3, 19)]), Tick(0)));
--- a/crates/track/tests/serving/kit.rs
+++ b/crates/data-plane/tests/serving/kit.rs
@@ -1,14 +1,14 @@
 //! Boards, candidates and routes made by hand.
 
-use gauge::{Area, Fence, NodeId, Region, Tick};
-use hyper::header::HeaderName;
-use std::collections::BTreeMap;
-use timetable::{Route, RouteKind};
-use track::serving::{
+use common::{Area, Fence, NodeId, Region, Tick};
+use configuration::{Route, RouteKind};
+use data_plane::serving::{
     Names, Prompt,
     board::{Board, Row},
     fleet::{Candidate, Folds},
 };
+use hyper::header::HeaderName;
+use std::collections::BTreeMap;
 
 pub fn nodes(n: usize) -> Vec<NodeId> {
     (0..n).map(|i| NodeId::new(format!("p{i}"))).collect()
--- a/crates/track/tests/serving/mix.rs
+++ b/crates/data-plane/tests/serving/mix.rs
@@ -1,11 +1,11 @@
-//! Tests of `track::serving::mix`.
+//! Tests of `data_plane::serving::mix`.
 
 use crate::kit::route;
-use gauge::Tick;
+use common::Tick;
+use configuration::{Route, RouteKind};
+use data_plane::serving::mix::Mix;
 use rstest::rstest;
 use std::sync::Arc;
-use timetable::{Route, RouteKind};
-use track::serving::mix::Mix;
 
 fn at(name: &str, homes: &[&str], service: &str) -> Arc<Route> {
     let r = Route {
--- a/crates/track/tests/serving/place.rs
+++ b/crates/data-plane/tests/serving/place.rs
@@ -1,13 +1,13 @@
-//! Tests of `track::serving::place` and `track::serving::directory`.
+//! Tests of `data_plane::serving::place` and `data_plane::serving::directory`.
 
-use gauge::Region;
-use rstest::rstest;
-use std::collections::BTreeMap;
-use track::serving::{
+use common::Region;
+use data_plane::serving::{
     directory::{Edge, nearest},
     fleet::RegionLoad,
     place::candidates,
 };
+use rstest::rstest;
+use std::collections::BTreeMap;
 
 /// Open to this router, passing the tests; weighted by 1.05 x capacity over consumption + 0.05 x
 /// capacity.
--- a/crates/track/tests/serving/plan.rs
+++ b/crates/data-plane/tests/serving/plan.rs
@@ -1,14 +1,14 @@
-//! Tests of `track::serving::plan` and of when a refused client should come back.
+//! Tests of `data_plane::serving::plan` and of when a refused client should come back.
 
 use crate::kit::{names, prompt, route};
-use gauge::Tick;
-use hyper::{HeaderMap, header::HeaderValue};
-use rstest::rstest;
-use timetable::{Route, RouteKind};
-use track::serving::{
+use common::Tick;
+use configuration::{Route, RouteKind};
+use data_plane::serving::{
     carry::back_ms,
     plan::{deadline, user_key},
 };
+use hyper::{HeaderMap, header::HeaderValue};
+use rstest::rstest;
 
 /// The route holds for 10 s.
 #[rstest]
--- a/crates/track/tests/serving/reading.rs
+++ b/crates/data-plane/tests/serving/reading.rs
@@ -1,9 +1,9 @@
-//! Tests of `track::serving::reading`.
+//! Tests of `data_plane::serving::reading`.
 
 use crate::kit::prompt;
-use gauge::{ReplicaId, Tick};
+use common::{ReplicaId, Tick};
+use data_plane::serving::reading::{Note, Reading, prefixes};
 use rstest::rstest;
-use track::serving::reading::{Note, Reading, prefixes};
 
 fn note(parts: &[(u64, u32)], tokens: u32, memory: u64) -> Note {
     Note { replica: "r1".into(), prefixes: prefixes(&prompt(parts, tokens)), tokens, memory }
--- a/crates/track/tests/serving/retries.rs
+++ b/crates/data-plane/tests/serving/retries.rs
@@ -1,8 +1,8 @@
-//! Tests of `track::serving::retries`.
+//! Tests of `data_plane::serving::retries`.
 
-use gauge::Service;
+use common::Service;
+use data_plane::serving::retries::Retries;
 use rstest::rstest;
-use track::serving::retries::Retries;
 
 /// Requests of one router a second, in steps of 100 ms.
 struct Load {
--- a/crates/track/tests/serving/stage.rs
+++ b/crates/data-plane/tests/serving/stage.rs
@@ -2,32 +2,32 @@
 //! tells, in the order in which requests reach them, whichever replica that is.
 
 use crate::kit::{areas, board, names, prompt, row};
-use futures::StreamExt;
-use gauge::{
+use common::{
     Area, Clock, Epoch, Incarnation, Region,
     ground::{Listener, Stream, World, bind, spawn},
     http::{self, Body, full},
     settings::{Settings, Timing},
 };
+use configuration::{Backend, Notation, RequestLimits, Route, RouteMap, place::Flaw};
+use control_plane::{Change, Ledger, Role, change::Card, member::Member, news::News};
+use data_plane::{
+    router::{Router, lock},
+    serving::{Bounds, Dialect, EngineReport, Listing, Lookup, Names, Prompt, Serving, Site, board::Row},
+};
+use futures::StreamExt;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{HeaderMap, Request, StatusCode, body::Frame};
-use interlocking::{Change, Ledger, Role, change::Card, member::Member, news::News};
 use std::{
     collections::{BTreeMap, VecDeque},
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, atomic::Ordering},
     time::Duration,
 };
-use timetable::{Backend, Notation, RequestLimits, Route, RouteMap, place::Flaw};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     sync::watch,
     time::{sleep, timeout},
 };
-use track::{
-    router::{Router, lock},
-    serving::{Bounds, Dialect, EngineReport, Listing, Lookup, Names, Prompt, Serving, Site, board::Row},
-};
 
 const ROUTER: [u8; 4] = [10, 0, 0, 1];
 const CLIENT: [u8; 4] = [10, 0, 0, 9];
--- a/crates/stationmaster/src/main.rs
+++ b/crates/foldshunt-admin/src/main.rs
@@ -1,20 +1,20 @@
-//! `stationmaster`: the operators' command line (design 4.8).
+//! `foldshunt-admin`: the operators' command line (design 4.8).
 
 use bpaf::Bpaf;
 use bytes::Bytes;
+use common::http::ask_in_turn;
 use eyre::{Result, WrapErr, bail};
-use gauge::http::ask_in_turn;
 use hyper::{HeaderMap, Method};
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
-/// Operates a foldshunt cluster through any of its signalboxes.
+/// Operates a foldshunt cluster through any of its control nodes.
 ///
 /// Exit codes: 0 done, 1 no answer or bad arguments, 2 refused, 3 another change came first,
-/// 4 undetermined (ask again with: stationmaster op ID).
+/// 4 undetermined (ask again with: foldshunt-admin op ID).
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 struct Opts {
-    /// HTTP address of a signalbox; may be given for each of them, they are tried in turn
+    /// HTTP address of a control node; may be given for each of them, they are tried in turn
     #[bpaf(long("core"), argument("IP:PORT"))]
     core: Vec<SocketAddr>,
     #[bpaf(external(cmd))]
@@ -124,7 +124,7 @@
     }
 
     async fn newest(&self) -> Result<u64> {
-        let (code, h, b) = self.ask(Method::GET, "/v1/configuration", &[], Bytes::new()).await?;
+        let (code, h, b) = self.ask(Method::GET, "/v1/timetable", &[], Bytes::new()).await?;
         let tag = h.get("etag").and_then(|v| v.to_str().ok()).and_then(|v| v.trim_matches('"').parse().ok());
         match (code, tag) {
             (404, _) => Ok(0),
@@ -141,9 +141,9 @@
         }
         .to_string();
         let named =
-            c.op.clone().unwrap_or_else(|| format!("sm-{}-{}", std::process::id(), gauge::clock::wall_ms()));
+            c.op.clone().unwrap_or_else(|| format!("sm-{}-{}", std::process::id(), common::clock::wall_ms()));
         let headers = [("if-match", base.as_str()), ("foldshunt-op", named.as_str())];
-        let path = format!("/v1/configuration?wait_ms={}", c.wait);
+        let path = format!("/v1/timetable?wait_ms={}", c.wait);
         self.ask(method, &path, &headers, body.into()).await.wrap_err_with(|| format!("operation {named}"))
     }
 }
@@ -162,7 +162,7 @@
     let none = Bytes::new();
     let (code, _, body) = match &o.cmd {
         Cmd::Status => st.ask(Method::GET, "/v1/status", &[], none).await?,
-        Cmd::Show => st.ask(Method::GET, "/v1/configuration", &[], none).await?,
+        Cmd::Show => st.ask(Method::GET, "/v1/timetable", &[], none).await?,
         Cmd::Replicas => st.ask(Method::GET, "/v1/replicas", &[], none).await?,
         Cmd::Down { node } => st.ask(Method::POST, &format!("/v1/members/{node}/down"), &[], none).await?,
         Cmd::Op { id } => st.ask(Method::GET, &format!("/v1/ops/{id}"), &[], none).await?,
@@ -189,9 +189,9 @@
             for f in v["flaws"].as_array().into_iter().flatten() {
                 eprintln!("{}:{}: {}", f["line"], f["column"], f["message"].as_str().unwrap_or(""));
             }
-            gauge::fault::print(&format!("{v:#}\n"));
+            common::fault::print(&format!("{v:#}\n"));
         }
-        None => gauge::fault::print(&text),
+        None => common::fault::print(&text),
     }
     Ok(exit_code(code))
 }
--- a/crates/wheeltapper/src/lib.rs
+++ b/crates/foldshunt-check/src/lib.rs
@@ -1,14 +1,14 @@
-//! Checks of a document against the fleet as it is (design 4.9): pure, over what a signalbox
+//! Checks of a document against the fleet as it is (design 4.9): pure, over what a control node
 //! told of its state.
 
-use gauge::{Area, Region, Service};
-use interlocking::Replica;
+use common::{Area, Region, Service};
+use configuration::{Table, check_fleet, compile};
+use control_plane::Replica;
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
 };
-use timetable::{Table, check_fleet, compile};
 
 /// The parts of `/v1/status` that the checks go by.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -73,7 +73,7 @@
 /// All findings, the heaviest first.
 pub fn tap(src: &str, st: &Status) -> Vec<Finding> {
     let mut out = Vec::new();
-    let flawed = |check, flaws: Vec<timetable::Flaw>| -> Vec<Finding> {
+    let flawed = |check, flaws: Vec<configuration::Flaw>| -> Vec<Finding> {
         flaws
             .into_iter()
             .map(|f| Finding {
@@ -189,12 +189,12 @@
     for m in st.members.iter().filter(|m| m.lags == Some(true)) {
         out.push(found(Weight::Warning, "lag", format!("{} lags behind revision {}", m.node, st.revision)));
     }
-    for m in st.members.iter().filter(|m| m.lang < timetable::LANG) {
+    for m in st.members.iter().filter(|m| m.lang < configuration::LANG) {
         let msg = format!(
             "{} reads language version {}, this document is checked for {}",
             m.node,
             m.lang,
-            timetable::LANG
+            configuration::LANG
         );
         out.push(found(Weight::Fault, "too old", msg));
     }
--- a/crates/wheeltapper/src/main.rs
+++ b/crates/foldshunt-check/src/main.rs
@@ -1,11 +1,11 @@
-//! `wheeltapper`: taps a document against the live fleet and changes nothing (design 4.9).
+//! `foldshunt-check`: taps a document against the live fleet and changes nothing (design 4.9).
 
 use bpaf::Bpaf;
+use common::{fault::print, http::ask_in_turn};
 use eyre::{Result, WrapErr, bail};
-use gauge::{fault::print, http::ask_in_turn};
+use foldshunt_check::{Finding, Status, exit_code, tap};
 use hyper::Method;
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
-use wheeltapper::{Finding, Status, exit_code, tap};
 
 /// Checks a document against the fleet as it is, and changes nothing.
 ///
@@ -13,7 +13,7 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 struct Opts {
-    /// HTTP address of a signalbox; may be given for each of them, they are tried in turn
+    /// HTTP address of a control node; may be given for each of them, they are tried in turn
     #[bpaf(long("core"), argument("IP:PORT"))]
     core: Vec<SocketAddr>,
     /// Prints the findings as JSON
@@ -35,7 +35,7 @@
 async fn check(o: &Opts) -> Result<Vec<Finding>> {
     let src = match &o.file {
         Some(f) => std::fs::read_to_string(f).wrap_err_with(|| format!("{f:?}"))?,
-        None => match get(&o.core, "/v1/configuration").await? {
+        None => match get(&o.core, "/v1/timetable").await? {
             (200, s) => s,
             (code, s) => bail!("newest document: {code} {s}"),
         },
--- a/crates/wheeltapper/tests/tap.rs
+++ b/crates/foldshunt-check/tests/tap.rs
@@ -1,9 +1,9 @@
-//! Each check of `wheeltapper`, seen to find what it is meant for.
+//! Each check of `foldshunt-check`, seen to find what it is meant for.
 
-use interlocking::Replica;
+use control_plane::Replica;
+use foldshunt_check::*;
 use rstest::rstest;
 use std::collections::BTreeSet;
-use wheeltapper::*;
 
 const DOC: &str = include_str!("../../../examples/bitacora.toml");
 
@@ -23,7 +23,7 @@
         area: areas[n].into(),
         role: role.into(),
         lags: Some(false),
-        lang: timetable::LANG,
+        lang: configuration::LANG,
     };
     Status {
         cluster: "bitacora".into(),
@@ -69,10 +69,10 @@
 #[test]
 fn a_pair_without_a_common_home_is_told() {
     let src = include_str!("../../../examples/rinaldi.toml");
-    let told = wheeltapper::tap(src, &Default::default());
+    let told = foldshunt_check::tap(src, &Default::default());
     let pairs: Vec<_> = told.iter().filter(|f| f.check == "no common home").collect();
     assert_eq!(pairs.len(), 1, "{pairs:?}");
     assert!(pairs[0].message.contains("cordoba-register") && pairs[0].message.contains("claimant-replies"));
     let other = include_str!("../../../examples/bitacora.toml");
-    assert!(wheeltapper::tap(other, &Default::default()).iter().all(|f| f.check != "no common home"));
+    assert!(foldshunt_check::tap(other, &Default::default()).iter().all(|f| f.check != "no common home"));
 }
--- a/crates/signalbox/src/main.rs
+++ b/crates/foldshunt-control/src/main.rs
@@ -1,12 +1,12 @@
 //! The core daemon (design 1.1): one on each of the three disk machines.
 
 use bpaf::Bpaf;
-use eyre::Result;
-use gauge::{
+use common::{
     jot,
     settings::{Flags, Settings, flags, told_to_stop},
 };
-use interlocking::{api, core::files, daemon};
+use control_plane::{api, core::files, daemon};
+use eyre::Result;
 
 /// Core of a foldshunt cluster: keeps the order of changes on disk and serves operators.
 #[derive(Clone, Debug, Bpaf)]
@@ -18,7 +18,7 @@
 
 #[tokio::main]
 async fn main() -> std::process::ExitCode {
-    gauge::fault::ended(run().await)
+    common::fault::ended(run().await)
 }
 
 async fn run() -> Result<()> {
--- a/crates/pointsman/src/main.rs
+++ b/crates/foldshunt-router/src/main.rs
@@ -1,11 +1,11 @@
 //! The router daemon (design 1.1): takes callers' jobs and carries them out.
 
 use bpaf::Bpaf;
-use eyre::Result;
-use gauge::{
+use common::{
     jot,
     settings::{Flags, Settings, flags, told_to_stop},
 };
+use eyre::Result;
 
 /// Router of a foldshunt cluster: serves callers by placements, homes and lending passes.
 #[derive(Clone, Debug, Bpaf)]
@@ -17,13 +17,13 @@
 
 #[tokio::main]
 async fn main() -> std::process::ExitCode {
-    gauge::fault::ended(run().await)
+    common::fault::ended(run().await)
 }
 
 async fn run() -> Result<()> {
     let set = Settings::read(&opts().run().flags)?;
     jot::start(&set.node, &set.log);
     let bound = set.bind().await?;
-    track::daemon::run(set, bound, told_to_stop()?).await;
+    data_plane::daemon::run(set, bound, told_to_stop()?).await;
     Ok(())
 }
--- a/crates/trainset/src/caller.rs
+++ b/crates/simulator/src/caller.rs
@@ -2,7 +2,7 @@
 //! by line against it.
 
 use crate::standin::{last_line, line};
-use gauge::http::{Sender, full, open};
+use common::http::{Sender, full, open};
 use http_body_util::BodyExt;
 use hyper::{Method, Request, Response, body::Incoming};
 use std::{
--- a/crates/trainset/src/fault.rs
+++ b/crates/simulator/src/fault.rs
@@ -19,7 +19,7 @@
     /// Cuts a node, an area or `core` off (`p1`), only outwards (`p1>`), or one link (`s1--s2`).
     Cut,
     Mend,
-    /// All signalboxes at once.
+    /// All control nodes at once.
     KillCore,
     StartCore,
     /// An empty machine at a new address takes this seat's place; the old one is started later.
--- a/crates/trainset/src/fleet.rs
+++ b/crates/simulator/src/fleet.rs
@@ -1,5 +1,5 @@
-//! Twelve nodes as real processes on 127.0.0.0/8 (design 7.2): three signalboxes and nine
-//! pointsmen over three areas, with stand-in back ends beside them.
+//! Twelve nodes as real processes on 127.0.0.0/8 (design 7.2): three control nodes and nine
+//! routers over three areas, with stand-in back ends beside them.
 
 use crate::{
     deployment::Deployment,
@@ -10,10 +10,10 @@
     standin::{Shape, StandIn},
     timeline::Scene,
 };
+use common::{ground::World, http::ask};
+use control_plane::seat::Room;
 use eyre::{Result, eyre};
-use gauge::{ground::World, http::ask};
 use hyper::Method;
-use interlocking::seat::Room;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
--- a/crates/trainset/src/hosted.rs
+++ b/crates/simulator/src/hosted.rs
@@ -5,8 +5,8 @@
     node::Node,
     sim::disk::{Mood, SimDisk},
 };
-use gauge::ground::{Host, World, bind, spawn_at};
-use interlocking::{
+use common::ground::{Host, World, bind, spawn_at};
+use control_plane::{
     core::{Core, Drive, blank},
     seat::{Ev, Image, Rec, Seat},
 };
@@ -45,9 +45,10 @@
                 let drive = Box::new(move |core| -> Box<dyn Drive> {
                     Box::new(WorldDrive { core, disk, ip, world })
                 });
-                interlocking::daemon::run(set, 0, bound, (img, drive), interlocking::api::handle, told).await
+                control_plane::daemon::run(set, 0, bound, (img, drive), control_plane::api::handle, told)
+                    .await
             } else {
-                track::daemon::run(set, bound, told).await
+                data_plane::daemon::run(set, bound, told).await
             }
         });
         Hosted { host: w.host(n.ip), world: w.clone(), stop, task }
@@ -83,7 +84,7 @@
     }
 }
 
-fn take_up(set: &gauge::settings::Settings, disk: &Mutex<SimDisk>) -> Image {
+fn take_up(set: &common::settings::Settings, disk: &Mutex<SimDisk>) -> Image {
     let mut d = lock(disk);
     let img = d.kept.clone().unwrap_or_else(|| Seat::blank_image(&blank(set)));
     d.kept = Some(img.clone());
--- a/crates/trainset/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -1,9 +1,8 @@
-//! `trainset`: stand-ins, fleets and the simulator (design 7).
+//! `simulator`: stand-ins, fleets and the simulator (design 7).
 
 use bpaf::Bpaf;
 use eyre::{Result, ensure, eyre};
-use std::path::PathBuf;
-use trainset::{
+use simulator::{
     chaos::plan,
     deployment::{Firm, deployment},
     drive::Load,
@@ -17,6 +16,7 @@
     },
     world::{Variant, WorldPlan, sweep_worlds},
 };
+use std::path::PathBuf;
 
 /// Proof of foldshunt on one machine.
 #[derive(Clone, Debug, Bpaf)]
@@ -133,7 +133,7 @@
 
 #[tokio::main]
 async fn main() -> std::process::ExitCode {
-    gauge::fault::ended(go().await)
+    common::fault::ended(go().await)
 }
 
 async fn go() -> Result<()> {
--- a/crates/trainset/src/node.rs
+++ b/crates/simulator/src/node.rs
@@ -4,8 +4,8 @@
     hosted::Hosted,
     sim::disk::{Mood, SimDisk},
 };
+use common::settings::{Settings, Timing};
 use eyre::{Result, WrapErr, bail, eyre};
-use gauge::settings::{Settings, Timing};
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
@@ -34,7 +34,7 @@
 pub enum Yard {
     /// As processes, from the programs in this folder.
     Programs(PathBuf),
-    World(Arc<gauge::ground::World>),
+    World(Arc<common::ground::World>),
 }
 
 pub struct Node {
@@ -91,7 +91,7 @@
     fn process(&self, bin: &Path) -> Result<Child> {
         std::fs::create_dir_all(&self.dir)?;
         std::fs::write(self.dir.join("node.toml"), toml::to_string(&self.settings())?)?;
-        let prog = bin.join(if self.core { "signalbox" } else { "pointsman" });
+        let prog = bin.join(if self.core { "foldshunt-control" } else { "foldshunt-router" });
         let log = File::options().create(true).append(true).open(self.dir.join("log"))?;
         Command::new(&prog)
             .arg("--config")
--- a/crates/trainset/src/operator.rs
+++ b/crates/simulator/src/operator.rs
@@ -1,7 +1,7 @@
 //! A stand-in operator: the calls of the operators' API, against any of the seats.
 
 use bytes::Bytes;
-use gauge::http::ask;
+use common::http::ask;
 use hyper::Method;
 use std::net::{IpAddr, SocketAddr};
 
@@ -39,19 +39,19 @@
     pub async fn apply(&self, text: &str, base: u64, op: &str) -> Option<(u16, serde_json::Value)> {
         let base = base.to_string();
         let headers = [("if-match", base.as_str()), ("foldshunt-op", op)];
-        let (code, b) = self.ask(Method::PUT, "/v1/configuration", &headers, text).await?;
+        let (code, b) = self.ask(Method::PUT, "/v1/timetable", &headers, text).await?;
         Some((code, serde_json::from_slice(&b).unwrap_or_default()))
     }
 
     pub async fn shown(&self) -> Option<String> {
-        let (code, b) = self.ask(Method::GET, "/v1/configuration", &[], "").await?;
+        let (code, b) = self.ask(Method::GET, "/v1/timetable", &[], "").await?;
         (code == 200).then(|| String::from_utf8_lossy(&b).into_owned())
     }
 
     /// The document with its revision.
     pub async fn shown_at(&self) -> Option<(String, u64)> {
         for s in &self.seats {
-            let res = ask(self.ip, *s, Method::GET, "/v1/configuration", &[], "", 8_000).await;
+            let res = ask(self.ip, *s, Method::GET, "/v1/timetable", &[], "", 8_000).await;
             if let Ok((code, head, b)) = res
                 && code.as_u16() == 200
             {
@@ -108,7 +108,7 @@
         let first = Operator { seats, ..self.clone() };
         let base = base.to_string();
         let headers = [("if-match", base.as_str()), ("foldshunt-op", op)];
-        let (code, b) = first.ask(Method::PUT, "/v1/configuration?wait_ms=5000", &headers, text).await?;
+        let (code, b) = first.ask(Method::PUT, "/v1/timetable?wait_ms=5000", &headers, text).await?;
         Some((code, serde_json::from_slice(&b).unwrap_or_default()))
     }
 }
--- a/crates/trainset/src/papers.rs
+++ b/crates/simulator/src/papers.rs
@@ -94,7 +94,7 @@
     let headers = [("if-match", base.as_str()), ("foldshunt-op", name.as_str())];
     let (gone, res) = tokio::join!(
         op.evacuate(&x.whom, true),
-        other.ask(hyper::Method::PATCH, "/v1/configuration", &headers, &body)
+        other.ask(hyper::Method::PATCH, "/v1/timetable", &headers, &body)
     );
     out.ok = gone;
     let text = line.map(|l| doc.replacen(&l, &l.replacen("slots = 4", &with, 1), 1)).unwrap_or_default();
--- a/crates/trainset/src/scale/hollow.rs
+++ b/crates/simulator/src/scale/hollow.rs
@@ -3,16 +3,16 @@
 
 use super::layout::Layout;
 use crate::node::Node;
-use eyre::{Result, WrapErr};
-use gauge::{
+use common::{
     Clock, Incarnation, JobId,
     ground::{Host, World, bind, draw, draw_in},
     settings::Settings,
 };
-use interlocking::{Role, change::Card, member::Member};
+use control_plane::{Role, change::Card, member::Member};
+use data_plane::{plan::Plan, router::Router, tab::UserKey};
+use eyre::{Result, WrapErr};
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::sync::oneshot;
-use track::{plan::Plan, router::Router, tab::UserKey};
 
 /// Users that take turns, for each request a second: each asks every few minutes.
 const USERS: f64 = 240.0;
@@ -40,8 +40,8 @@
     }
 }
 
-/// As `track::daemon::run` does it, up to the listener for callers.
-fn stand(set: Settings, rail: gauge::ground::Listener) -> Arc<Router> {
+/// As `data_plane::daemon::run` does it, up to the listener for callers.
+fn stand(set: Settings, rail: common::ground::Listener) -> Arc<Router> {
     let card = Card::of(&set, Role::Router, Incarnation(draw::<u64>() >> 1));
     let clock = Clock::default();
     let member = Member::new(set.clone(), card, clock.clone());
@@ -68,7 +68,7 @@
         let (job, deadline) = (JobId::new("scale"), r.now() + entry.deadline_ms);
         let plan = Plan { job, governing, entry, tenant: None, homes, key, deadline, inner: false };
         let me = r.clone();
-        gauge::ground::spawn(async move {
+        common::ground::spawn(async move {
             let _ = me.place(&plan, &BTreeSet::new()).await;
         });
     }
--- a/crates/trainset/src/scale/layout.rs
+++ b/crates/simulator/src/scale/layout.rs
@@ -6,7 +6,7 @@
     sim::disk::SimDisk,
     standin::{Shape, StandIn},
 };
-use interlocking::seat::Room;
+use control_plane::seat::Room;
 use std::{
     fmt::Write,
     net::{IpAddr, Ipv4Addr, SocketAddr},
--- a/crates/trainset/src/scale/real.rs
+++ b/crates/simulator/src/scale/real.rs
@@ -10,8 +10,8 @@
     node::{Node, Yard},
     standin::StandIn,
 };
+use common::http::ask;
 use eyre::{Result, ensure, eyre};
-use gauge::http::ask;
 use hyper::Method;
 use serde::Serialize;
 use std::{path::Path, sync::Arc, time::Duration};
@@ -38,7 +38,7 @@
     let yard = Yard::Programs(bin.parent().map(Path::to_path_buf).unwrap_or_default());
     let mut fleet = lay.fleet(dir);
     let backs = lay.backs();
-    let stopped = gauge::settings::told_to_stop()?;
+    let stopped = common::settings::told_to_stop()?;
     let res = tokio::select! {
         r = stand(p, lay, &yard, &mut fleet, &backs) => r,
         _ = stopped => Err(eyre!("told to stop")),
--- a/crates/trainset/src/scale/rows.rs
+++ b/crates/simulator/src/scale/rows.rs
@@ -1,7 +1,7 @@
 //! What was counted, by role: one JSON object for each.
 
 use super::hollow::Hollow;
-use gauge::{
+use common::{
     ground::{Calls, Kind, Traffic},
     wire::enc,
 };
@@ -91,8 +91,8 @@
         .filter_map(|x| r.lender_of(&g.table, x))
         .map(|m| m.card.node.to_string())
         .collect();
-    let shards = (0..track::tab::SHARDS)
-        .filter_map(|n| interlocking::duty::duty(&l, &format!("shard/{n}"), None))
+    let shards = (0..data_plane::tab::SHARDS)
+        .filter_map(|n| control_plane::duty::duty(&l, &format!("shard/{n}"), None))
         .map(|d| d.holder.card.node.to_string())
         .collect();
     [("home", "watch", homes), ("shard owner", "settle", shards), ("lender", "passes", lenders)]
@@ -100,7 +100,8 @@
         .map(|(duty, step, held)| {
             let mut by: BTreeMap<&str, usize> = BTreeMap::new();
             held.iter().for_each(|n| *by.entry(n).or_default() += 1);
-            let served = t.to.iter().filter(|((_, k), _)| *k == (track::rail::SERVICE, step)).map(|(_, c)| c);
+            let served =
+                t.to.iter().filter(|((_, k), _)| *k == (data_plane::rail::SERVICE, step)).map(|(_, c)| c);
             let (calls, bytes) = served.fold((0, 0), |a, c| (a.0 + c.calls, a.1 + c.asked + c.told));
             let part = 1.0 / secs / held.len().max(1) as f64;
             DutyRow {
@@ -137,9 +138,10 @@
         s.ledger += size(enc(&*l));
         s.document += l.text.as_ref().map_or(0, |t| t.len()) as f64 * part;
         s.figures += r.pressure.board().seen.values().map(|x| size(enc(&x.fig))).sum::<f64>();
-        let heard: Vec<_> = track::router::lock(&r.heard).iter().map(|(n, t)| (n.clone(), *t)).collect();
+        let heard: Vec<_> = data_plane::router::lock(&r.heard).iter().map(|(n, t)| (n.clone(), *t)).collect();
         s.signs_of_life += size(enc(&heard));
-        let (rows, cached) = (track::router::lock(&r.tab).len(), track::router::lock(&r.cache).len());
+        let (rows, cached) =
+            (data_plane::router::lock(&r.tab).len(), data_plane::router::lock(&r.cache).len());
         s.placement_rows += rows as f64 * part;
         s.placements += ((rows + cached) * A_ROW) as f64 * part;
     }
--- a/crates/trainset/src/scale/run.rs
+++ b/crates/simulator/src/scale/run.rs
@@ -13,8 +13,8 @@
     operator::Operator,
     standin::StandIn,
 };
+use common::ground::World;
 use eyre::{Result, ensure, eyre};
-use gauge::ground::World;
 use serde::Serialize;
 use std::{
     collections::BTreeSet,
@@ -138,7 +138,7 @@
         at.ok_or_else(|| eyre!("no leader"))
     }
 
-    fn roles(&self, leader: IpAddr, t: &gauge::ground::Traffic, secs: f64) -> Vec<RoleRow> {
+    fn roles(&self, leader: IpAddr, t: &common::ground::Traffic, secs: f64) -> Vec<RoleRow> {
         let followers: Vec<IpAddr> = self.seats.iter().map(|n| n.ip).filter(|ip| *ip != leader).collect();
         let routers: Vec<IpAddr> = self.hollow.iter().map(|h| h.router.set.rail.ip()).collect();
         vec![
@@ -149,7 +149,7 @@
     }
 
     async fn measure(mut self, p: &ScalePlan, before: u64) -> Result<SizeRow> {
-        let w = gauge::ground::world().ok_or_else(|| eyre!("no world"))?;
+        let w = common::ground::world().ok_or_else(|| eyre!("no world"))?;
         let (lay, span) = (self.lay, Duration::from_secs_f64(p.seconds));
         // Figures, passes and placements are there after a full set of checks.
         sleep(Duration::from_secs(5)).await;
@@ -176,7 +176,7 @@
         let resident = usage::resident(std::process::id()).unwrap_or(0).saturating_sub(before);
         let slot = {
             let d = self.seats[0].disk.lock().unwrap_or_else(|e| e.into_inner());
-            d.kept.as_ref().and_then(|i| gauge::wire::enc(i).ok()).map_or(0, |b| b.len()) as f64
+            d.kept.as_ref().and_then(|i| common::wire::enc(i).ok()).map_or(0, |b| b.len()) as f64
         };
         let mut row = SizeRow {
             origin: "hollow",
--- a/crates/trainset/src/scale/times.rs
+++ b/crates/simulator/src/scale/times.rs
@@ -84,7 +84,7 @@
 pub async fn lost(gone: &[&Hollow], left: &[Hollow]) -> Span {
     let at = Instant::now();
     gone.iter().for_each(|h| h.host.darken());
-    let names: Vec<gauge::NodeId> = gone.iter().map(|h| h.name.as_str().into()).collect();
+    let names: Vec<common::NodeId> = gone.iter().map(|h| h.name.as_str().into()).collect();
     let (ms, never) = until(left, at, |h| {
         let l = h.router.member.ledger.load();
         names.iter().all(|n| !l.members.contains_key(n))
--- a/crates/trainset/src/sim/acts.rs
+++ b/crates/simulator/src/sim/acts.rs
@@ -5,8 +5,8 @@
     nodes::{WIRE, fits, timing},
     world::{What, World},
 };
-use gauge::{Epoch, Fence, Index, NodeId, Revision, Tick};
-use interlocking::{
+use common::{Epoch, Fence, Index, NodeId, Revision, Tick};
+use control_plane::{
     Change, Verdict,
     change::Card,
     duty,
--- a/crates/trainset/src/sim/check.rs
+++ b/crates/simulator/src/sim/check.rs
@@ -1,7 +1,7 @@
 //! Invariants from the brief's list, looked at after each step (design 7.1).
 
-use gauge::{Fence, Index, NodeId, OpId, Revision};
-use interlocking::{Change, Verdict, change::Holder, seat::LogEntry};
+use common::{Fence, Index, NodeId, OpId, Revision};
+use control_plane::{Change, Verdict, change::Holder, seat::LogEntry};
 use std::collections::{BTreeMap, HashMap};
 
 /// What the operators were told, and what the seats accepted, seen from outside of time.
@@ -11,7 +11,7 @@
     pub told_accepted: HashMap<OpId, Index>,
     pub told_refused: HashMap<OpId, ()>,
     /// Newest revision and text by the one order.
-    pub newest: (Revision, Option<interlocking::Document>),
+    pub newest: (Revision, Option<control_plane::Document>),
     /// Newest accepted roster, once it was changed.
     pub roster: Option<Vec<Holder>>,
     acts: BTreeMap<Fence, NodeId>,
--- a/crates/trainset/src/sim/data.rs
+++ b/crates/simulator/src/sim/data.rs
@@ -2,14 +2,14 @@
 //! lenders and purses, with news that lags, answers that are lost, and owners that move.
 
 use super::Violation;
-use gauge::{Fence, NodeId, Region, Service, Tick};
-use interlocking::{Change, Ledger, Role, change::Card};
-use rand::{Rng, SeedableRng, rngs::SmallRng};
-use std::collections::{BTreeMap, HashMap};
-use track::{
+use common::{Fence, NodeId, Region, Service, Tick};
+use control_plane::{Change, Ledger, Role, change::Card};
+use data_plane::{
     lend::{Lender, Pass, Purse, Spent},
     tab::{Copy, Tab, UserKey},
 };
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::collections::{BTreeMap, HashMap};
 
 pub(super) const ROUTERS: usize = 6;
 const END: u64 = 60_000;
@@ -84,7 +84,7 @@
 fn card(n: usize, inc: u64) -> Card {
     let addr = ([127, 0, 0, 1], 7000 + n as u16).into();
     let (node, area) = (format!("p{n}").as_str().into(), region(n).as_str().into());
-    Card { node, inc: gauge::Incarnation(inc), role: Role::Router, lang: 1, area, rail: addr, http: addr }
+    Card { node, inc: common::Incarnation(inc), role: Role::Router, lang: 1, area, rail: addr, http: addr }
 }
 
 pub(super) fn number(n: &NodeId) -> usize {
--- a/crates/trainset/src/sim/disk.rs
+++ b/crates/simulator/src/sim/disk.rs
@@ -1,7 +1,7 @@
 //! A disk that only keeps what was synced (design 7.1).
 
 use super::nodes::fits;
-use interlocking::seat::{Image, Rec, Room};
+use control_plane::seat::{Image, Rec, Room};
 use std::collections::VecDeque;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,7 +38,7 @@
             }
             r => {
                 fits("a record", r, self.room.log.saturating_sub(self.used))?;
-                self.used += gauge::wire::enc(r).map_or(0, |b| b.len() + 32);
+                self.used += common::wire::enc(r).map_or(0, |b| b.len() + 32);
             }
         }
         self.pending.push_back((tok, rec));
--- a/crates/trainset/src/sim/faults.rs
+++ b/crates/simulator/src/sim/faults.rs
@@ -6,8 +6,8 @@
     nodes::{ROUTERS, SimSeat},
     world::{CALM_AT, CORE, What, World},
 };
-use gauge::View;
-use interlocking::seat::Image;
+use common::View;
+use control_plane::seat::Image;
 use rand::Rng;
 
 #[derive(Debug)]
@@ -112,7 +112,7 @@
             }
             11 => {
                 self.note(format!("planned stop of s{n}"));
-                self.seat_step(n, interlocking::seat::Ev::Yield)?;
+                self.seat_step(n, control_plane::seat::Ev::Yield)?;
                 if self.rng.random_bool(0.7) {
                     self.crash(n);
                     self.push(ms, What::Heal(Box::new(Undo::Start(n))));
@@ -154,7 +154,7 @@
         self.crash(n);
         self.seats[n].disk.lose();
         if let (Some(Broken::BlankVotes), Some(i)) = (self.broken, was.filter(|i| i.formed)) {
-            let ledger = interlocking::Ledger::founded("sim", i.ledger.roster.clone());
+            let ledger = control_plane::Ledger::founded("sim", i.ledger.roster.clone());
             let img = Image { promised: View(0), log_view: View(0), ledger, entries: Vec::new(), ..i };
             self.seats[n].disk.kept = Some(img);
         }
--- a/crates/trainset/src/sim/lending.rs
+++ b/crates/simulator/src/sim/lending.rs
@@ -1,11 +1,11 @@
 //! Lending within the simulated data plane (design 5.5), and the last look at its table.
 
 use super::data::{BrokenData, Data, FULL_SET, LIFE, ROOM, ROUTERS, What, number, region, svc};
-use gauge::{Fence, NodeId, Tick};
-use interlocking::duty;
+use common::{Fence, NodeId, Tick};
+use control_plane::duty;
+use data_plane::{lend::Spent, tab::UserKey};
 use rand::Rng;
 use std::collections::BTreeSet;
-use track::{lend::Spent, tab::UserKey};
 
 impl Data {
     fn lender(&self, n: usize) -> Option<usize> {
--- a/crates/trainset/src/sim/nodes.rs
+++ b/crates/simulator/src/sim/nodes.rs
@@ -1,8 +1,8 @@
 //! The nodes of the simulated cluster: seats with their disks, and routers with their tenures.
 
 use super::disk::SimDisk;
-use gauge::{Incarnation, Tick, settings::Timing};
-use interlocking::{
+use common::{Incarnation, Tick, settings::Timing};
+use control_plane::{
     Ledger, Role,
     change::{Card, Holder},
     seat::{Image, Room, Seat},
@@ -65,7 +65,7 @@
 
 /// Whether what is written or sent really fits (design 2.8).
 pub fn fits(what: &str, v: &impl serde::Serialize, most: usize) -> Result<(), String> {
-    let len = gauge::wire::enc(v).map_err(|e| e.to_string())?.len() + 32;
+    let len = common::wire::enc(v).map_err(|e| e.to_string())?.len() + 32;
     if len <= most { Ok(()) } else { Err(format!("{what} of {len} bytes does not fit into {most}")) }
 }
 
--- a/crates/trainset/src/sim/operate.rs
+++ b/crates/simulator/src/sim/operate.rs
@@ -5,8 +5,8 @@
     nodes::ROOM,
     world::{Proposal, QUIET_AT, What, World},
 };
-use gauge::{Area, OpId};
-use interlocking::{
+use common::{Area, OpId};
+use control_plane::{
     Change,
     seat::{Ev, Fx},
 };
--- a/crates/trainset/src/sim/sweep.rs
+++ b/crates/simulator/src/sim/sweep.rs
@@ -44,7 +44,7 @@
     let sum = sum.into_inner().unwrap_or_else(|e| e.into_inner());
     println!("{}", told(from, sum));
     match found.into_inner().unwrap_or_else(|e| e.into_inner()) {
-        Some(v) => bail!("violation\n{v}replay: trainset sim --seats {seats} --from {} --seeds 1", v.seed),
+        Some(v) => bail!("violation\n{v}replay: simulator sim --seats {seats} --from {} --seeds 1", v.seed),
         None => Ok(()),
     }
 }
@@ -97,7 +97,7 @@
     for seed in from..from + seeds {
         let mut d = Data::new(seed, None);
         if let Err(v) = d.run() {
-            bail!("violation\n{v}replay: trainset sim-data --from {} --seeds 1", v.seed);
+            bail!("violation\n{v}replay: simulator sim-data --from {} --seeds 1", v.seed);
         }
         settled += d.settled;
         redeemed += d.redeemed;
--- a/crates/trainset/src/sim/table.rs
+++ b/crates/simulator/src/sim/table.rs
@@ -1,10 +1,10 @@
 //! The placement table within the simulated data plane (design 5.3).
 
 use super::data::{BrokenData, CHURN_END, Data, ROUTERS, TTL, What, number, region, svc};
-use gauge::{Fence, Region, Tick};
-use interlocking::duty;
+use common::{Fence, Region, Tick};
+use control_plane::duty;
+use data_plane::tab::{Settled, UserKey};
 use rand::Rng;
-use track::tab::{Settled, UserKey};
 
 impl Data {
     pub(super) fn owners(&self, n: usize, shard: u16) -> Vec<usize> {
@@ -14,7 +14,7 @@
 
     /// A new owner asks the next in line for what they hold.
     pub(super) fn gather(&mut self, n: usize) {
-        for shard in 0..track::tab::SHARDS {
+        for shard in 0..data_plane::tab::SHARDS {
             let owners = self.owners(n, shard);
             let owns = owners.first() == Some(&n);
             if owns && self.nodes[n].owns.insert(shard, owns) != Some(true) {
--- a/crates/trainset/src/sim/way.rs
+++ b/crates/simulator/src/sim/way.rs
@@ -6,7 +6,7 @@
     nodes::{WIRE, addr, fits},
     world::{What, World},
 };
-use interlocking::{
+use control_plane::{
     seat::{Ev, Fx, SeatMsg},
     tenure::Tenures,
 };
--- a/crates/trainset/src/sim/world.rs
+++ b/crates/simulator/src/sim/world.rs
@@ -5,8 +5,8 @@
     check::Book,
     nodes::{ROUTERS, SimClock, SimRouter, SimSeat},
 };
-use gauge::{Epoch, Fence, Index, OpId, Tick};
-use interlocking::{
+use common::{Epoch, Fence, Index, OpId, Tick};
+use control_plane::{
     Change,
     change::Card,
     duty::Fences,
@@ -40,7 +40,7 @@
     Renewed { router: usize, inc: u64, epoch: Epoch, sent: Tick },
     AskNews { seat: usize, router: usize, have: Index },
     News { router: usize, news: Box<News> },
-    Act { fence: Fence, node: gauge::NodeId },
+    Act { fence: Fence, node: common::NodeId },
     Operator,
     Fault,
     Heal(Box<super::faults::Undo>),
--- a/crates/trainset/src/spare.rs
+++ b/crates/simulator/src/spare.rs
@@ -6,8 +6,8 @@
     sim::disk::SimDisk,
     standin::StandIn,
 };
+use control_plane::seat::Room;
 use eyre::Result;
-use interlocking::seat::Room;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex},
--- a/crates/trainset/src/standin.rs
+++ b/crates/simulator/src/standin.rs
@@ -3,11 +3,11 @@
 
 use crate::sync_body::sync_body;
 use bytes::Bytes;
-use futures::StreamExt;
-use gauge::{
+use common::{
     ground::{bind, spawn, spawn_at},
     http::{Body, BoxErr, json, text},
 };
+use futures::StreamExt;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     Request, Response, StatusCode,
@@ -152,14 +152,14 @@
 
     /// Goes dark: nothing is closed, nothing answers. A stand-in beside real processes can only crash.
     pub fn mute(&self) {
-        match gauge::ground::world() {
+        match common::ground::world() {
             Some(w) => w.host(self.addr.ip()).darken(),
             None => self.crash(),
         }
     }
 
     pub async fn unmute(self: &Arc<Self>) -> std::io::Result<()> {
-        if let Some(w) = gauge::ground::world() {
+        if let Some(w) = common::ground::world() {
             self.crash();
             tokio::time::sleep(Duration::from_millis(1)).await;
             w.light(self.addr.ip());
@@ -187,7 +187,7 @@
         if self.lock().sour {
             return Ok(text(StatusCode::SERVICE_UNAVAILABLE, "not now\n"));
         }
-        let prefix = gauge::rank::stable_hash(&[bytes.get(..bytes.len().min(4096)).unwrap_or(&[])]);
+        let prefix = common::rank::stable_hash(&[bytes.get(..bytes.len().min(4096)).unwrap_or(&[])]);
         let (warm, open) = {
             let mut g = self.lock();
             g.open += 1;
--- a/crates/trainset/src/sync_body.rs
+++ b/crates/simulator/src/sync_body.rs
@@ -1,7 +1,7 @@
 //! A body that may be shared between threads (design 7.3).
 
 use bytes::Bytes;
-use gauge::http::{Body, BoxErr};
+use common::http::{Body, BoxErr};
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use std::sync::Mutex;
--- a/crates/trainset/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -9,8 +9,8 @@
     fleet::Fleet,
     run::run,
 };
+use common::ground::World;
 use eyre::{Result, bail};
-use gauge::ground::World;
 use std::{
     str::FromStr,
     sync::{
--- a/crates/trainset/tests/modules/chaos.rs
+++ b/crates/simulator/tests/modules/chaos.rs
@@ -1,6 +1,6 @@
-//! Tests of `trainset::chaos`.
+//! Tests of `simulator::chaos`.
 
-use trainset::{
+use simulator::{
     chaos::plan,
     deployment::{Firm, deployment},
     fault::What,
--- a/crates/trainset/tests/modules/deployment.rs
+++ b/crates/simulator/tests/modules/deployment.rs
@@ -1,6 +1,6 @@
-//! Tests of `trainset::deployment`.
+//! Tests of `simulator::deployment`.
 
-use trainset::deployment::{Firm, deployment};
+use simulator::deployment::{Firm, deployment};
 
 /// The brief's sizes, and documents that compile against the replicas they need.
 #[test]
@@ -9,14 +9,14 @@
         let d = deployment(f);
         let count = |n: usize| d.replicas[n].1.iter().sum::<usize>();
         assert_eq!((count(0), count(1)), (models, apps));
-        let tab = timetable::compile(&d.document).unwrap();
+        let tab = configuration::compile(&d.document).unwrap();
         assert_eq!(tab.cluster, d.name);
         let listed: Vec<_> = d
             .replicas
             .iter()
             .flat_map(|(s, _)| d.areas.iter().map(|(a, _)| ((*s).into(), (*a).into())))
             .collect();
-        assert_eq!(timetable::check_fleet(&d.document, &tab, &listed), vec![]);
+        assert_eq!(configuration::check_fleet(&d.document, &tab, &listed), vec![]);
         for k in &d.kinds {
             let e = tab.entries.iter().find(|e| e.name == k.entry).unwrap();
             assert_eq!(e.repeatable, !k.once);
--- a/crates/trainset/tests/modules/fault.rs
+++ b/crates/simulator/tests/modules/fault.rs
@@ -1,6 +1,6 @@
-//! Tests of `trainset::fault`.
+//! Tests of `simulator::fault`.
 
-use trainset::fault::{Fault, What};
+use simulator::fault::{Fault, What};
 
 #[test]
 fn faults_are_read_or_refused() {
--- a/crates/trainset/tests/scale.rs
+++ b/crates/simulator/tests/scale.rs
@@ -2,7 +2,7 @@
 //! decide, and no clock of the machine.
 
 use rstest::rstest;
-use trainset::scale::{GROWTH_VARIANTS, ScalePlan, Sizes, bound, rows, run};
+use simulator::scale::{GROWTH_VARIANTS, ScalePlan, Sizes, bound, rows, run};
 
 /// Twice the nodes, zones, regions, replicas and tenants, and 21 routers instead of 9: what grows with
 /// the routers is there 2.3 times, what grows with their square 5.4 times. Today's worst is 2.18, a
@@ -102,13 +102,13 @@
 /// A placement's length on the wire, by which the table's rows are counted as bytes.
 #[test]
 fn a_row_is_as_long_as_it_is_said_to_be() {
-    let row = track::tab::Copy {
-        key: track::tab::UserKey(u64::MAX),
+    let row = data_plane::tab::Copy {
+        key: data_plane::tab::UserKey(u64::MAX),
         service: "m5".into(),
         region: "r20".into(),
         ver: u64::MAX >> 16,
         ttl_ms: 900_000,
     };
-    let len = gauge::wire::enc(&row).unwrap().len();
+    let len = common::wire::enc(&row).unwrap().len();
     assert_eq!(len, rows::A_ROW);
 }
--- a/crates/trainset/tests/sim.rs
+++ b/crates/simulator/tests/sim.rs
@@ -1,7 +1,7 @@
 //! The simulator in CI: a fixed set of seeds, and each check seen to fail (design 7.1).
 
 use rstest::rstest;
-use trainset::sim::{
+use simulator::sim::{
     BROKEN, Broken,
     data::{BrokenData, Data},
     run, run_core,
--- a/crates/trainset/tests/world.rs
+++ b/crates/simulator/tests/world.rs
@@ -2,7 +2,7 @@
 //! audit seen to fail by a deliberately broken variant.
 
 use rstest::rstest;
-use trainset::{
+use simulator::{
     deployment::Firm,
     world::{VARIANTS, Variant, WorldPlan, one},
 };
