Further tries: a router's start adds nothing, and all shares sum to the surplus

Cause: each router began with one further try in hand and kept a bucket of one at least. N starts within a window added N to a budget that all share, and N buckets of one are more than a surplus below N.

Change: a bucket begins empty. A router's share of the surplus has two parts, a capacity for what may be saved up and what accrues over time since its start; both summed over all routers are 0.9 of the surplus at most. Where an equal part is less than a whole token, the first in rank for that service hold one each. Requests earn 0.8 of the ratio, as before, into the same capacity.

--- a/crates/data-plane/src/serving/carry.rs
+++ b/crates/data-plane/src/serving/carry.rs
@@ -7,12 +7,13 @@
     cold, events,
     fleet::Candidate,
     plan::Plan,
+    retries::{self, Share},
     state::Serving,
 };
 use crate::router::lock;
 use bytes::Bytes;
 use common::{
-    Fault, ReplicaId,
+    Fault, ReplicaId, Service,
     http::{Body, BusyGuard, Sender, full, json},
     jot,
 };
@@ -147,10 +148,16 @@
         self.pool.keep(&c.id, tx, None, (200 / routers).clamp(1, 8), self.now());
     }
 
+    /// A request came: it adds its part to the budget of further tries.
+    fn earn_further_tries(&self, svc: &Service) {
+        let (b, routers) = (&self.site.bounds, self.routers());
+        let rank = retries::rank(svc, self.router.node(), &routers);
+        let share = Share::of(b.extra_tries, b.retry_window_ms, rank, routers.len());
+        self.retries.earn(svc, b.retry_ratio, share, self.now());
+    }
+
     pub async fn carry(self: &Arc<Self>, p: Arc<Plan>, busy: Arc<BusyGuard>) -> Response<Body> {
-        let b = &self.site.bounds;
-        let cap = b.extra_tries / self.routers().len().max(1) as f64;
-        self.retries.earn(&p.service, b.retry_ratio, cap);
+        self.earn_further_tries(&p.service);
         let mut past = Past::default();
         loop {
             if self.now() >= p.deadline || (past.arrived + past.unsent > 0 && !past.may_go_again(self, &p)) {
--- a/crates/data-plane/src/serving/retries.rs
+++ b/crates/data-plane/src/serving/retries.rs
@@ -1,38 +1,97 @@
-//! Further tries (design 9.6): what all routers may send beyond each request's first arrival, cut
-//! into parts that need no talk. Pure but for one lock.
+//! The budget of further tries (design 9.6): what all routers together may send to a service beyond
+//! each request's first arrival, divided into shares that need no messages. A token bucket for each
+//! service, which starts empty, so that starting a router adds nothing. Pure but for one lock.
 
-use common::Service;
+use common::{NodeId, Service, Tick, rank::stable_hash};
 use std::{collections::HashMap, sync::Mutex};
 
-/// Share of the bound that is used.
-const USED: f64 = 0.8;
+/// Share of the ratio that is used.
+const RATIO_USED: f64 = 0.8;
+/// Share of the surplus that is used: views of the membership differ for a moment.
+const SURPLUS_USED: f64 = 0.9;
+/// Share of the surplus that all routers together save up, where each then holds a whole token.
+const SAVED: f64 = 0.5;
+/// Share of the surplus that goes into whole tokens at most, where few routers can hold one.
+const MOST_SAVED: f64 = 0.7;
 
-#[derive(Debug, Default)]
-pub struct Retries(Mutex<HashMap<Service, f64>>);
+/// One router's share of the surplus that is granted beyond the ratio.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Share {
+    /// Most tokens that may be saved up, whatever earned them.
+    pub capacity: f64,
+    /// Tokens that accrue in a millisecond, with or without requests.
+    pub per_ms: f64,
+}
+
+impl Share {
+    /// The share of the router that `rank` others precede. The capacities of all routers and what
+    /// accrues to them within one window sum to the surplus at most. A bucket must hold a whole token
+    /// to be of use: where an equal part is less, the first in rank hold one each.
+    pub fn of(surplus: f64, window_ms: u64, rank: usize, routers: usize) -> Self {
+        let whole = (surplus * MOST_SAVED).floor().max(surplus.floor().min(1.0)) as usize;
+        let holders = routers.clamp(1, whole.max(1));
+        if whole == 0 || rank >= holders {
+            return Self::default();
+        }
+        let capacity = (surplus * SAVED / holders as f64).max(1.0);
+        let accrues = (surplus * SURPLUS_USED / holders as f64 - capacity).max(0.0);
+        Self { capacity, per_ms: accrues / window_ms.max(1) as f64 }
+    }
+}
+
+/// How many routers precede this one in holding a share for a service; all see the same order.
+pub fn rank(svc: &Service, me: &NodeId, routers: &[NodeId]) -> usize {
+    let claim = |n: &NodeId| (stable_hash(&[svc.as_str().as_bytes(), n.as_str().as_bytes()]), n.clone());
+    let own = claim(me);
+    routers.iter().filter(|n| claim(n) > own).count()
+}
+
+#[derive(Debug)]
+struct Bucket {
+    tokens: f64,
+    capacity: f64,
+    at: Tick,
+}
+
+#[derive(Debug)]
+pub struct Retries {
+    /// When this router started: nothing accrued to it before.
+    started: Tick,
+    buckets: Mutex<HashMap<Service, Bucket>>,
+}
 
 impl Retries {
-    fn with<T>(&self, svc: &Service, f: impl FnOnce(&mut f64) -> T) -> T {
-        let mut g = self.0.lock().unwrap_or_else(|e| e.into_inner());
-        f(g.entry(svc.clone()).or_insert(1.0))
+    pub fn started(now: Tick) -> Self {
+        Self { started: now, buckets: Mutex::default() }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<Service, Bucket>> {
+        self.buckets.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// A request for the service came; `cap` is this router's part of the surplus.
-    pub fn earn(&self, svc: &Service, ratio: f64, cap: f64) {
-        self.with(svc, |v| *v = (*v + ratio * USED).min((cap * USED).max(1.0)));
+    /// A request for the service came.
+    pub fn earn(&self, svc: &Service, ratio: f64, share: Share, now: Tick) {
+        let mut all = self.lock();
+        let first = || Bucket { tokens: 0.0, capacity: 0.0, at: self.started };
+        let b = all.entry(svc.clone()).or_insert_with(first);
+        let accrued = share.per_ms * now.since(b.at) as f64;
+        b.tokens = (b.tokens + accrued + ratio * RATIO_USED).min(share.capacity);
+        b.capacity = share.capacity;
+        b.at = now;
     }
 
+    /// Takes the token for one further try, where there is one.
     pub fn spend(&self, svc: &Service) -> bool {
-        self.with(svc, |v| {
-            let ok = *v >= 1.0;
-            if ok {
-                *v -= 1.0;
-            }
-            ok
-        })
+        let mut all = self.lock();
+        let Some(b) = all.get_mut(svc).filter(|b| b.tokens >= 1.0) else { return false };
+        b.tokens -= 1.0;
+        true
     }
 
-    /// A try that was paid for and reached nobody.
+    /// A try that was paid for reached nobody.
     pub fn give_back(&self, svc: &Service) {
-        self.with(svc, |v| *v += 1.0);
+        if let Some(b) = self.lock().get_mut(svc) {
+            b.tokens = (b.tokens + 1.0).min(b.capacity);
+        }
     }
 }
--- a/crates/data-plane/src/serving/state.rs
+++ b/crates/data-plane/src/serving/state.rs
@@ -25,6 +25,8 @@
     pub cold_slack: f64,
     pub retry_ratio: f64,
     pub extra_tries: f64,
+    /// The span over which further tries are counted.
+    pub retry_window_ms: u64,
     /// How long clients may go by a directory's answer.
     pub keep_ms: u64,
     /// From SIGTERM to the end.
@@ -71,6 +73,7 @@
         notation: Arc<dyn Notation>,
         site: Site,
     ) -> Arc<Self> {
+        let retries = Retries::started(router.now());
         Arc::new(Self {
             router,
             dialect,
@@ -80,7 +83,7 @@
             fleet: ArcSwap::default(),
             folds: Mutex::default(),
             pool: Pool::default(),
-            retries: Retries::default(),
+            retries,
             mix: Mutex::default(),
             pace: Mutex::default(),
             returned: Mutex::default(),
--- a/crates/data-plane/tests/serving/stage.rs
+++ b/crates/data-plane/tests/serving/stage.rs
@@ -12,7 +12,10 @@
 use control_plane::{Change, Ledger, Role, change::Card, member::Member, news::News};
 use data_plane::{
     router::{Router, lock},
-    serving::{Bounds, Dialect, EngineReport, Listing, Lookup, Names, Prompt, Serving, Site, board::Row},
+    serving::{
+        Bounds, Dialect, EngineReport, Listing, Lookup, Names, Prompt, Serving, Site, board::Row,
+        retries::Share,
+    },
 };
 use futures::StreamExt;
 use http_body_util::{BodyExt, StreamBody};
@@ -314,6 +317,7 @@
                 cold_slack: 0.0,
                 retry_ratio: 0.1,
                 extra_tries: 64.0,
+                retry_window_ms: 10_000,
                 keep_ms: 1_000,
                 grace_ms: 10_000,
             },
@@ -345,8 +349,8 @@
             boards.into_iter().for_each(|b| assert!(folds.take(b, s.now())));
             s.fleet.store(Arc::new(folds.fleet(&areas(), 1, 3_000)));
         }
-        // One is in hand from the start.
-        s.retries.earn(&"chat".into(), (cast.tries - 1.0) / 0.8, 64.0);
+        let share = Share { capacity: 64.0, per_ms: 0.0 };
+        s.retries.earn(&"chat".into(), cast.tries / 0.8, share, s.now());
         let http: SocketAddr = (ROUTER, 80).into();
         let (me, lst) = (s.clone(), bind(http).await.expect("the router's address"));
         let (end, ended) = watch::channel(false);
