A resumed stream must go on behind its last event; none is resumed for a caller that left

Cause: a second replica that began anew in place of going on behind `Last-Event-Id` was passed on as it came: events arrived twice. And while another replica was looked for, nobody noticed that the caller had gone: its request was sent to up to `tries` replicas for nobody.

Change: the first id of a run that was to go on must lie above the last one that went out, else the run counts as cut and another is asked. Looking for a replica ends when the caller has gone.

Tests: no_event_twice and a_caller_that_leaves (stream_held_elsewhere), both seen to fail before (events 1 to 3 twice; two replicas asked after the caller had left). Open: a run that leaves events out can't be told from one whose ids rise in larger steps.

--- a/crates/data-plane/src/serving/events.rs
+++ b/crates/data-plane/src/serving/events.rs
@@ -98,6 +98,7 @@
             Ended::Silent => {
                 let woke = tokio::select! {
                     biased;
+                    () = out.closed() => return,
                     f = body.frame() => Ok(f),
                     next = resumed(&s, &p, &mut past, parts.last.as_deref()) => Err(next),
                 };
@@ -114,7 +115,12 @@
                 parts.forget();
                 jot!(Info, "stream", "peer" => open.at.addr, "cause" => why, "after" => parts.last);
                 drop((body, open));
-                match resumed(&s, &p, &mut past, parts.last.as_deref()).await {
+                let next = tokio::select! {
+                    biased;
+                    () = out.closed() => return,
+                    next = resumed(&s, &p, &mut past, parts.last.as_deref()) => next,
+                };
+                match next {
                     Some(next) => (open, body) = next,
                     None => {
                         let _ = out.send(Err(why.into())).await;
@@ -164,6 +170,9 @@
             Some(Ok(f)) => {
                 let Some(data) = f.data_ref() else { continue };
                 parts.push(data);
+                if !parts.goes_on() {
+                    return Ended::Cut("its replica does not go on behind the last event".into());
+                }
                 open.at.own.hear(s.now());
                 let Some(events) = parts.whole() else { continue };
                 beat.event(s.now());
--- a/crates/data-plane/src/serving/pieces.rs
+++ b/crates/data-plane/src/serving/pieces.rs
@@ -10,6 +10,8 @@
 pub struct Splitter {
     buf: BytesMut,
     pub last: Option<String>,
+    /// The run at hand was to go on behind this event, and has brought none yet.
+    behind: Option<u64>,
 }
 
 impl Splitter {
@@ -21,27 +23,38 @@
     pub fn whole(&mut self) -> Option<Bytes> {
         let end = self.buf.windows(2).rposition(|w| w == b"\n\n")? + 2;
         let out = self.buf.split_to(end).freeze();
-        if let Some(id) = last_id(&out) {
-            self.last = Some(id);
+        if let Some(id) = ids(&out).last() {
+            self.last = Some(id.to_string());
+            self.behind = None;
         }
         Some(out)
     }
 
+    /// Whether what has come of a run that was to go on lies behind the last event that went out. Ids
+    /// that are no numbers can't be compared, and are let through.
+    pub fn goes_on(&self) -> bool {
+        let first = ids(&self.buf).next().and_then(|id| id.parse().ok());
+        first.zip(self.behind).is_none_or(|(first, behind): (u64, u64)| first > behind)
+    }
+
     /// What is left behind the last whole event.
     pub fn rest(&mut self) -> Bytes {
         self.buf.split().freeze()
     }
 
-    /// Forgets half an event: its whole comes from elsewhere.
+    /// Forgets half an event: its whole comes from elsewhere, from a run that is to go on.
     pub fn forget(&mut self) {
         self.buf.clear();
+        self.behind = self.last.as_ref().and_then(|id| id.parse().ok());
     }
 }
 
-/// Only the id itself must be text: what else an event holds is none of this code's business.
-fn last_id(events: &[u8]) -> Option<String> {
-    let id = events.split(|b| *b == b'\n').rev().find_map(|l| l.strip_prefix(b"id:"))?;
-    std::str::from_utf8(id).ok().map(|v| v.trim().to_string())
+/// The ids of events, of whole lines only. An id must be text: what else an event holds is none of this
+/// code's business.
+fn ids(events: &[u8]) -> impl DoubleEndedIterator<Item = &str> {
+    let whole = events.iter().rposition(|b| *b == b'\n').unwrap_or(0);
+    let lines = events[..whole].split(|b| *b == b'\n');
+    lines.filter_map(|l| std::str::from_utf8(l.strip_prefix(b"id:")?).ok().map(str::trim))
 }
 
 /// The pauses of a stream.
--- a/crates/data-plane/tests/serving/own_answers.rs
+++ b/crates/data-plane/tests/serving/own_answers.rs
@@ -185,11 +185,24 @@
     });
 }
 
+/// A replica that starts anew in place of going on: no event comes twice.
+#[rstest]
+#[case::elsewhere(&[Cut(3), FromTheStart], true)]
+#[case::nowhere(&[Cut(3), FromTheStart, FromTheStart], false)]
+fn no_event_twice(#[case] acts: &'static [Act], #[case] whole: bool, #[values(1, 2, 3)] seed: u64) {
+    scene(seed, Cast::default(), vec![talk()], acts, |st| async move {
+        let told = st.ask("/talk/1").await;
+        assert_eq!(told.whole, whole, "{told:?}");
+        assert_eq!(told.body, events(1..=if whole { EVENTS } else { 3 }));
+    });
+}
+
 /// Nothing more is sent for a caller that has left, and nothing stays open for it.
 #[rstest]
 #[case::read_held(read(), &[Holds; 3], 200)]
 #[case::write_held(write(), &[Holds; 3], 200)]
 #[case::stream(talk(), &[Cut(9)], 100)]
+#[case::stream_held_elsewhere(talk(), &[Cut(3), Holds, Holds], 200)]
 fn a_caller_that_leaves(
     #[case] r: Route,
     #[case] acts: &'static [Act],
