An accepted order stays accepted, however many changes follow it

Cause: the verdict of an operator's order was kept among the newest 512 verdicts of all kinds. After 512 evacuations, replica moves or documents, an accepted order that was sent again built on an older version than the current one and was refused (412). The rescue for the newest document compared the text alone, so the same bytes on another version, which are another order and may be invalid, were told as accepted.

Change: the operations of accepted documents are kept apart, as a hash of 16 bytes for each of the newest 4,096 revisions; the place of a hash tells its revision. Nothing else pushes them out. Versions rise with each accepted document, so an order whose base lies no more than 4,096 versions back can't be a forgotten one and is refused; what lies further back, once anything was forgotten, is left open. The decision is a function of its own (operations::standing), used by the desk. Wire and disk forms get new numbers.

Tests: operator/orders.rs. The same text on another version was told as accepted before (another_order_is_not_taken_for_an_accepted_one). a_resend_outlives_its_verdict asserted that the verdict had gone and that the text saved it; it now asserts the stronger thing, also after another document. a_full_ledger_survives_the_wire counts the accepted one in its new place.

--- a/crates/common/src/wire.rs
+++ b/crates/common/src/wire.rs
@@ -8,7 +8,7 @@
 
 /// Largest message between own processes: a whole frame with a document fits well.
 pub const MAX_FRAME: usize = 8 << 20;
-pub const PROTO: u32 = 3;
+pub const PROTO: u32 = 4;
 
 #[derive(Encode, Decode)]
 #[musli(bound = {T: Serialize + DeserializeOwned}, decode_bound<'de, A> = {T: Serialize + DeserializeOwned})]
--- a/crates/control-plane/src/api/document.rs
+++ b/crates/control-plane/src/api/document.rs
@@ -81,7 +81,7 @@
         };
         let l = self.state().await?;
         if let Some(v) = l.verdict(&self.op) {
-            return Ok(self.told(v));
+            return Ok(self.told(&v));
         }
         if base != l.revision {
             return Ok(self.told(&Verdict::Conflict { current: l.revision }));
--- a/crates/control-plane/src/api/moves.rs
+++ b/crates/control-plane/src/api/moves.rs
@@ -134,7 +134,7 @@
         let l = self.state().await?;
         Ok(match l.verdict(op) {
             Some(v) => {
-                let mut r = Call { op: op.clone(), base: None, ..*self }.told(v);
+                let mut r = Call { op: op.clone(), base: None, ..*self }.told(&v);
                 *r.status_mut() = StatusCode::OK;
                 r
             }
--- a/crates/control-plane/src/desk.rs
+++ b/crates/control-plane/src/desk.rs
@@ -11,6 +11,7 @@
     core::Core,
     document::Document,
     ledger::Ledger,
+    operations::{Standing, standing},
     rail::Proposed,
 };
 use common::{Area, OpId, Revision, good_name};
@@ -127,38 +128,44 @@
                 Ok(l) => l,
                 Err(told) => return told,
             };
-            match l.verdict(&op) {
-                // Logged once more with nothing in it: the verdict stays, and it is told again only
-                // once most of the members hold it (design 3.7).
-                Some(Verdict::Accepted { .. }) => {
-                    let base = Revision(u64::MAX);
-                    return self.log(Change::Apply { op, base, text: "".into() }, until).await;
+            let current = match self.version(&l) {
+                Ok(version) => version,
+                Err(why) => return Told::Unavailable(why),
+            };
+            match standing(&l, &op, expects, current) {
+                Standing::Decided(Verdict::Accepted { .. }) => self.confirm(op, until).await,
+                Standing::Decided(Verdict::Bounced { reason }) => invalid(reason),
+                Standing::Decided(Verdict::Conflict { .. }) | Standing::Superseded => {
+                    Told::Conflict { current: Some(current) }
                 }
-                Some(Verdict::Conflict { .. }) => return Told::Conflict { current: self.version(&l).ok() },
-                Some(Verdict::Bounced { reason }) => return invalid(reason),
-                // Verdicts are kept for a while only; what stands there word for word was taken.
-                None if l.text.as_deref() == Some(body) => return Told::Accepted,
-                None => {}
-            }
-            match self.checked(&l, expects, make) {
-                Ok(text) => self.log(Change::Apply { op, base: l.revision, text }, until).await,
-                Err(told) => told,
+                Standing::Forgotten => Told::Undetermined,
+                Standing::Open => match self.checked(&l, current, make) {
+                    Ok(text) => self.log(Change::Apply { op, base: l.revision, text }, until).await,
+                    Err(told) => told,
+                },
             }
         })
         .await
     }
 
+    /// Logs an accepted order once more with nothing in it: its verdict stays, and it is told again
+    /// only once most of the members hold it (design 3.7).
+    async fn confirm(&self, op: OpId, until: Instant) -> Told {
+        let nothing = Change::Apply { op, base: Revision(u64::MAX), text: "".into() };
+        match self.log(nothing, until).await {
+            // Its verdict was forgotten on the way.
+            Told::Conflict { .. } => Told::Undetermined,
+            told => told,
+        }
+    }
+
     /// The document to be logged on top of this state.
     fn checked(
         &self,
         l: &Ledger,
-        expects: u64,
+        current: u64,
         make: impl FnOnce(&str) -> Result<String, Vec<Flaw>>,
     ) -> Result<Document, Told> {
-        let current = self.version(l).map_err(Told::Unavailable)?;
-        if expects != current {
-            return Err(Told::Conflict { current: Some(current) });
-        }
         let text = Document::from(make(l.text.as_deref().unwrap_or("")).map_err(Told::Invalid)?);
         if !text.fits() {
             return Err(Told::TooLarge);
--- a/crates/control-plane/src/ledger.rs
+++ b/crates/control-plane/src/ledger.rs
@@ -3,11 +3,13 @@
 use crate::change::{Card, Change, Holder, Replica, ReplicaMove, Verdict};
 use crate::document::Document;
 use crate::mass::Lost;
+use crate::operations::AcceptedOperations;
 use common::{Area, Epoch, Index, NodeId, OpId, ReplicaId, Revision};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Verdicts kept, so that a repeated operation answers as it did at first.
+/// Verdicts kept of operations other than accepted documents, so that a repeated one answers as it
+/// did at first.
 pub const OPS_KEPT: usize = 512;
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +35,8 @@
     /// Lost members that may be serving on, in the order of their loss (design 3.7).
     pub lost: Vec<Lost>,
     pub ops: VecDeque<(OpId, Verdict)>,
+    /// Operations of accepted documents: kept apart, so that nothing else pushes them out.
+    pub accepted: AcceptedOperations,
 }
 
 impl Ledger {
@@ -40,26 +44,36 @@
         Self { cluster: cluster.into(), roster, ..Self::default() }
     }
 
-    pub fn verdict(&self, op: &OpId) -> Option<&Verdict> {
-        self.ops.iter().find(|(o, _)| o == op).map(|(_, v)| v)
+    pub fn verdict(&self, op: &OpId) -> Option<Verdict> {
+        let accepted = self.accepted.revision_of(op, self.revision);
+        let other = || self.ops.iter().find(|(o, _)| o == op).map(|(_, v)| v.clone());
+        accepted.map(|revision| Verdict::Accepted { revision }).or_else(other)
     }
 
     /// Folds the change at its place; the order is the core's alone.
     pub fn fold(&mut self, idx: Index, ch: &Change) -> Verdict {
         self.idx = idx;
         if let Some(v) = ch.op().and_then(|op| self.verdict(op)) {
-            return v.clone();
+            return v;
         }
         let v = self.effect(idx, ch);
         if let Some(op) = ch.op() {
-            self.ops.push_back((op.clone(), v.clone()));
-            if self.ops.len() > OPS_KEPT {
-                self.ops.pop_front();
-            }
+            self.record(op, ch, &v);
         }
         v
     }
 
+    fn record(&mut self, op: &OpId, ch: &Change, v: &Verdict) {
+        let made_a_revision = matches!((ch, v), (Change::Apply { .. }, Verdict::Accepted { .. }));
+        if made_a_revision && !common::ground::broken("verdicts-by-count") {
+            return self.accepted.record(op);
+        }
+        self.ops.push_back((op.clone(), v.clone()));
+        if self.ops.len() > OPS_KEPT {
+            self.ops.pop_front();
+        }
+    }
+
     fn effect(&mut self, idx: Index, ch: &Change) -> Verdict {
         match ch {
             Change::Apply { base, text, .. } => {
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod mass;
 pub mod member;
 pub mod news;
+pub mod operations;
 pub mod patch;
 pub mod rail;
 pub mod seat;
--- a/crates/control-plane/src/seat/room.rs
+++ b/crates/control-plane/src/seat/room.rs
@@ -151,7 +151,15 @@
         let roster: usize = self.roster.iter().map(holder).sum();
         let ops: usize = self.ops.iter().map(|(o, v)| o.as_str().len() + verdict(v) + 16).sum();
         let lost: usize = self.lost.iter().map(|x| x.node.as_str().len() + 16).sum();
-        256 + lost + self.cluster.len() + text + areas + replicas + members + roster + ops
+        256 + lost
+            + self.cluster.len()
+            + text
+            + areas
+            + replicas
+            + members
+            + roster
+            + ops
+            + self.accepted.weight()
     }
 }
 
--- a/crates/control-plane/src/store/raw.rs
+++ b/crates/control-plane/src/store/raw.rs
@@ -7,7 +7,7 @@
     path::Path,
 };
 
-pub(super) const MAGIC: &[u8; 8] = b"fshunt05";
+pub(super) const MAGIC: &[u8; 8] = b"fshunt06";
 pub(super) const HEAD: usize = 32;
 /// Most that is filled or looked through at once: a process's memory at its peak counts.
 pub(super) const PIECE: usize = 64 << 10;
--- a/crates/control-plane/tests/cluster/mod.rs
+++ b/crates/control-plane/tests/cluster/mod.rs
@@ -2,7 +2,7 @@
 //! disks that sync after a moment.
 
 use common::{
-    Clock, OpId,
+    Clock,
     ground::{Host, World, bind, spawn, spawn_at},
     settings::{Settings, Timing},
 };
@@ -144,10 +144,6 @@
     pub fn verdicts(&self) -> usize {
         self.core.view().ledger.ops.len()
     }
-
-    pub fn has_verdict(&self, op: &OpId) -> bool {
-        self.core.view().ledger.verdict(op).is_some()
-    }
 }
 
 impl Cluster {
--- a/crates/control-plane/tests/desk.rs
+++ b/crates/control-plane/tests/desk.rs
@@ -10,6 +10,7 @@
 
 mod cluster;
 mod noise;
+mod operator;
 use cluster::Cluster;
 use noise::noise;
 
@@ -133,18 +134,19 @@
     });
 }
 
-/// Verdicts are kept for a while only. What stands there word for word was taken all the same.
+/// As many later verdicts as are kept don't push out that of an accepted document.
 #[test]
-fn a_resend_outlives_its_verdict() {
+fn a_resend_outlives_later_verdicts() {
     World::run(12, None, |w| async move {
         let c = Cluster::formed(w, 1).await;
         let s = &c.at[0];
         assert_eq!(s.replace(0, "1\na").await, Told::Accepted);
-        let op = s.core.view().ledger.ops[0].0.clone();
-        for n in 0..OPS_KEPT {
+        for n in 0..OPS_KEPT + 1 {
             assert_eq!(s.evacuate("far", n % 2 == 0).await, Told::Accepted);
         }
-        assert!(s.verdicts() == OPS_KEPT && !s.has_verdict(&op));
+        assert_eq!(s.verdicts(), OPS_KEPT);
+        assert_eq!(s.replace(0, "1\na").await, Told::Accepted);
+        assert_eq!(s.replace(1, "2\nb").await, Told::Accepted);
         assert_eq!(s.replace(0, "1\na").await, Told::Accepted);
     });
 }
--- a/crates/control-plane/tests/modules/ledger.rs
+++ b/crates/control-plane/tests/modules/ledger.rs
@@ -48,6 +48,6 @@
     {
         l.fold(Index(n as u64 + 1), ch);
     }
-    assert_eq!(l.ops.len(), 5);
+    assert_eq!((l.ops.len(), l.accepted.len()), (4, 1));
     assert_eq!(wire::dec::<Ledger>(&wire::enc(&l).unwrap()).unwrap(), l);
 }
--- /dev/null
+++ b/crates/control-plane/tests/operator/mod.rs
@@ -0,0 +1,3 @@
+//! What operators may rely on at any control node, by subject.
+
+mod orders;
--- /dev/null
+++ b/crates/control-plane/tests/operator/orders.rs
@@ -0,0 +1,139 @@
+//! Orders that are sent again (design 4.9): an accepted one is accepted again, wherever and whenever.
+
+use crate::cluster::{Cluster, Stand};
+use common::{Index, OpId, Revision, ground::World, wire};
+use control_plane::{
+    Change, Ledger, Verdict,
+    desk::Told,
+    ledger::OPS_KEPT,
+    operations::{ACCEPTED_KEPT, OPERATION_BYTES, Standing, standing},
+};
+use rstest::rstest;
+
+async fn send(s: &Stand, kind: &str, expects: u64, text: &str) -> Told {
+    match kind {
+        "replace" => s.replace(expects, text).await,
+        _ => s.amend(expects, text).await,
+    }
+}
+
+/// Whether an order is accepted again after as many evacuations as verdicts are kept, and then more
+/// changes than that.
+fn resend_after_hundreds_of_changes(kind: &'static str, broken: Option<&str>) -> Vec<Told> {
+    World::run(12, broken.map(Into::into), |w| async move {
+        let c = Cluster::formed(w, 3).await;
+        assert_eq!(c.at[0].replace(0, "1\na").await, Told::Accepted);
+        assert_eq!(send(&c.at[1], kind, 1, "2\nb").await, Told::Accepted);
+        let mut told = Vec::new();
+        for n in 0..OPS_KEPT {
+            assert_eq!(c.at[n % 3].evacuate("far", n % 2 == 0).await, Told::Accepted);
+        }
+        for s in &c.at {
+            told.push(send(s, kind, 1, "2\nb").await);
+        }
+        for version in 2..OPS_KEPT as u64 + 20 {
+            let text = format!("{}\n{version}", version + 1);
+            assert_eq!(c.at[version as usize % 3].replace(version, &text).await, Told::Accepted);
+        }
+        for s in &c.at {
+            told.push(send(s, kind, 1, "2\nb").await);
+        }
+        told
+    })
+}
+
+#[rstest]
+fn an_accepted_order_is_accepted_again(#[values("replace", "amend")] kind: &'static str) {
+    let told = resend_after_hundreds_of_changes(kind, None);
+    assert!(told.iter().all(|t| *t == Told::Accepted), "{told:?}");
+}
+
+#[rstest]
+fn verdicts_kept_by_count_alone_are_caught(#[values("replace", "amend")] kind: &'static str) {
+    let told = resend_after_hundreds_of_changes(kind, Some("verdicts-by-count"));
+    assert!(told.iter().any(|t| matches!(t, Told::Conflict { .. })), "{told:?}");
+}
+
+/// Eight at once, at all nodes: all have the same answer, and the order was taken once.
+#[rstest]
+fn eight_at_once_end_alike(
+    #[values("replace", "amend")] kind: &'static str,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    World::run(seed, None, |w| async move {
+        let c = Cluster::formed(w, 3).await;
+        assert_eq!(c.at[0].replace(0, "1\na").await, Told::Accepted);
+        let all = (0..8).map(|n| send(&c.at[n % 3], kind, 1, "2\nb"));
+        let told = futures::future::join_all(all).await;
+        assert!(told.iter().all(|t| *t == Told::Accepted), "{told:?}");
+        assert_eq!(c.at[0].read().await.unwrap().unwrap().0, 2);
+        assert_eq!(c.at[c.leader()].core.view().ledger.revision, Revision(2), "taken once");
+    });
+}
+
+/// One byte, the base or the kind makes it another order, also where the text in place is the same.
+#[test]
+fn another_order_is_not_taken_for_an_accepted_one() {
+    World::run(5, None, |w| async move {
+        let c = Cluster::formed(w, 3).await;
+        assert_eq!(c.at[0].replace(0, "1\na").await, Told::Accepted);
+        assert_eq!(c.at[0].replace(1, "2\nb").await, Told::Accepted);
+        for s in &c.at {
+            assert_eq!(s.replace(1, "2\nb ").await, Told::Conflict { current: Some(2) });
+            assert_eq!(s.replace(0, "2\nb").await, Told::Conflict { current: Some(2) });
+            assert!(matches!(s.replace(2, "2\nb").await, Told::Invalid(_)), "its version is the current one");
+            assert_eq!(s.amend(1, "2\nb").await, Told::Conflict { current: Some(2) });
+            assert_eq!(s.replace(1, "2\nb").await, Told::Accepted);
+        }
+    });
+}
+
+fn apply(n: u64) -> Change {
+    Change::Apply { op: OpId::new(format!("op{n}")), base: Revision(n), text: "t".into() }
+}
+
+/// Versions are twice the revisions here. What is forgotten is left open; what can't have been
+/// accepted is refused, however old it is.
+#[test]
+fn an_order_older_than_all_that_is_kept_is_left_open() {
+    let mut l = Ledger::founded("c", vec![]);
+    let all = ACCEPTED_KEPT as u64 + 10;
+    for n in 0..all {
+        assert_eq!(l.fold(Index(n + 1), &apply(n)), Verdict::Accepted { revision: Revision(n + 1) });
+    }
+    let current = 2 * all;
+    let ask = |op: &str, expects: u64| standing(&l, &OpId::new(op), expects, current);
+    let taken = Standing::Decided(Verdict::Accepted { revision: Revision(11) });
+    assert_eq!(ask("op10", 20), taken, "the oldest that is kept");
+    assert_eq!(ask("op9", 18), Standing::Forgotten);
+    assert_eq!(ask("op0", 0), Standing::Forgotten);
+    assert_eq!(ask("other", current - ACCEPTED_KEPT as u64), Standing::Superseded);
+    assert_eq!(ask("other", current + 1), Standing::Superseded);
+    assert_eq!(ask("other", current), Standing::Open);
+}
+
+/// A state in which nothing was forgotten refuses every order on an older version.
+#[test]
+fn a_short_history_leaves_nothing_open() {
+    let mut l = Ledger::founded("c", vec![]);
+    for n in 0..3 {
+        l.fold(Index(n + 1), &apply(n));
+    }
+    assert_eq!(standing(&l, &OpId::new("other"), 0, 1_000_000_000), Standing::Superseded);
+}
+
+/// Thousands of operations take tens of KiB in a snapshot, within what is reckoned for them.
+#[test]
+fn operations_stay_small_in_a_snapshot() {
+    let mut l = Ledger::founded("c", vec![]);
+    let empty = wire::enc(&l).unwrap().len();
+    for n in 0..2 * ACCEPTED_KEPT as u64 {
+        l.fold(Index(n + 1), &apply(n));
+    }
+    let encoded = wire::enc(&l).unwrap();
+    assert!(encoded.len() - empty <= ACCEPTED_KEPT * OPERATION_BYTES, "{} bytes", encoded.len());
+    assert!(encoded.len() <= l.weight());
+    assert_eq!(l.ops.len(), 0, "accepted documents push no other verdict out");
+    assert_eq!(wire::dec::<Ledger>(&encoded).unwrap(), l);
+    println!("{} operations: {} bytes", l.accepted.len(), encoded.len() - empty);
+}
--- a/crates/control-plane/tests/store.rs
+++ b/crates/control-plane/tests/store.rs
@@ -48,7 +48,7 @@
 fn records(b: &[u8]) -> Vec<usize> {
     let mut at = vec![];
     let mut pos = 32;
-    while b[pos..].starts_with(b"fshunt05") {
+    while b[pos..].starts_with(b"fshunt06") {
         at.push(pos);
         let len = u64::from_le_bytes(b[pos + 16..pos + 24].try_into().unwrap());
         pos += 32 + len as usize;
@@ -125,7 +125,7 @@
     let slot = newest(d.path(), "slot");
     let other = d.path().join(if slot.ends_with("slot-0") { "slot-1" } else { "slot-0" });
     edit(&other, |b| {
-        b[..8].copy_from_slice(b"fshunt05");
+        b[..8].copy_from_slice(b"fshunt06");
         b[8..40].fill(7);
     });
     assert_eq!(last(FileStore::load(d.path()).unwrap()), Some(2));
