--- a/crates/control-plane/src/desk.rs
+++ b/crates/control-plane/src/desk.rs
@@ -11,6 +11,7 @@
     core::Core,
     document::Document,
     ledger::Ledger,
+    operations::{Standing, standing},
     rail::Proposed,
 };
 use common::{Area, OpId, Revision, good_name};
@@ -85,7 +86,7 @@
 
     /// The newest accepted document and its version.
     pub async fn read(&self) -> Result<Option<(u64, Document)>, String> {
-        let l = self.core.state().await?;
+        let l = self.newest(within(WAIT_MS)).await?;
         let version = self.version(&l)?;
         Ok(l.text.map(|t| (version, t)))
     }
@@ -100,7 +101,7 @@
         self.told_by(until, async {
             let l = match self.newest(until).await {
                 Ok(l) => l,
-                Err(told) => return told,
+                Err(why) => return Told::Unavailable(why),
             };
             if !self.areas.contains(&area) && !stands_in(&l, &area) {
                 return invalid(format!("area: {area} is known to no node"));
@@ -125,40 +126,46 @@
         self.told_by(until, async {
             let l = match self.newest(until).await {
                 Ok(l) => l,
-                Err(told) => return told,
+                Err(why) => return Told::Unavailable(why),
             };
-            match l.verdict(&op) {
-                // Logged once more with nothing in it: the verdict stays, and it is told again only
-                // once most of the members hold it (design 3.7).
-                Some(Verdict::Accepted { .. }) => {
-                    let base = Revision(u64::MAX);
-                    return self.log(Change::Apply { op, base, text: "".into() }, until).await;
+            let current = match self.version(&l) {
+                Ok(version) => version,
+                Err(why) => return Told::Unavailable(why),
+            };
+            match standing(&l, &op, expects, current) {
+                Standing::Decided(Verdict::Accepted { .. }) => self.confirm(op, until).await,
+                Standing::Decided(Verdict::Bounced { reason }) => invalid(reason),
+                Standing::Decided(Verdict::Conflict { .. }) | Standing::Superseded => {
+                    Told::Conflict { current: Some(current) }
                 }
-                Some(Verdict::Conflict { .. }) => return Told::Conflict { current: self.version(&l).ok() },
-                Some(Verdict::Bounced { reason }) => return invalid(reason),
-                // Verdicts are kept for a while only; what stands there word for word was taken.
-                None if l.text.as_deref() == Some(body) => return Told::Accepted,
-                None => {}
-            }
-            match self.checked(&l, expects, make) {
-                Ok(text) => self.log(Change::Apply { op, base: l.revision, text }, until).await,
-                Err(told) => told,
+                Standing::Forgotten => Told::Undetermined,
+                Standing::Open => match self.checked(&l, current, make) {
+                    Ok(text) => self.log(Change::Apply { op, base: l.revision, text }, until).await,
+                    Err(told) => told,
+                },
             }
         })
         .await
     }
 
+    /// Logs an accepted order once more with nothing in it: its verdict stays, and it is told again
+    /// only once most of the members hold it (design 3.7).
+    async fn confirm(&self, op: OpId, until: Instant) -> Told {
+        let nothing = Change::Apply { op, base: Revision(u64::MAX), text: "".into() };
+        match self.log(nothing, until).await {
+            // Its verdict was forgotten on the way.
+            Told::Conflict { .. } => Told::Undetermined,
+            told => told,
+        }
+    }
+
     /// The document to be logged on top of this state.
     fn checked(
         &self,
         l: &Ledger,
-        expects: u64,
+        current: u64,
         make: impl FnOnce(&str) -> Result<String, Vec<Flaw>>,
     ) -> Result<Document, Told> {
-        let current = self.version(l).map_err(Told::Unavailable)?;
-        if expects != current {
-            return Err(Told::Conflict { current: Some(current) });
-        }
         let text = Document::from(make(l.text.as_deref().unwrap_or("")).map_err(Told::Invalid)?);
         if !text.fits() {
             return Err(Told::TooLarge);
@@ -178,6 +185,10 @@
     }
 
     async fn log(&self, ch: Change, until: Instant) -> Told {
+        // The process may have stood still since the state was read.
+        if Instant::now() >= until {
+            return Told::Unavailable("the time for this call is over".into());
+        }
         let ms = until.duration_since(Instant::now()).as_millis() as u64;
         match self.core.propose(ch, ms).await {
             Proposed::Settled { verdict: Verdict::Accepted { .. }, .. } => Told::Accepted,
@@ -192,9 +203,9 @@
     }
 
     /// Nothing is sent for logging before the newest state is known: without it, nothing was.
-    async fn newest(&self, until: Instant) -> Result<Ledger, Told> {
+    async fn newest(&self, until: Instant) -> Result<Ledger, String> {
         let state = tokio::time::timeout_at(until, self.core.state()).await;
-        state.unwrap_or_else(|_| Err("no leader answered in time".into())).map_err(Told::Unavailable)
+        state.unwrap_or_else(|_| Err("no leader answered in time".into()))
     }
 
     async fn told_by(&self, until: Instant, fut: impl Future<Output = Told>) -> Told {
