Simulator: how long a member of the core takes to catch up, and its bytes

New command simulator catch-up: three seats of the daemons' code under virtual time, with lines of a delay and a rate (slow start of an idle connection included) and disks whose time grows with what they write. A member restarts, comes back blank or lags, after 50, 500 or 5,000 changes, small documents or such that grow to 1 MiB packed, changes going on or not.

--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -12,6 +12,7 @@
     scale::{self, ScalePlan, Sizes, scale_plan},
     sim::{
         Broken,
+        catch_up::{self, CatchUpPlan, catch_up_plan},
         sweep::{sweep, sweep_data},
     },
     world::{Variant, WorldPlan, sweep_worlds},
@@ -103,6 +104,9 @@
         #[bpaf(argument("DIR"), fallback("run/scale".into()))]
         dir: PathBuf,
     },
+    /// Measures time and bytes until a member of the core has caught up, in virtual time
+    #[bpaf(command("catch-up"))]
+    CatchUp(#[bpaf(external(catch_up_plan))] CatchUpPlan),
     /// Runs placement and lending under virtual time over many seeds
     #[bpaf(command("sim-data"))]
     SimData {
@@ -166,6 +170,7 @@
             tokio::task::spawn_blocking(move || sweep_worlds(&plan, from, seeds, verbose, all)).await?
         }
         Opts::Scale { nodes, plan, real, dir } => scale::sweep(plan, nodes, real, &dir).await,
+        Opts::CatchUp(plan) => tokio::task::spawn_blocking(move || catch_up::table(&plan)).await?,
         Opts::SimData { from, seeds } => {
             ensure!((1..=10_000_000).contains(&seeds), "--seeds: {seeds}; allowed: 1 to 10000000");
             sweep_data(from, seeds)
--- /dev/null
+++ b/crates/simulator/src/sim/catch_up/cluster.rs
@@ -0,0 +1,220 @@
+//! The three seats, their lines, the changes, and the invariants looked at on the way.
+
+use super::{
+    Absence, BrokenCatchUp, Case, Measured,
+    line::{Line, LineSpeed},
+    member::{Member, SEATS, address},
+    timing,
+    traffic::documents,
+};
+use common::{Index, Tick};
+use control_plane::{
+    Change, Document,
+    seat::{Ev, Fx, Room, Seat, SeatMsg},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The clock of all seats at the start of a run.
+const CLOCK: u64 = 1_000_000;
+
+pub(super) enum Event {
+    Wakeup(usize),
+    Message { from: usize, to: usize, msg: Box<SeatMsg> },
+    Synced { seat: usize, life: u64 },
+}
+
+/// The run of one case.
+pub struct Cluster {
+    pub t: u64,
+    pub measured: Measured,
+    pub(super) members: Vec<Member>,
+    pub(super) lines: BTreeMap<(usize, usize), Line>,
+    pub(super) speed: LineSpeed,
+    pub(super) rng: SmallRng,
+    pub(super) queue: BTreeSet<(u64, u64)>,
+    pub(super) events: BTreeMap<u64, Event>,
+    pub(super) serial: u64,
+    pub(super) broken: Option<BrokenCatchUp>,
+    pub(super) documents: Vec<Document>,
+    pub(super) changes: u64,
+    pub(super) proposed: u64,
+    pub(super) propose_until: u64,
+    /// The change that waits for its acceptance.
+    pub(super) waiting: Option<Index>,
+    /// Places of accepted changes, by any seat.
+    pub(super) accepted: BTreeSet<Index>,
+    pub(super) highest: Index,
+    /// The member whose return is measured.
+    pub(super) watched: Option<usize>,
+}
+
+impl Cluster {
+    pub fn new(case: &Case, broken: Option<BrokenCatchUp>) -> Self {
+        let mut rng = SmallRng::seed_from_u64(case.seed);
+        let unbounded = broken == Some(BrokenCatchUp::NeverTrimmed);
+        let room = if unbounded { Room { log: usize::MAX / 64 } } else { Room::default() };
+        let documents = documents(case.documents, &mut rng);
+        let mut cluster = Self {
+            t: 0,
+            measured: Measured::default(),
+            members: (0..SEATS).map(|n| Member::founded(n, room)).collect(),
+            lines: BTreeMap::new(),
+            speed: LineSpeed { delay_ms: case.delay_ms, mbit_s: case.mbit_s },
+            rng,
+            queue: BTreeSet::new(),
+            events: BTreeMap::new(),
+            serial: 0,
+            broken,
+            documents,
+            changes: case.changes,
+            proposed: 0,
+            propose_until: 0,
+            waiting: None,
+            accepted: BTreeSet::new(),
+            highest: Index(0),
+            watched: None,
+        };
+        for n in 0..SEATS {
+            cluster.members[n].start(Tick(CLOCK));
+            let first = cluster.rng.random_range(0..timing().beat_ms());
+            cluster.push(first, Event::Wakeup(n));
+        }
+        cluster
+    }
+
+    pub fn now(&self) -> Tick {
+        Tick(CLOCK + self.t)
+    }
+
+    pub fn accepted(&self) -> Index {
+        self.highest
+    }
+
+    pub fn accepted_changes(&self) -> u64 {
+        self.accepted.len() as u64
+    }
+
+    pub fn leader(&self) -> Option<&Seat> {
+        let now = self.now();
+        self.members.iter().filter(|m| !m.cut).filter_map(|m| m.seat.as_ref()).find(|s| s.current(now))
+    }
+
+    pub fn shown(&self, n: usize) -> String {
+        let shown = |s: &Seat| {
+            let last = s.last();
+            format!(
+                "formed {} promised {} accepted {} last {last} {:?}",
+                s.formed,
+                s.promised,
+                s.accepted(),
+                s.post
+            )
+        };
+        self.members[n].seat.as_ref().map_or("stopped".into(), shown)
+    }
+
+    /// Changes are proposed one after the other until so many are.
+    pub fn propose_until(&mut self, changes: u64) {
+        self.propose_until = changes;
+    }
+
+    pub fn take_away(&mut self, n: usize, absence: Absence) {
+        match absence {
+            Absence::Lag => self.members[n].cut = true,
+            Absence::Restart | Absence::Wipe => self.members[n].stop(),
+        }
+    }
+
+    /// The member is back; from here on its bytes are counted.
+    pub fn bring_back(&mut self, n: usize, absence: Absence) {
+        let now = self.now();
+        let member = &mut self.members[n];
+        member.cut = false;
+        if absence == Absence::Wipe {
+            member.wipe(n);
+        }
+        if absence != Absence::Lag {
+            member.start(now);
+        }
+        self.watched = Some(n);
+        self.measured.needed = self.leader().map_or(0, |l| l.ledger.weight());
+    }
+
+    /// Runs to a moment, or until what is waited for has come.
+    pub fn run_until(&mut self, until: u64, done: impl Fn(&Self) -> bool) -> Result<(), String> {
+        while !done(self) {
+            let Some((t, id)) = self.queue.first().copied().filter(|e| e.0 <= until) else { break };
+            self.queue.remove(&(t, id));
+            self.t = t;
+            if let Some(event) = self.events.remove(&id) {
+                self.one(event)?;
+                self.propose()?;
+                self.check().map_err(|e| format!("at {t} ms: {e}"))?;
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn push(&mut self, at: u64, event: Event) {
+        self.serial += 1;
+        self.queue.insert((at, self.serial));
+        self.events.insert(self.serial, event);
+    }
+
+    fn one(&mut self, event: Event) -> Result<(), String> {
+        match event {
+            Event::Wakeup(n) => {
+                self.push(self.t + timing().beat_ms() / 2, Event::Wakeup(n));
+                if self.broken == Some(BrokenCatchUp::FedAnew) {
+                    self.forget_feeds(n);
+                }
+                self.step(n, Ev::Wakeup)
+            }
+            Event::Message { from, to, msg } if !self.members[from].cut && !self.members[to].cut => {
+                self.step(to, Ev::Msg(address(from), *msg))
+            }
+            Event::Message { .. } => Ok(()),
+            Event::Synced { seat, life } if self.members[seat].life == life => {
+                match self.members[seat].sync() {
+                    Some(tok) => self.step(seat, Ev::Synced(tok)),
+                    None => Ok(()),
+                }
+            }
+            Event::Synced { .. } => Ok(()),
+        }
+    }
+
+    pub(super) fn step(&mut self, n: usize, ev: Ev) -> Result<(), String> {
+        let now = self.now();
+        let Some(seat) = self.members[n].seat.as_mut() else { return Ok(()) };
+        let effects = seat.step(ev, now);
+        effects.into_iter().try_for_each(|f| self.effect(n, f))
+    }
+
+    fn effect(&mut self, n: usize, effect: Fx) -> Result<(), String> {
+        match effect {
+            Fx::Send { to, msg } => self.send(n, usize::from(to.port() - 7000), msg),
+            Fx::Persist { tok, rec } => {
+                let at = self.members[n].write(tok, rec, self.t)?;
+                let life = self.members[n].life;
+                self.push(at, Event::Synced { seat: n, life });
+                Ok(())
+            }
+            Fx::Accepted { entry, .. } => {
+                if self.watched.is_some() && entry.idx > self.highest {
+                    self.measured.needed += entry.weight();
+                }
+                self.highest = self.highest.max(entry.idx);
+                if let Change::Apply { .. } = entry.change {
+                    self.accepted.insert(entry.idx);
+                }
+                if self.waiting.is_some_and(|w| w <= entry.idx) {
+                    self.waiting = None;
+                }
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulator/src/sim/catch_up/member.rs
@@ -0,0 +1,139 @@
+//! One seat with its disk: what a start finds is what was synced, and nothing else.
+
+use super::timing;
+use common::{Incarnation, Index, Tick};
+use control_plane::{
+    Ledger,
+    change::Holder,
+    seat::{Image, LogEntry, Post, Rec, Room, Seat},
+    store::LOG_LEN,
+};
+use std::{collections::VecDeque, net::SocketAddr};
+
+pub const SEATS: usize = 3;
+pub const CLUSTER: &str = "c";
+/// Time of one sync, and bytes written in a millisecond.
+const SYNC_MS: u64 = 2;
+const DISK_BYTES_A_MS: usize = 50_000;
+
+pub fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7000 + n as u16))
+}
+
+pub fn holder(n: usize, incarnation: u64) -> Holder {
+    Holder {
+        seat: n as u8,
+        inc: Incarnation(incarnation),
+        node: format!("s{n}").as_str().into(),
+        area: format!("a{n}").as_str().into(),
+        rail: address(n),
+        http: address(n),
+    }
+}
+
+pub struct Member {
+    pub seat: Option<Seat>,
+    /// What a start would find.
+    pub kept: Image,
+    /// Written and not yet synced.
+    pub pending: VecDeque<(u64, Rec)>,
+    /// Until when the disk writes.
+    writes_until: u64,
+    /// Bytes in the short log.
+    log_bytes: usize,
+    /// Rises with each start: syncs of an earlier life are dropped.
+    pub life: u64,
+    /// Its lines are cut.
+    pub cut: bool,
+    pub room: Room,
+}
+
+impl Member {
+    /// A member of a cluster that was founded and holds nothing yet.
+    pub fn founded(n: usize, room: Room) -> Self {
+        let roster = (0..SEATS).map(|n| holder(n, 10 + n as u64)).collect();
+        let ledger = Ledger::founded(CLUSTER, roster);
+        let kept = Image { formed: true, ledger, ..Seat::blank_image(&holder(n, 10 + n as u64)) };
+        let mut member = Self {
+            seat: None,
+            kept,
+            pending: VecDeque::new(),
+            writes_until: 0,
+            log_bytes: 0,
+            life: 0,
+            cut: false,
+            room,
+        };
+        member.start(Tick(0));
+        member
+    }
+
+    pub fn start(&mut self, now: Tick) {
+        let image = self.kept.clone();
+        let seeds = (0..SEATS).map(address).collect();
+        let mut seat = Seat::new(image.me.clone(), CLUSTER, seeds, timing(), Some(image), now);
+        seat.room = self.room;
+        self.seat = Some(seat);
+        self.life += 1;
+        self.log_bytes = 0;
+    }
+
+    pub fn stop(&mut self) {
+        self.seat = None;
+        self.pending.clear();
+    }
+
+    /// Its disk is blank from here on: it starts as another holder.
+    pub fn wipe(&mut self, n: usize) {
+        let blank = Holder { seat: u8::MAX, ..holder(n, 100 + self.life) };
+        self.kept = Seat::blank_image(&blank);
+    }
+
+    /// Takes a record, and says when it will be synced; an error where it does not fit (design 2.8).
+    pub fn write(&mut self, tok: u64, rec: Rec, now: u64) -> Result<u64, String> {
+        let bytes = match &rec {
+            Rec::Image(image) => {
+                self.log_bytes = 0;
+                let entries: usize = image.entries.iter().map(LogEntry::weight).sum();
+                let bytes = image.ledger.weight() + entries;
+                fits("a slot", bytes, Room::default().slot())?;
+                bytes + LOG_LEN as usize
+            }
+            record => {
+                self.log_bytes += record.weight();
+                fits("the short log", self.log_bytes, LOG_LEN as usize)?;
+                record.weight()
+            }
+        };
+        self.pending.push_back((tok, rec));
+        self.writes_until = self.writes_until.max(now) + SYNC_MS + (bytes / DISK_BYTES_A_MS) as u64;
+        Ok(self.writes_until)
+    }
+
+    /// The oldest write is synced; its token.
+    pub fn sync(&mut self) -> Option<u64> {
+        let (tok, rec) = self.pending.pop_front()?;
+        self.kept.replay(rec);
+        Some(tok)
+    }
+
+    /// Up to where its disk holds the log.
+    pub fn durable(&self) -> Index {
+        self.kept.entries.last().map_or(self.kept.ledger.idx, |e| e.idx)
+    }
+
+    /// Bytes of the log that it keeps in memory.
+    pub fn log_weight(&self) -> usize {
+        self.seat.as_ref().map_or(0, |s| s.log.iter().map(LogEntry::weight).sum())
+    }
+}
+
+fn fits(what: &str, bytes: usize, most: usize) -> Result<(), String> {
+    if bytes <= most { Ok(()) } else { Err(format!("{what} of {bytes} bytes does not fit into {most}")) }
+}
+
+/// What a leader counts each other seat for: those that hold its view, and up to where.
+pub fn counted(leader: &Seat) -> Vec<(u8, Index)> {
+    let Post::Leader { peers, .. } = &leader.post else { return Vec::new() };
+    peers.iter().filter(|(_, p)| p.installed).map(|(seat, p)| (*seat, p.last)).collect()
+}
--- a/crates/simulator/src/sim/mod.rs
+++ b/crates/simulator/src/sim/mod.rs
@@ -2,6 +2,7 @@
 //! network and disks that fail by seed. A seed replays exactly.
 
 pub mod acts;
+pub mod catch_up;
 pub mod check;
 pub mod data;
 pub mod disk;
