Store: damage that passed for an older state is told, and stale records are left out

Now: a header that can't be read, or names a later slot, is damage; all four files must be there in full length once a slot is; a slot must stand in the file of its number; a begun log without slots is damage; a whole record of another form is told as such; the number of a record names the slot that its log follows. Records without a slot in their number, of the release before, are still read, so the form stays the same.

--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -11,7 +11,10 @@
     seat::{Image, Rec},
 };
 use common::wire;
-use raw::{HEAD, MAGIC, PIECE, body, fill, head, header, open, parse, piece, reserve};
+use raw::{
+    HEAD, LogState, MAGIC, PIECE, blank_folder, body, fill, head, header, log_state, lost_file, open, parse,
+    piece, record_number, record_of, reserve,
+};
 use std::{
     fs::File,
     io::{self, Seek, SeekFrom, Write},
@@ -41,8 +44,8 @@
     OtherForm,
 }
 
-/// A slot: `None` blank, else its sequence and image, or what is wrong with it.
-fn slot(path: &Path) -> io::Result<Option<Result<(u64, Image), Bad>>> {
+/// The slot of that parity: `None` blank, else its sequence and image, or what is wrong with it.
+fn slot(path: &Path, parity: u64) -> io::Result<Option<Result<(u64, Image), Bad>>> {
     let f = match File::open(path) {
         Ok(f) => f,
         Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
@@ -55,28 +58,46 @@
     if head.starts_with(&MAGIC[..6]) && !head.starts_with(MAGIC) {
         return Ok(Some(Err(Bad::OtherForm)));
     }
-    let Some((seq, len, crc)) = parse(&head) else { return Ok(Some(Err(Bad::Broken))) };
+    let Some((seq, len, crc)) = parse(&head).filter(|h| h.0 % 2 == parity) else {
+        return Ok(Some(Err(Bad::Broken)));
+    };
     let Some(body) = body(&f, HEAD as u64, len, crc)? else { return Ok(Some(Err(Bad::Broken))) };
     Ok(Some(wire::dec::<Image>(&body).map(|i| (seq, i)).map_err(|_| Bad::OtherForm)))
 }
 
-/// The record of that number at a place, and where it ends; `None` where it is not whole.
-fn record_at(log: &File, at: u64, n: u64) -> io::Result<Option<(u64, Rec)>> {
+/// The record of that number at a place of the log of a slot, and where it ends; `None` where it is not
+/// whole, or is left over from an older log.
+fn record_at(log: &File, at: u64, slot: u64, n: u64) -> io::Result<Option<(u64, Result<Rec, Bad>)>> {
     let Some((seq, len, crc)) = parse(&piece(log, at, HEAD)?) else { return Ok(None) };
-    if seq != n {
+    if record_of(slot, seq) != Some(n) {
         return Ok(None);
     }
-    let body = body(log, at + HEAD as u64, len, crc)?;
-    let rec = body.and_then(|b| wire::dec::<Rec>(&b).ok());
-    Ok(rec.map(|rec| (at + HEAD as u64 + len, rec)))
+    let Some(body) = body(log, at + HEAD as u64, len, crc)? else { return Ok(None) };
+    Ok(Some((at + HEAD as u64 + len, wire::dec::<Rec>(&body).map_err(|_| Bad::OtherForm))))
+}
+
+/// Brings an image forward by the log that follows it.
+fn replay(path: &Path, seq: u64, marked: u64, mut img: Image) -> io::Result<Found> {
+    let log = File::open(path)?;
+    let (mut n, mut at) = (0, HEAD as u64);
+    while let Some((next, rec)) = record_at(&log, at, seq, n)? {
+        let Ok(rec) = rec else { return Ok(Found::OtherForm) };
+        img.replay(rec);
+        (n, at) = (n + 1, next);
+    }
+    if n < marked || later(&log, at, seq, n)? {
+        return Ok(Found::Damaged(format!("log {seq} is damaged after record {n}, before its synced end")));
+    }
+    Ok(Found::Image(Box::new(img)))
 }
 
 /// Whether the header of a record after the `n`th stands anywhere from a place on.
-fn later(log: &File, mut at: u64, n: u64) -> io::Result<bool> {
+fn later(log: &File, mut at: u64, slot: u64, n: u64) -> io::Result<bool> {
     loop {
         let b = piece(log, at, PIECE)?;
         let found = b.windows(HEAD).any(|w| {
-            w[..8] == MAGIC[..] && parse(w).is_some_and(|(seq, _, _)| seq > n && seq < n + (1 << 20))
+            w[..8] == MAGIC[..]
+                && parse(w).and_then(|h| record_of(slot, h.0)).is_some_and(|m| m > n && m < n + (1 << 20))
         });
         if found || b.len() < PIECE {
             return Ok(found);
@@ -95,7 +116,7 @@
     pub fn load(dir: &Path) -> io::Result<Found> {
         let (mut blank, mut best) = (true, None::<(u64, Image)>);
         for n in 0..2 {
-            let found = slot(&Self::path(dir, "slot", n))?;
+            let found = slot(&Self::path(dir, "slot", n), n)?;
             blank &= found.is_none();
             match found {
                 Some(Err(Bad::OtherForm)) => return Ok(Found::OtherForm),
@@ -104,31 +125,25 @@
             }
         }
         if blank {
-            return Ok(Found::Nothing);
+            return blank_folder(dir);
         }
-        let Some((seq, mut img)) = best else {
+        let Some((seq, img)) = best else {
             return Ok(Found::Damaged("no slot is whole".into()));
         };
+        if let Some(why) = lost_file(dir)? {
+            return Ok(Found::Damaged(why));
+        }
         // A log that follows a slot is begun only once that slot is synced.
         if head(&Self::path(dir, "log", seq + 1))?.is_some_and(|(s, _, _)| s > seq) {
             return Ok(Found::Damaged(format!("slot {} was synced and is damaged", seq + 1)));
         }
         let path = Self::path(dir, "log", seq);
-        let Some((_, marked, _)) = head(&path)?.filter(|h| h.0 == seq) else {
-            return Ok(Found::Image(Box::new(img)));
-        };
-        let log = File::open(&path)?;
-        let (mut n, mut at) = (0, HEAD as u64);
-        while let Some((next, rec)) = record_at(&log, at, n)? {
-            img.replay(rec);
-            (n, at) = (n + 1, next);
-        }
-        if n < marked || later(&log, at, n)? {
-            return Ok(Found::Damaged(format!(
-                "log {seq} is damaged after record {n}, before its synced end"
-            )));
+        match log_state(&path, seq)? {
+            LogState::Begun { marked } => replay(&path, seq, marked, img),
+            LogState::NotBegun => Ok(Found::Image(Box::new(img))),
+            LogState::Later(later) => Ok(Found::Damaged(format!("slot {later} was synced and is lost"))),
+            LogState::Broken => Ok(Found::Damaged(format!("the header of log {seq} is damaged"))),
         }
-        Ok(Found::Image(Box::new(img)))
     }
 
     /// Opens the folder for writing: `img` goes into a slot of its own, so that no write ever
@@ -178,7 +193,7 @@
         self.log.seek(SeekFrom::Start(0))?;
         self.log.write_all(&header(self.seq, self.recs, &[]))?;
         self.log.seek(SeekFrom::Start(self.pos))?;
-        self.log.write_all(&header(self.recs, body.len() as u64, &body))?;
+        self.log.write_all(&header(record_number(self.seq, self.recs), body.len() as u64, &body))?;
         self.log.write_all(&body)?;
         self.log.sync_data()?;
         self.pos = end;
--- a/crates/control-plane/src/store/raw.rs
+++ b/crates/control-plane/src/store/raw.rs
@@ -1,5 +1,6 @@
 //! The store's files as headers, bodies and pieces; nothing whole is held but what is read for use.
 
+use crate::disk::Found;
 use std::{
     fs::{File, OpenOptions},
     io::{self, Seek, SeekFrom, Write},
@@ -32,6 +33,23 @@
         .flatten()
 }
 
+/// Bits of a record's number for its place in the log; the rest names the slot that the log follows.
+const PLACE_BITS: u32 = 32;
+
+/// The number of a log's record: what an older log left in the file has another, however the two were
+/// mixed by a crash while the log was begun.
+pub(super) fn record_number(slot: u64, place: u64) -> u64 {
+    (slot << PLACE_BITS) | place
+}
+
+/// The place of a record by its number, where it belongs to the log of that slot. Numbers without a slot
+/// are of an earlier release.
+pub(super) fn record_of(slot: u64, number: u64) -> Option<u64> {
+    let of = number >> PLACE_BITS;
+    let place = number & ((1 << PLACE_BITS) - 1);
+    (of == 0 || of == slot & (u64::MAX >> PLACE_BITS)).then_some(place)
+}
+
 pub(super) fn open(path: &Path) -> io::Result<File> {
     OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
 }
@@ -90,3 +108,81 @@
     let b = piece(f, at, len as usize)?;
     Ok((b.len() as u64 == len && crc32fast::hash(&b) == crc).then_some(b))
 }
+
+/// What the header of the log beside a slot says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LogState {
+    /// It follows the slot; so many records were known as synced.
+    Begun {
+        marked: u64,
+    },
+    /// It still follows an older slot, or none: the process ended before it was begun.
+    NotBegun,
+    /// It follows a newer slot of the same file, which is gone.
+    Later(u64),
+    Broken,
+}
+
+/// A header is begun before the log's first record and never blank again, so one that can't be read is
+/// damage, and with it all records behind it.
+pub(super) fn log_state(path: &Path, seq: u64) -> io::Result<LogState> {
+    let log = File::open(path)?;
+    let bytes = piece(&log, 0, HEAD)?;
+    Ok(match parse(&bytes) {
+        Some((s, marked, _)) if s == seq => LogState::Begun { marked },
+        Some((s, _, _)) if s > seq => LogState::Later(s),
+        Some((s, _, _)) if s % 2 == seq % 2 => LogState::NotBegun,
+        Some(_) => LogState::Broken,
+        None if bytes.iter().all(|x| *x == 0) && !has_data(&log)? => LogState::NotBegun,
+        None => LogState::Broken,
+    })
+}
+
+/// Whether anything but zeros stands in a file.
+fn has_data(f: &File) -> io::Result<bool> {
+    let mut at = 0;
+    loop {
+        let bytes = piece(f, at, PIECE)?;
+        if bytes.iter().any(|x| *x != 0) {
+            return Ok(true);
+        }
+        if bytes.len() < PIECE {
+            return Ok(false);
+        }
+        at += PIECE as u64;
+    }
+}
+
+/// All four files are whole before the first slot is written: one that is gone or short was lost since.
+pub(super) fn lost_file(dir: &Path) -> io::Result<Option<String>> {
+    for (kind, len) in [("slot", super::SLOT_LEN), ("log", super::LOG_LEN)] {
+        for n in 0..2 {
+            let path = dir.join(format!("{kind}-{n}"));
+            let have = match std::fs::metadata(&path) {
+                Ok(m) => m.len(),
+                Err(e) if e.kind() == io::ErrorKind::NotFound => 0,
+                Err(e) => return Err(e),
+            };
+            if have < len {
+                return Ok(Some(format!("{kind}-{n} has {have} bytes of {len}")));
+            }
+        }
+    }
+    Ok(None)
+}
+
+/// Without a slot there is nothing, unless a log was begun: that follows a slot which was synced.
+pub(super) fn blank_folder(dir: &Path) -> io::Result<Found> {
+    for n in 0..2 {
+        let path = dir.join(format!("log-{n}"));
+        match File::open(&path) {
+            Ok(f) if has_data(&f)? => {
+                return Ok(Found::Damaged(format!("log-{n} was begun and no slot is there")));
+            }
+            Ok(_) => {}
+            Err(e) if e.kind() == io::ErrorKind::NotFound => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(Found::Nothing)
+}
