The store writes over nothing synced, and a torn mark loses no records

Cause: two faults of the folder's files, found by writing them on a medium that refuses, tears and forgets at each operation. (1) The mark in a log's header is brought forward in place; torn on the way, the header counted as none and all records behind it for nothing: a seat came up with older state than it had told of. (2) A slot whose sync failed may be whole in memory only; a start took its number for synced and wrote over the other slot, the last one that was: a loss of power in that moment left no whole slot.

Change: a log's header counts as begun where its magic and sequence stand; the log is blanked and synced before its header names the new slot, so a torn first header finds no older records. A slot counts as synced where its log was begun, and only the other file is written. Writes and syncs go through a typed medium, which a test may replace.

Ruled out: a second copy of the mark (another form on disk, so an upgrade would be refused).

--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -1,8 +1,9 @@
 //! Two slots written in turn, a short log between them (design 2.6).
 //!
-//! Each file is filled to its full length at the start, so that a full disk cannot stop a
-//! write that the seat has already promised room for. A log starts with a header that names
-//! the slot it follows and the end that was last known as synced.
+//! Each file is filled to its full length at the start, so that files that are full of others' data
+//! stop no write; a disk may refuse all the same. A log starts with a header that names the slot it
+//! follows and the end that was last known as synced. It is begun once that slot is synced, so a slot
+//! whose log is begun is durable, and only the file that holds no such slot is ever written over.
 
 mod raw;
 
@@ -11,11 +12,13 @@
     seat::{Image, Rec},
 };
 use common::wire;
-use raw::{HEAD, MAGIC, PIECE, body, fill, head, header, open, parse, piece, reserve};
+use raw::{HEAD, MAGIC, PIECE, begun, body, fill, head, header, open, parse, piece, reserve};
+pub use raw::{Medium, System};
 use std::{
     fs::File,
-    io::{self, Seek, SeekFrom, Write},
+    io,
     path::{Path, PathBuf},
+    sync::Arc,
 };
 
 pub const SLOT_LEN: u64 = 4 << 20;
@@ -23,6 +26,7 @@
 
 pub struct FileStore {
     dir: PathBuf,
+    medium: Arc<dyn Medium>,
     seq: u64,
     log: File,
     pos: u64,
@@ -110,11 +114,11 @@
             return Ok(Found::Damaged("no slot is whole".into()));
         };
         // A log that follows a slot is begun only once that slot is synced.
-        if head(&Self::path(dir, "log", seq + 1))?.is_some_and(|(s, _, _)| s > seq) {
+        if begun(&Self::path(dir, "log", seq + 1), seq + 1)?.is_some() {
             return Ok(Found::Damaged(format!("slot {} was synced and is damaged", seq + 1)));
         }
         let path = Self::path(dir, "log", seq);
-        let Some((_, marked, _)) = head(&path)?.filter(|h| h.0 == seq) else {
+        let Some(marked) = begun(&path, seq)? else {
             return Ok(Found::Image(Box::new(img)));
         };
         let log = File::open(&path)?;
@@ -134,36 +138,53 @@
     /// Opens the folder for writing: `img` goes into a slot of its own, so that no write ever
     /// follows a torn one.
     pub fn open(dir: &Path, img: &Image) -> io::Result<Self> {
+        Self::open_on(dir, img, Arc::new(System))
+    }
+
+    /// The same on a medium of one's own.
+    pub fn open_on(dir: &Path, img: &Image, medium: Arc<dyn Medium>) -> io::Result<Self> {
         std::fs::create_dir_all(dir)?;
         for n in 0..2 {
-            reserve(&Self::path(dir, "slot", n), SLOT_LEN)?;
-            reserve(&Self::path(dir, "log", n), LOG_LEN)?;
+            reserve(&*medium, &Self::path(dir, "slot", n), SLOT_LEN)?;
+            reserve(&*medium, &Self::path(dir, "log", n), LOG_LEN)?;
         }
         File::open(dir)?.sync_all()?;
-        let mut seq = 0;
-        for (kind, n) in [("slot", 0), ("slot", 1), ("log", 0), ("log", 1)] {
-            seq = head(&Self::path(dir, kind, n))?.map_or(0, |h| h.0).max(seq);
-        }
+        let seq = Self::durable(dir)?;
         let log = open(&Self::path(dir, "log", seq))?;
-        let mut s = Self { dir: dir.into(), seq, log, pos: 0, recs: 0 };
+        let mut s = Self { dir: dir.into(), medium, seq, log, pos: 0, recs: 0 };
         s.image(img)?;
         Ok(s)
     }
 
+    /// The newest slot that is known to be synced: its log was begun. What another slot holds may be
+    /// whole in memory only, where its sync failed.
+    fn durable(dir: &Path) -> io::Result<u64> {
+        let mut newest = 0;
+        for n in 0..2 {
+            let Some((seq, _, _)) = head(&Self::path(dir, "slot", n))? else { continue };
+            if begun(&Self::path(dir, "log", seq), seq)?.is_some() {
+                newest = newest.max(seq);
+            }
+        }
+        Ok(newest)
+    }
+
     fn image(&mut self, img: &Image) -> io::Result<()> {
         let seq = self.seq + 1;
         let body = wire::enc(img)?;
         if body.len() as u64 + HEAD as u64 > SLOT_LEN {
             return Err(err(format!("a frame of {} bytes does not fit into a slot", body.len())));
         }
-        let mut f = open(&Self::path(&self.dir, "slot", seq))?;
-        f.write_all(&header(seq, body.len() as u64, &body))?;
-        f.write_all(&body)?;
-        f.sync_data()?;
-        let mut log = open(&Self::path(&self.dir, "log", seq))?;
-        log.write_all(&header(seq, 0, &[]))?;
-        fill(&mut log, HEAD as u64, LOG_LEN)?;
-        log.sync_data()?;
+        let slot = open(&Self::path(&self.dir, "slot", seq))?;
+        self.medium.write(&slot, 0, &header(seq, body.len() as u64, &body))?;
+        self.medium.write(&slot, HEAD as u64, &body)?;
+        self.medium.sync(&slot)?;
+        let log = open(&Self::path(&self.dir, "log", seq))?;
+        // Blank before it names this slot: records of an earlier one must not be taken for its own.
+        fill(&*self.medium, &log, HEAD as u64, LOG_LEN)?;
+        self.medium.sync(&log)?;
+        self.medium.write(&log, 0, &header(seq, 0, &[]))?;
+        self.medium.sync(&log)?;
         (self.seq, self.log, self.pos, self.recs) = (seq, log, HEAD as u64, 0);
         Ok(())
     }
@@ -175,12 +196,10 @@
             return Err(err("the short log is full"));
         }
         // The mark of the last sync travels with the next one.
-        self.log.seek(SeekFrom::Start(0))?;
-        self.log.write_all(&header(self.seq, self.recs, &[]))?;
-        self.log.seek(SeekFrom::Start(self.pos))?;
-        self.log.write_all(&header(self.recs, body.len() as u64, &body))?;
-        self.log.write_all(&body)?;
-        self.log.sync_data()?;
+        self.medium.write(&self.log, 0, &header(self.seq, self.recs, &[]))?;
+        self.medium.write(&self.log, self.pos, &header(self.recs, body.len() as u64, &body))?;
+        self.medium.write(&self.log, self.pos + HEAD as u64, &body)?;
+        self.medium.sync(&self.log)?;
         self.pos = end;
         self.recs += 1;
         Ok(())
--- a/crates/control-plane/src/store/raw.rs
+++ b/crates/control-plane/src/store/raw.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::{File, OpenOptions},
-    io::{self, Seek, SeekFrom, Write},
+    io,
     os::unix::fs::FileExt,
     path::Path,
 };
@@ -12,6 +12,26 @@
 /// Most that is filled or looked through at once: a process's memory at its peak counts.
 pub(super) const PIECE: usize = 64 << 10;
 
+/// What changes files. A test's own refuses, tears or forgets what is written.
+pub trait Medium: Send + Sync {
+    fn write(&self, file: &File, at: u64, bytes: &[u8]) -> io::Result<()>;
+    /// All that was written to the file is durable when this returns.
+    fn sync(&self, file: &File) -> io::Result<()>;
+}
+
+/// The system's own files.
+pub struct System;
+
+impl Medium for System {
+    fn write(&self, file: &File, at: u64, bytes: &[u8]) -> io::Result<()> {
+        file.write_all_at(bytes, at)
+    }
+
+    fn sync(&self, file: &File) -> io::Result<()> {
+        file.sync_data()
+    }
+}
+
 /// magic, sequence, a number (length of a slot, synced records of a log), checksums.
 pub(super) fn header(seq: u64, num: u64, body: &[u8]) -> [u8; HEAD] {
     let mut h = [0u8; HEAD];
@@ -36,25 +56,24 @@
     OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
 }
 
-/// Fills with zeros up to `len`.
-pub(super) fn fill(f: &mut File, from: u64, len: u64) -> io::Result<()> {
+/// Fills with zeros from a place up to `len`.
+pub(super) fn fill(medium: &dyn Medium, file: &File, from: u64, len: u64) -> io::Result<()> {
     let zeros = vec![0u8; PIECE];
-    f.seek(SeekFrom::Start(from))?;
-    let mut left = len.saturating_sub(from);
-    while left > 0 {
-        let n = left.min(PIECE as u64);
-        f.write_all(&zeros[..n as usize])?;
-        left -= n;
+    let mut at = from;
+    while at < len {
+        let count = (len - at).min(PIECE as u64);
+        medium.write(file, at, &zeros[..count as usize])?;
+        at += count;
     }
     Ok(())
 }
 
-pub(super) fn reserve(path: &Path, len: u64) -> io::Result<()> {
-    let mut f = open(path)?;
-    let have = f.metadata()?.len();
+pub(super) fn reserve(medium: &dyn Medium, path: &Path, len: u64) -> io::Result<()> {
+    let file = open(path)?;
+    let have = file.metadata()?.len();
     if have < len {
-        fill(&mut f, have, len)?;
-        f.sync_all()?;
+        fill(medium, &file, have, len)?;
+        medium.sync(&file)?;
     }
     Ok(())
 }
@@ -82,6 +101,22 @@
     }
 }
 
+/// The synced records that a log's header tells of, where the log of that slot was begun. A mark that
+/// was torn while it was brought forward leaves what stands before it whole.
+pub(super) fn begun(path: &Path, seq: u64) -> io::Result<Option<u64>> {
+    let file = match File::open(path) {
+        Ok(file) => file,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(e),
+    };
+    let header = piece(&file, 0, HEAD)?;
+    if let Some((found, marked, _)) = parse(&header) {
+        return Ok((found == seq).then_some(marked));
+    }
+    let named = header.starts_with(MAGIC) && header.get(8..16) == Some(&seq.to_le_bytes()[..]);
+    Ok(named.then_some(0))
+}
+
 /// A body, where it is whole.
 pub(super) fn body(f: &File, at: u64, len: u64, crc: u32) -> io::Result<Option<Vec<u8>>> {
     if len > super::SLOT_LEN {
--- a/crates/control-plane/tests/store.rs
+++ b/crates/control-plane/tests/store.rs
@@ -188,3 +188,37 @@
     });
     assert!(matches!(FileStore::load(d.path()).unwrap(), Found::Damaged(_)));
 }
+
+/// The mark is brought forward in place with each record. Before: torn on the way, it made all records
+/// behind it count for nothing.
+#[rstest]
+fn a_mark_torn_at_any_byte_leaves_the_records(#[values(16, 17, 20, 24, 25, 28, 30, 31)] upto: usize) {
+    let d = tempfile::tempdir().unwrap();
+    let mut s = FileStore::open(d.path(), &image()).unwrap();
+    (1..=2).for_each(|k| s.write(&append(k)).unwrap());
+    let before = fs::read(newest(d.path(), "log")).unwrap()[..32].to_vec();
+    s.write(&append(3)).unwrap();
+    // The new mark up to here, what stood there before from here on.
+    edit(&newest(d.path(), "log"), |b| b[upto..32].copy_from_slice(&before[upto..]));
+    assert_eq!(last(FileStore::load(d.path()).unwrap()), Some(3));
+}
+
+/// A slot that is whole, and whose log was not begun, may be whole in memory only: its sync may have
+/// failed. Before: a start wrote over the synced one, and a loss of power then left none.
+#[test]
+fn a_start_never_writes_over_the_last_synced_slot() {
+    let d = tempfile::tempdir().unwrap();
+    filled(d.path(), 2);
+    let synced = newest(d.path(), "slot");
+    let other = d.path().join(if synced.ends_with("slot-0") { "slot-1" } else { "slot-0" });
+    let bytes = fs::read(&synced).unwrap();
+    let sequence = u64::from_le_bytes(bytes[8..16].try_into().unwrap()) + 1;
+    edit(&other, |b| {
+        b.copy_from_slice(&bytes);
+        b[8..16].copy_from_slice(&sequence.to_le_bytes());
+        let head = crc32fast::hash(&b[..28]);
+        b[28..32].copy_from_slice(&head.to_le_bytes());
+    });
+    FileStore::open(d.path(), &image()).unwrap();
+    assert_eq!(fs::read(&synced).unwrap(), bytes);
+}
