An answer to a leader of an older view waits for the disk as any other

A late feed of an older view was answered at once with what the seat holds in memory: a promise, and at worst an installed log, that its disk had not synced. Had the older leader become leader of the newer view meanwhile, it would have counted the answer for an entry that a loss of power could still take.

Change: each answer waits for what is on its way to the disk; of several to one address the newest is kept, and one to a second address no longer takes the place of the first.

Check: `check::backed`, after each message sent. Not looked at with the disk that lies, which is to be caught by what comes of it, as before.

--- a/crates/control-plane/src/seat/feed.rs
+++ b/crates/control-plane/src/seat/feed.rs
@@ -94,7 +94,8 @@
         if !self.knows(&by) || view < self.promised || self.out {
             // Also tells a leader of an older view that it is one no more.
             if self.knows(&by) && !self.out {
-                fx.push(Fx::Send { to: from, msg: self.held(stamp) });
+                let reply = Fx::Send { to: from, msg: self.held(stamp) };
+                self.answer_once_synced(reply, fx);
             } else if self.formed {
                 self.tell_roster(from, fx);
             }
@@ -142,15 +143,23 @@
             self.persist(rec, now, vec![reply], fx);
         } else if newer {
             self.persist(Rec::Promise(view), now, vec![reply], fx);
-        } else if let Some(u) = self.unsynced.back_mut() {
-            // Only the newest answer matters; an overdue disk holds it back.
-            u.3.retain(|f| !matches!(f, Fx::Send { msg: SeatMsg::Held { .. }, .. }));
-            u.3.push(reply);
         } else {
-            fx.push(reply);
+            self.answer_once_synced(reply, fx);
         }
     }
 
+    /// An answer names what is held here: it waits for all that is on its way to the disk. Only the
+    /// newest to each leader matters.
+    fn answer_once_synced(&mut self, reply: Fx, fx: &mut Vec<Fx>) {
+        let (Some(waiting), Fx::Send { to, .. }) = (self.unsynced.back_mut(), &reply) else {
+            fx.push(reply);
+            return;
+        };
+        let to = *to;
+        waiting.3.retain(|f| !matches!(f, Fx::Send { to: t, msg: SeatMsg::Held { .. } } if *t == to));
+        waiting.3.push(reply);
+    }
+
     pub(super) fn held(&self, stamp: Tick) -> SeatMsg {
         SeatMsg::Held {
             by: self.voter(),
--- a/crates/simulator/src/sim/check.rs
+++ b/crates/simulator/src/sim/check.rs
@@ -1,7 +1,11 @@
 //! Invariants from the brief's list, looked at after each step (design 7.1).
 
 use common::{Fence, Index, NodeId, OpId, Revision};
-use control_plane::{Change, Verdict, change::Holder, seat::LogEntry};
+use control_plane::{
+    Change, Verdict,
+    change::Holder,
+    seat::{Image, LogEntry, SeatMsg},
+};
 use std::collections::{BTreeMap, HashMap};
 
 /// What the operators were told, and what the seats accepted, seen from outside of time.
@@ -75,3 +79,24 @@
         }
     }
 }
+
+/// What a seat says that it holds or has promised is on its disk at that moment (design 2.4).
+pub fn backed(msg: &SeatMsg, kept: Option<&Image>) -> Result<(), String> {
+    let Some(kept) = kept.filter(|k| k.formed) else { return Ok(()) };
+    let last = kept.entries.last().map_or(kept.ledger.idx, |e| e.idx);
+    let holds = |log_view, upto| kept.log_view == log_view && last >= upto;
+    let so = match msg {
+        SeatMsg::Held { view, installed, last, .. } => {
+            kept.promised >= *view && (!installed || holds(*view, *last))
+        }
+        SeatMsg::Stopped { view, tail, .. } => kept.promised >= *view && holds(tail.log_view, tail.last),
+        _ => true,
+    };
+    if so {
+        return Ok(());
+    }
+    Err(format!(
+        "a seat says what its disk does not hold: {msg:?}, where it holds promised {}, log view {}, last {last}",
+        kept.promised, kept.log_view
+    ))
+}
--- a/crates/simulator/src/sim/way.rs
+++ b/crates/simulator/src/sim/way.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Broken,
+    check::backed,
     disk::Mood,
     nodes::{WIRE, addr, fits},
     world::{What, World},
@@ -67,6 +68,10 @@
                 if votes && self.seats[n].seat.as_ref().is_some_and(|s| !s.formed) {
                     return Err(format!("s{n} votes and holds nothing"));
                 }
+                // A disk that lies is to be caught by what comes of it.
+                if self.broken != Some(Broken::LyingDisk) {
+                    backed(&msg, self.seats[n].disk.kept.as_ref())?;
+                }
                 fits("a message", &msg, WIRE)?;
                 if let Some(ms) = self.transit(n, to).filter(|_| to < self.seats.len()) {
                     self.push(ms, What::Seat { to, from: n, msg: Box::new(msg) });
--- a/crates/simulator/tests/sim.rs
+++ b/crates/simulator/tests/sim.rs
@@ -52,6 +52,7 @@
 #[case::a_swap_that_could_not_be_accepted(633)]
 #[case::founded_anew_on_stale_word(10_543)]
 #[case::a_start_took_all_since_its_slot_for_pending(4_838)]
+#[case::an_answer_to_an_older_view_told_of_an_unsynced_promise(38)]
 fn once_found_stays_mended(#[case] seed: u64) {
     if let Err(v) = run(seed, None) {
         panic!("{v}");
