--- a/crates/control-plane/src/store/raw.rs
+++ b/crates/control-plane/src/store/raw.rs
@@ -3,7 +3,7 @@
 use crate::disk::Found;
 use std::{
     fs::{File, OpenOptions},
-    io::{self, Seek, SeekFrom, Write},
+    io,
     os::unix::fs::FileExt,
     path::Path,
 };
@@ -13,6 +13,26 @@
 /// Most that is filled or looked through at once: a process's memory at its peak counts.
 pub(super) const PIECE: usize = 64 << 10;
 
+/// What changes files. A test's own refuses, tears or forgets what is written.
+pub trait Medium: Send + Sync {
+    fn write(&self, file: &File, at: u64, bytes: &[u8]) -> io::Result<()>;
+    /// All that was written to the file is durable when this returns.
+    fn sync(&self, file: &File) -> io::Result<()>;
+}
+
+/// The system's own files.
+pub struct System;
+
+impl Medium for System {
+    fn write(&self, file: &File, at: u64, bytes: &[u8]) -> io::Result<()> {
+        file.write_all_at(bytes, at)
+    }
+
+    fn sync(&self, file: &File) -> io::Result<()> {
+        file.sync_data()
+    }
+}
+
 /// magic, sequence, a number (length of a slot, synced records of a log), checksums.
 pub(super) fn header(seq: u64, num: u64, body: &[u8]) -> [u8; HEAD] {
     let mut h = [0u8; HEAD];
@@ -54,25 +74,24 @@
     OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
 }
 
-/// Fills with zeros up to `len`.
-pub(super) fn fill(f: &mut File, from: u64, len: u64) -> io::Result<()> {
+/// Fills with zeros from a place up to `len`.
+pub(super) fn fill(medium: &dyn Medium, file: &File, from: u64, len: u64) -> io::Result<()> {
     let zeros = vec![0u8; PIECE];
-    f.seek(SeekFrom::Start(from))?;
-    let mut left = len.saturating_sub(from);
-    while left > 0 {
-        let n = left.min(PIECE as u64);
-        f.write_all(&zeros[..n as usize])?;
-        left -= n;
+    let mut at = from;
+    while at < len {
+        let count = (len - at).min(PIECE as u64);
+        medium.write(file, at, &zeros[..count as usize])?;
+        at += count;
     }
     Ok(())
 }
 
-pub(super) fn reserve(path: &Path, len: u64) -> io::Result<()> {
-    let mut f = open(path)?;
-    let have = f.metadata()?.len();
+pub(super) fn reserve(medium: &dyn Medium, path: &Path, len: u64) -> io::Result<()> {
+    let file = open(path)?;
+    let have = file.metadata()?.len();
     if have < len {
-        fill(&mut f, have, len)?;
-        f.sync_all()?;
+        fill(medium, &file, have, len)?;
+        medium.sync(&file)?;
     }
     Ok(())
 }
@@ -100,6 +119,26 @@
     }
 }
 
+/// The synced records that a log's header tells of, where the log of that slot was begun. A mark that
+/// was torn while it was brought forward leaves what stands before it whole.
+pub(super) fn begun(path: &Path, seq: u64) -> io::Result<Option<u64>> {
+    let file = match File::open(path) {
+        Ok(file) => file,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(e),
+    };
+    let header = piece(&file, 0, HEAD)?;
+    if let Some((found, marked, _)) = parse(&header) {
+        return Ok((found == seq).then_some(marked));
+    }
+    Ok(names(&header, seq).then_some(0))
+}
+
+/// Whether a header, whole or not, names this slot.
+fn names(header: &[u8], seq: u64) -> bool {
+    header.starts_with(MAGIC) && header.get(8..16) == Some(&seq.to_le_bytes()[..])
+}
+
 /// A body, where it is whole.
 pub(super) fn body(f: &File, at: u64, len: u64, crc: u32) -> io::Result<Option<Vec<u8>>> {
     if len > super::SLOT_LEN {
@@ -133,14 +172,17 @@
         Some((s, _, _)) if s > seq => LogState::Later(s),
         Some((s, _, _)) if s % 2 == seq % 2 => LogState::NotBegun,
         Some(_) => LogState::Broken,
-        None if bytes.iter().all(|x| *x == 0) && !has_data(&log)? => LogState::NotBegun,
+        // A mark that was torn while it was brought forward leaves the name of the slot whole.
+        None if names(&bytes, seq) => LogState::Begun { marked: 0 },
+        // A header that was torn as the log was begun stands before nothing but zeros.
+        None if !has_data(&log, HEAD as u64)? => LogState::NotBegun,
         None => LogState::Broken,
     })
 }
 
-/// Whether anything but zeros stands in a file.
-fn has_data(f: &File) -> io::Result<bool> {
-    let mut at = 0;
+/// Whether anything but zeros stands in a file from a place on.
+fn has_data(f: &File, from: u64) -> io::Result<bool> {
+    let mut at = from;
     loop {
         let bytes = piece(f, at, PIECE)?;
         if bytes.iter().any(|x| *x != 0) {
@@ -176,7 +218,7 @@
     for n in 0..2 {
         let path = dir.join(format!("log-{n}"));
         match File::open(&path) {
-            Ok(f) if has_data(&f)? => {
+            Ok(f) if has_data(&f, 0)? => {
                 return Ok(Found::Damaged(format!("log-{n} was begun and no slot is there")));
             }
             Ok(_) => {}
