A seat whose disk refused a write recovers in its own process

Cause: the drive ended its thread with the first failed write, and the seat stayed without a vote for the life of its process.

The seat steps aside with the failed write: it gives up its view aloud if it leads, drops all words that waited for the disk, tells its callers that their orders are undetermined, refuses new ones at once, and answers nobody. The drive drops what was queued and opens the folder anew, after a heartbeat and then at growing gaps up to a renewal: it reads what is whole, writes that into the slot that holds no synced state, and syncs it; a damaged folder is moved aside and begins a blank holder, as at a start. Only then the seat starts anew from that image, as a new process would, so it waits out a leader's patience or asks the others whether they lead. It goes on counting its writes, and one that lost its folder after it was formed founds no cluster. A node whose disk refuses from the start keeps its process, answers and tries on; a folder that is another's still ends the start. Routers that ask such a seat for news are sent on. The file handles of a failed write are never used again.

--- a/crates/control-plane/src/core/drive.rs
+++ b/crates/control-plane/src/core/drive.rs
@@ -1,55 +1,117 @@
 //! What carries a seat's records to its disk, off the threads that serve (design 2.4, 2.7).
 
-use super::{Core, folder};
+use super::{Core, DataFolder, Recorder, Retry, Start, folder::blank};
 use crate::{
-    disk::Disk,
-    seat::{Ev, Image, Rec},
-    store::FileStore,
+    disk::OpenError,
+    seat::{Ev, Rec},
 };
 use common::{jot, settings::Settings};
-use std::sync::{Weak, mpsc};
+use std::sync::{Arc, Weak, mpsc};
 
-/// Takes records in order, and tells the core of each once it is synced, or that a sync failed.
+/// Takes records in order, and tells the core of each once it is synced; or that one failed, and then
+/// what the disk holds once it works again.
 pub trait Drive: Send + Sync {
     fn write(&self, tok: u64, rec: Rec);
 }
 
-struct FileDrive(mpsc::Sender<(u64, Rec)>);
+struct Write {
+    token: u64,
+    record: Rec,
+}
+
+struct FileDrive(mpsc::Sender<Write>);
 
 impl Drive for FileDrive {
-    fn write(&self, tok: u64, rec: Rec) {
-        let _ = self.0.send((tok, rec));
+    fn write(&self, token: u64, record: Rec) {
+        let _ = self.0.send(Write { token, record });
     }
 }
 
-fn thread(core: Weak<Core>, mut store: FileStore) -> Box<dyn Drive> {
-    let ((tx, rx), rt) = (mpsc::channel(), tokio::runtime::Handle::current());
-    std::thread::spawn(move || {
-        for (tok, rec) in rx {
-            let res = store.write(&rec);
-            let Some(core) = core.upgrade() else { return };
-            let _in = rt.enter();
-            match res {
-                Ok(()) => core.step(Ev::Synced(tok)),
-                Err(e) => {
-                    jot!(Error, "sync", "peer" => core.set.node, "cause" => e.to_string());
-                    core.step(Ev::SyncFailed);
-                    return;
+/// The thread that writes for one core.
+struct Writer {
+    core: Weak<Core>,
+    recorder: Recorder,
+    queue: mpsc::Receiver<Write>,
+    runtime: tokio::runtime::Handle,
+}
+
+/// The core is gone: its process ends.
+struct CoreGone;
+
+impl Writer {
+    fn core(&self) -> Result<Arc<Core>, CoreGone> {
+        self.core.upgrade().ok_or(CoreGone)
+    }
+
+    fn tell(&self, event: Ev) -> Result<(), CoreGone> {
+        let core = self.core()?;
+        let _inside = self.runtime.enter();
+        core.step(event);
+        Ok(())
+    }
+
+    fn run(mut self) -> Result<(), CoreGone> {
+        loop {
+            if self.recorder.failed() {
+                self.recover()?;
+            }
+            let Write { token, record } = self.queue.recv().map_err(|_| CoreGone)?;
+            match self.recorder.write(&record) {
+                Ok(()) => self.tell(Ev::Synced(token))?,
+                Err(error) => {
+                    jot!(Error, "sync", "peer" => self.core()?.set.node, "cause" => error.to_string());
+                    self.tell(Ev::SyncFailed)?;
                 }
             }
         }
+    }
+
+    /// The seat has stepped aside and writes nothing more: what it wrote before is dropped, and the
+    /// folder is opened anew as often as it takes.
+    fn recover(&mut self) -> Result<(), CoreGone> {
+        while self.queue.try_recv().is_ok() {}
+        let mut retry = Retry::new(&self.core()?.set.timing);
+        loop {
+            std::thread::sleep(retry.wait());
+            let core = self.core()?;
+            match self.recorder.recover() {
+                Ok(image) => {
+                    jot!(Info, "disk recovered", "peer" => core.set.node, "failures" => retry.failures());
+                    return self.tell(Ev::Recovered(Box::new(image)));
+                }
+                Err(error) if retry.failed() => {
+                    jot!(Error, "recover", "peer" => core.set.node, "cause" => error.to_string(), "failures" => retry.failures());
+                }
+                Err(_) => {}
+            }
+        }
+    }
+}
+
+fn spawn_writer(core: Weak<Core>, recorder: Recorder) -> Box<dyn Drive> {
+    let (sender, queue) = mpsc::channel();
+    let runtime = tokio::runtime::Handle::current();
+    let writer = Writer { core, recorder, queue, runtime };
+    std::thread::spawn(move || {
+        let _ = writer.run();
     });
-    Box::new(FileDrive(tx))
+    Box::new(FileDrive(sender))
 }
 
 /// Makes a drive for a core that is about to start.
 pub type MakeDrive = Box<dyn FnOnce(Weak<Core>) -> Box<dyn Drive> + Send>;
 
-/// What the data folder holds, and a drive that writes to it.
-pub fn files(set: &Settings) -> eyre::Result<(Image, MakeDrive)> {
-    let dir =
-        set.data.clone().ok_or_else(|| eyre::eyre!("data: missing; allowed: a folder of this node's own"))?;
-    let img = folder::take_up(set, &dir)?;
-    let store = FileStore::open(&dir, &img)?;
-    Ok((img, Box::new(move |core| thread(core, store))))
+/// What the data folder holds, and a drive that writes to it. Where the disk refuses, the core starts
+/// all the same and waits for it; a folder that is another's ends the start.
+pub fn files(set: &Settings) -> eyre::Result<(Start, MakeDrive)> {
+    let mut recorder = Recorder::new(Box::new(DataFolder::new(set)?));
+    let start = match recorder.recover() {
+        Ok(image) => Start::from(image),
+        Err(OpenError::NotOurs(why)) => eyre::bail!(why),
+        Err(error) => {
+            jot!(Error, "data folder", "peer" => set.node, "cause" => error.to_string());
+            Start::Waiting(Box::new(blank(set)))
+        }
+    };
+    Ok((start, Box::new(move |core| spawn_writer(core, recorder))))
 }
--- a/crates/control-plane/src/core/folder.rs
+++ b/crates/control-plane/src/core/folder.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     change::Holder,
-    disk::Found,
+    disk::{Folder, Found, OpenError, Opened},
     seat::{Image, Seat},
-    store::FileStore,
+    store::{FileStore, Medium, System},
 };
 use common::{Incarnation, jot, settings::Settings};
-use std::path::Path;
+use std::{io, path::PathBuf, sync::Arc};
 
 /// The holder that a blank folder begins: its incarnation is drawn, so that no two are alike.
 pub fn blank(set: &Settings) -> Holder {
@@ -21,38 +21,76 @@
     }
 }
 
-/// Reads the data folder; a damaged one is moved aside, never written over (design 2.6).
-pub(super) fn take_up(set: &Settings, dir: &Path) -> eyre::Result<Image> {
-    let fresh = Seat::blank_image(&blank(set));
-    match FileStore::load(dir)? {
-        Found::Nothing => Ok(fresh),
-        Found::Image(i) => {
-            let foreign = i.formed && i.ledger.cluster != set.cluster;
-            eyre::ensure!(
-                !foreign,
-                "data: {dir:?} belongs to cluster {:?}; allowed: one of {:?}",
-                i.ledger.cluster,
-                set.cluster
-            );
-            eyre::ensure!(
-                i.me.node.as_str() == set.node,
-                "data: {dir:?} belongs to node {}; allowed: one of {}",
-                i.me.node,
-                set.node
-            );
-            let me = Holder { seat: i.me.seat, inc: i.me.inc, ..blank(set) };
-            Ok(Image { me, ..*i })
+/// The data folder of a control node.
+pub struct DataFolder {
+    settings: Settings,
+    path: PathBuf,
+    medium: Arc<dyn Medium>,
+}
+
+fn refused(step: &'static str) -> impl Fn(io::Error) -> OpenError {
+    move |error| OpenError::Refused { step, error }
+}
+
+impl DataFolder {
+    pub fn new(settings: &Settings) -> eyre::Result<Self> {
+        Self::on(settings, Arc::new(System))
+    }
+
+    /// The same on a medium of one's own.
+    pub fn on(settings: &Settings, medium: Arc<dyn Medium>) -> eyre::Result<Self> {
+        let path = settings.data.clone();
+        let path = path.ok_or_else(|| eyre::eyre!("data: missing; allowed: a folder of this node's own"))?;
+        Ok(Self { settings: settings.clone(), path, medium })
+    }
+
+    /// What is whole there; a damaged folder is moved aside, never written over (design 2.6).
+    fn read(&self) -> Result<Image, OpenError> {
+        let fresh = Seat::blank_image(&blank(&self.settings));
+        match FileStore::load(&self.path).map_err(refused("read"))? {
+            Found::Nothing => Ok(fresh),
+            Found::Image(image) => self.own(*image),
+            Found::OtherForm => Err(self.not_ours(
+                "was written in another form".into(),
+                "a folder of this version, or a blank one".into(),
+            )),
+            Found::Damaged(why) => {
+                self.move_aside(&why).map_err(refused("move aside"))?;
+                Ok(fresh)
+            }
         }
-        Found::OtherForm => {
-            eyre::bail!(
-                "data: {dir:?} was written in another form; allowed: a folder of this version, or a blank one"
-            )
+    }
+
+    fn not_ours(&self, what: String, allowed: String) -> OpenError {
+        OpenError::NotOurs(format!("data: {:?} {what}; allowed: {allowed}", self.path))
+    }
+
+    /// An image of this node, under the addresses that it has now.
+    fn own(&self, image: Image) -> Result<Image, OpenError> {
+        let set = &self.settings;
+        if image.formed && image.ledger.cluster != set.cluster {
+            let what = format!("belongs to cluster {:?}", image.ledger.cluster);
+            return Err(self.not_ours(what, format!("one of {:?}", set.cluster)));
         }
-        Found::Damaged(why) => {
-            let aside = dir.with_extension(format!("damaged-{}", common::clock::wall_ms()));
-            jot!(Error, "data folder", "cause" => why, "moved_to" => aside.display().to_string());
-            std::fs::rename(dir, &aside)?;
-            Ok(fresh)
+        if image.me.node.as_str() != set.node {
+            let what = format!("belongs to node {}", image.me.node);
+            return Err(self.not_ours(what, format!("one of {}", set.node)));
         }
+        let me = Holder { seat: image.me.seat, inc: image.me.inc, ..blank(set) };
+        Ok(Image { me, ..image })
+    }
+
+    fn move_aside(&self, why: &str) -> io::Result<()> {
+        let aside = self.path.with_extension(format!("damaged-{}", common::clock::wall_ms()));
+        jot!(Error, "data folder", "cause" => why, "moved_to" => aside.display().to_string());
+        std::fs::rename(&self.path, &aside)
+    }
+}
+
+impl Folder for DataFolder {
+    fn open(&mut self) -> Result<Opened, OpenError> {
+        let image = self.read()?;
+        let disk = FileStore::open_on(&self.path, &image, self.medium.clone()).map_err(refused("write"))?;
+        Ok(Opened { image, disk: Box::new(disk) })
     }
 }
--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -4,10 +4,12 @@
 mod folder;
 mod leader;
 mod reach;
+mod recorder;
 mod serve;
 
 pub use drive::{Drive, MakeDrive, files};
-pub use folder::blank;
+pub use folder::{DataFolder, blank};
+pub use recorder::{Recorder, Retry};
 
 use crate::{
     change::{Change, Holder, Verdict},
@@ -49,6 +51,29 @@
     moved: watch::Sender<Index>,
 }
 
+/// What a core starts from.
+pub enum Start {
+    /// What its disk holds.
+    Whole(Box<Image>),
+    /// Its disk can't be read or written yet: it takes part in nothing until its drive recovers.
+    Waiting(Box<Holder>),
+}
+
+impl From<Image> for Start {
+    fn from(image: Image) -> Self {
+        Start::Whole(Box::new(image))
+    }
+}
+
+impl Start {
+    fn into_image(self) -> Image {
+        match self {
+            Start::Whole(image) => *image,
+            Start::Waiting(holder) => Seat::blank_image(&holder),
+        }
+    }
+}
+
 /// What operators are shown of a seat.
 pub struct View {
     pub ledger: Ledger,
@@ -61,10 +86,13 @@
 }
 
 impl Core {
-    /// Takes up a seat from what its disk held, and writes to the drive that is made for it.
+    /// Takes up a seat from what its disk held, where it can be read, and writes to the drive that is made for it.
     /// A founder waits for so many seats, where they are more than the seeds.
-    pub fn start(set: Settings, seats: usize, img: Image, drive: MakeDrive) -> Arc<Core> {
+    pub fn start(set: Settings, seats: usize, start: impl Into<Start>, drive: MakeDrive) -> Arc<Core> {
         let clock = Clock::default();
+        let start = start.into();
+        let waiting = matches!(start, Start::Waiting(_));
+        let img = start.into_image();
         let mut seat = Seat::new(
             img.me.clone(),
             &set.cluster,
@@ -76,6 +104,7 @@
         seat.secret = common::ground::draw();
         seat.founds = set.founds;
         seat.expects = seats;
+        seat.dead = waiting;
         let (moved, _) = watch::channel(seat.accepted());
         let inner =
             Inner { seat, tenures: Tenures::default(), waiting: BTreeMap::new(), reports: BTreeMap::new() };
@@ -141,8 +170,8 @@
                     self.disk.write(tok, rec);
                 }
                 Fx::Accepted { entry, verdict } => self.accepted(g, entry, verdict),
-                Fx::Framed => {
-                    // Places passed over by a frame are not told one by one.
+                Fx::Framed | Fx::Interrupted => {
+                    // Places passed over are not told one by one.
                     std::mem::take(&mut g.waiting)
                         .into_iter()
                         .for_each(|(_, w)| drop(w.1.send(Proposed::Undetermined)));
--- a/crates/control-plane/src/core/reach.rs
+++ b/crates/control-plane/src/core/reach.rs
@@ -34,6 +34,9 @@
         loop {
             {
                 let g = self.lock();
+                if g.seat.dead {
+                    return false;
+                }
                 let l = &g.seat.ledger;
                 let there = |n: &&NodeId| l.members.contains_key(*n) || l.lost.iter().any(|x| x.node == **n);
                 let all: Vec<&NodeId> = of.iter().filter(there).collect();
--- a/crates/control-plane/src/core/serve.rs
+++ b/crates/control-plane/src/core/serve.rs
@@ -65,18 +65,22 @@
         let mut moved = self.moved.subscribe();
         let tell = || {
             let g = self.lock();
+            // It hears of nothing new: another seat does.
+            if g.seat.dead {
+                return Reply::Elsewhere { leader: None };
+            }
             if !g.seat.formed || g.seat.out {
-                return news::News::Same;
+                return Reply::News(news::News::Same);
             }
-            news::since(have, &g.seat.ledger, &g.seat.log, g.seat.base, g.seat.room)
+            Reply::News(news::since(have, &g.seat.ledger, &g.seat.log, g.seat.base, g.seat.room))
         };
         moved.borrow_and_update();
         let first = tell();
-        if !matches!(first, news::News::Same) {
-            return Reply::News(first);
+        if !matches!(first, Reply::News(news::News::Same)) {
+            return first;
         }
         let _ = tokio::time::timeout(Duration::from_millis(wait_ms.min(5_000)), moved.changed()).await;
-        Reply::News(tell())
+        tell()
     }
 
     pub fn view(&self) -> View {
@@ -105,6 +109,12 @@
         if g.seat.current(self.clock.now()) { Ok(g.seat.ledger.clone()) } else { Err(g.seat.leader()) }
     }
 
+    /// Up to where it can tell news; a seat that hears of nothing new counts as behind.
+    fn known_upto(&self) -> Index {
+        let g = self.lock();
+        if g.seat.dead { Index(0) } else { g.seat.accepted() }
+    }
+
     pub async fn answer(self: Arc<Self>, ask: Ask) -> Reply {
         match ask {
             Ask::Seat { from, msg } => {
@@ -122,7 +132,7 @@
                 Ok(l) => Reply::State(Box::new(l)),
                 Err(leader) => Reply::Elsewhere { leader },
             },
-            Ask::Hail { .. } => Reply::Hailed { idx: self.lock().seat.accepted() },
+            Ask::Hail { .. } => Reply::Hailed { idx: self.known_upto() },
         }
     }
 }
--- a/crates/control-plane/src/daemon.rs
+++ b/crates/control-plane/src/daemon.rs
@@ -3,10 +3,9 @@
 
 use crate::{
     change::{Card, Role},
-    core::{Core, MakeDrive},
+    core::{Core, MakeDrive, Start},
     member::Member,
     rail,
-    seat::Image,
 };
 use common::{
     Clock,
@@ -28,14 +27,14 @@
     set: Settings,
     seats: usize,
     (rail_lst, http_lst): (Listener, Listener),
-    (img, drive): (Image, MakeDrive),
+    (start, drive): (impl Into<Start>, MakeDrive),
     handler: F,
     stop: impl Future<Output = ()>,
 ) where
     F: Fn(Arc<Core>, SocketAddr, Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Result<Response<http::Body>, http::BoxErr>> + Send + 'static,
 {
-    let core = Core::start(set.clone(), seats, img, drive);
+    let core = Core::start(set.clone(), seats, start, drive);
     let card = Card::of(&set, Role::Core, core.view().me.inc);
     let member = Member::new(set.clone(), card, Clock::default());
     // The core follows its own news, so that its tenure names what governs here.
--- a/crates/control-plane/src/disk.rs
+++ b/crates/control-plane/src/disk.rs
@@ -1,8 +1,8 @@
-//! What a seat asks of its disk (design 2.6), met by files in the daemon and by the
+//! What a seat asks of its disk (design 2.4, 2.6), met by files in the daemon and by the
 //! simulator's disk in tests.
 
 use crate::seat::{Image, Rec};
-use std::io;
+use std::{fmt, io};
 
 pub trait Disk: Send {
     /// Writes and syncs; an error means that the seat may no longer trust its disk.
@@ -20,3 +20,36 @@
     /// Synced data is damaged: the seat counts as blank and must be readmitted.
     Damaged(String),
 }
+
+/// What a folder holds, and what writes to it from there on.
+pub struct Opened {
+    pub image: Image,
+    pub disk: Box<dyn Disk>,
+}
+
+/// Why a folder could not be opened.
+#[derive(Debug)]
+pub enum OpenError {
+    /// It can't be read or written now; it is tried again.
+    Refused { step: &'static str, error: io::Error },
+    /// It belongs to another node or version: never written over.
+    NotOurs(String),
+}
+
+impl fmt::Display for OpenError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            OpenError::Refused { step, error } => write!(f, "{step}: {error}"),
+            OpenError::NotOurs(why) => write!(f, "{why}"),
+        }
+    }
+}
+
+impl std::error::Error for OpenError {}
+
+/// Where a seat's state is kept: opened at the start of the process, and again after a write failed.
+pub trait Folder: Send {
+    /// Reads what is whole there and writes it anew, apart from what was written before; it is synced
+    /// when this returns.
+    fn open(&mut self) -> Result<Opened, OpenError>;
+}
--- a/crates/control-plane/src/seat/mod.rs
+++ b/crates/control-plane/src/seat/mod.rs
@@ -30,6 +30,8 @@
 const KEEP: usize = 256;
 /// Most seats of a core: a view's number has room for one more (design 2.2).
 pub const MOST_SEATS: usize = 7;
+/// Why a seat whose disk failed logs nothing.
+const DISK_REFUSES: &str = "this seat's disk refuses writes";
 /// Records after which a new slot is written.
 const SLOT_RECS: usize = 512;
 
@@ -54,7 +56,7 @@
     pub base: Index,
     pub synced: Index,
     pub post: Post,
-    /// A sync failed: the seat no longer votes (design 2.4).
+    /// A write failed: until the disk works again the seat takes part in nothing (design 2.4).
     pub dead: bool,
     /// Replaced by another holder (design 2.5).
     pub out: bool,
@@ -182,11 +184,10 @@
     pub fn step(&mut self, ev: Ev, now: Tick) -> Vec<Fx> {
         let mut fx = Vec::new();
         match ev {
-            Ev::SyncFailed => {
-                self.dead = true;
-                self.post = Post::Follower { leader: None, heard: now };
-            }
+            Ev::SyncFailed => self.on_sync_failed(now, &mut fx),
+            Ev::Recovered(image) => self.on_recovered(*image, now, &mut fx),
             Ev::Synced(tok) => self.on_synced(tok, now, &mut fx),
+            Ev::Propose(change) if self.dead => fx.push(Fx::NotLogged { change, why: DISK_REFUSES }),
             _ if self.dead => {}
             Ev::Wakeup => self.on_wakeup(now, &mut fx),
             Ev::Propose(ch) => self.on_propose(ch, now, &mut fx),
--- a/crates/control-plane/src/seat/msg.rs
+++ b/crates/control-plane/src/seat/msg.rs
@@ -175,35 +175,6 @@
     }
 }
 
-impl Image {
-    /// Brings the image forward by one record, as the seat did when it wrote it.
-    pub fn replay(&mut self, rec: Rec) {
-        match rec {
-            Rec::Image(i) => *self = *i,
-            Rec::Promise(v) => self.promised = self.promised.max(v),
-            Rec::Install { view, cut, entries } => {
-                self.promised = self.promised.max(view);
-                self.log_view = view;
-                self.entries.retain(|e| e.idx <= cut);
-                let from = self.entries.last().map(|e| e.idx).unwrap_or(self.ledger.idx);
-                self.entries.extend(entries.into_iter().filter(|e| e.idx > from));
-                self.accept_to(cut);
-            }
-            Rec::Append { accepted, entries } => {
-                self.entries.extend(entries);
-                self.accept_to(accepted);
-            }
-        }
-    }
-
-    fn accept_to(&mut self, to: Index) {
-        let due = self.entries.iter().take_while(|e| e.idx <= to).count();
-        for e in self.entries.drain(..due) {
-            self.ledger.fold(e.idx, &e.change);
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 pub enum Ev {
     Wakeup,
@@ -212,7 +183,10 @@
     /// The process is about to stop.
     Yield,
     Synced(u64),
+    /// A write or its sync failed; nothing written since the last sync may be trusted.
     SyncFailed,
+    /// The disk works again, and this is what it holds: read from it anew, written anew and synced.
+    Recovered(Box<Image>),
 }
 
 #[derive(Clone, Debug)]
@@ -241,6 +215,8 @@
     },
     /// The whole state was replaced by a frame.
     Framed,
+    /// The disk failed, or works again: what waits here for a verdict is not told one by one.
+    Interrupted,
     Lead {
         view: View,
     },
--- a/crates/control-plane/src/seat/sync.rs
+++ b/crates/control-plane/src/seat/sync.rs
@@ -47,8 +47,72 @@
         }
     }
 
+    /// A write was refused: the seat steps aside, and nothing that waited for the disk is ever said.
+    /// What it has accepted stays, since a majority holds that; the rest may be ahead of its disk.
+    pub(super) fn on_sync_failed(&mut self, now: Tick, fx: &mut Vec<Fx>) {
+        if self.dead {
+            return;
+        }
+        // The others need not wait out the silence of a leader that has stepped down.
+        self.on_stopping(now, fx);
+        self.dead = true;
+        self.post = Post::Follower { leader: None, heard: now };
+        self.unsynced.clear();
+        fx.push(Fx::Interrupted);
+    }
+
+    /// The disk works again: the seat starts anew from what it holds, as a new process would. It keeps
+    /// what its process was told, and counts its writes on, so that no late word of an earlier one counts.
+    pub(super) fn on_recovered(&mut self, image: Image, now: Tick, fx: &mut Vec<Fx>) {
+        if !self.dead {
+            return;
+        }
+        // One that has lost its folder knows that there is a cluster, and must not found another.
+        let lost = self.formed && image.me.inc != self.me.inc;
+        let me = self.me.clone();
+        let fresh = Seat::new(me, &self.cluster, self.seeds.clone(), self.t.clone(), Some(image), now);
+        *self = Seat {
+            founds: self.founds && !lost,
+            expects: self.expects,
+            secret: self.secret,
+            room: self.room,
+            tok: self.tok,
+            ..fresh
+        };
+        fx.push(Fx::Interrupted);
+    }
+
     /// The own disk has not answered for too long (design 2.4).
     pub fn overdue(&self, now: Tick) -> bool {
         self.unsynced.front().is_some_and(|u| now.since(u.1) > self.t.sync_ms())
     }
 }
+
+impl Image {
+    /// Brings the image forward by one record, as the seat did when it wrote it.
+    pub fn replay(&mut self, rec: Rec) {
+        match rec {
+            Rec::Image(i) => *self = *i,
+            Rec::Promise(v) => self.promised = self.promised.max(v),
+            Rec::Install { view, cut, entries } => {
+                self.promised = self.promised.max(view);
+                self.log_view = view;
+                self.entries.retain(|e| e.idx <= cut);
+                let from = self.entries.last().map(|e| e.idx).unwrap_or(self.ledger.idx);
+                self.entries.extend(entries.into_iter().filter(|e| e.idx > from));
+                self.accept_to(cut);
+            }
+            Rec::Append { accepted, entries } => {
+                self.entries.extend(entries);
+                self.accept_to(accepted);
+            }
+        }
+    }
+
+    fn accept_to(&mut self, to: Index) {
+        let due = self.entries.iter().take_while(|e| e.idx <= to).count();
+        for e in self.entries.drain(..due) {
+            self.ledger.fold(e.idx, &e.change);
+        }
+    }
+}
--- a/crates/control-plane/tests/rig/mod.rs
+++ b/crates/control-plane/tests/rig/mod.rs
@@ -33,6 +33,8 @@
     pub stalled: bool,
     pub now: Tick,
     dead: Vec<String>,
+    /// Disks that refuse every write.
+    refusing: [bool; 3],
     widest: usize,
     pub logged: usize,
     pub bounced: usize,
@@ -72,6 +74,7 @@
         stalled: false,
         now: Tick(10_000),
         dead,
+        refusing: [false; 3],
         widest,
         logged,
         bounced,
@@ -94,6 +97,9 @@
                         self.mail.push_back((n, usize::from(to.port()) - 7000, msg));
                     }
                 }
+                Fx::Persist { .. } if self.refusing[n] => {
+                    due.extend(self.seats[n].step(Ev::SyncFailed, self.now))
+                }
                 Fx::Persist { tok, rec } => match self.disks[n].write(&rec) {
                     Ok(()) => match &mut self.slow {
                         Some((s, toks)) if *s == n => toks.push_back(tok),
@@ -129,6 +135,24 @@
         }
     }
 
+    /// What the disk of a seat holds.
+    pub fn held(&self, n: usize) -> Image {
+        match FileStore::load(&self.dir.join(format!("s{n}"))).unwrap() {
+            Found::Image(image) => *image,
+            other => panic!("s{n}: {other:?}"),
+        }
+    }
+
+    /// A disk refuses every write, or works again under the same process.
+    pub fn refuse(&mut self, n: usize, refuses: bool) {
+        self.refusing[n] = refuses;
+        if !refuses && self.seats[n].dead {
+            let image = self.held(n);
+            self.disks[n] = FileStore::open(&self.dir.join(format!("s{n}")), &image).unwrap();
+            self.step(n, Ev::Recovered(Box::new(image)));
+        }
+    }
+
     /// The process ends and starts again by what its disk holds; a blank disk makes another holder.
     pub fn restart(&mut self, n: usize, blank: Option<u64>) {
         let dir = self.dir.join(format!("s{n}"));
--- a/crates/simulator/src/hosted.rs
+++ b/crates/simulator/src/hosted.rs
@@ -119,7 +119,7 @@
             let ev = {
                 let mut d = lock(&disk);
                 match d.mood {
-                    Mood::Failing => Some(Ev::SyncFailed),
+                    Mood::Failing | Mood::Refusing => Some(Ev::SyncFailed),
                     _ => d.sync_one().map(Ev::Synced),
                 }
             };
--- a/crates/simulator/src/sim/disk.rs
+++ b/crates/simulator/src/sim/disk.rs
@@ -11,6 +11,8 @@
     Stalled,
     /// The next write fails: the disk is full or broken.
     Failing,
+    /// Refuses every write, and works again later under the same process.
+    Refusing,
 }
 
 #[derive(Debug)]
@@ -70,6 +72,14 @@
         self.mood = Mood::Well;
     }
 
+    /// A write was refused under a process that goes on: of what was under way the first `n` reached
+    /// the disk all the same.
+    pub fn refuse(&mut self, n: usize) {
+        let mood = self.mood;
+        self.crash(n);
+        self.mood = mood;
+    }
+
     pub fn lose(&mut self) {
         self.kept = None;
         self.pending.clear();
--- a/crates/simulator/src/sim/mod.rs
+++ b/crates/simulator/src/sim/mod.rs
@@ -9,6 +9,7 @@
 pub mod lending;
 pub mod nodes;
 pub mod operate;
+pub mod refusals;
 pub mod sweep;
 pub mod table;
 pub mod way;
@@ -36,6 +37,8 @@
     NoFences,
     /// Operators are told "refused" where the answer only took too long.
     TimeoutRefused,
+    /// A seat whose disk refused a write goes on as if that had been synced.
+    UnsyncedBelief,
     /// A leader logs whatever it is asked to, and feeds it in one piece.
     Boundless,
 }
@@ -49,6 +52,7 @@
     ("early-accept", Broken::EarlyAccept),
     ("no-fences", Broken::NoFences),
     ("timeout-refused", Broken::TimeoutRefused),
+    ("unsynced-belief", Broken::UnsyncedBelief),
     ("boundless", Broken::Boundless),
 ];
 
@@ -99,6 +103,14 @@
     run_core(seed, broken, world::CORE)
 }
 
+/// One run in which disks refuse writes for a while, one after the other, besides the usual faults.
+pub fn run_refusing(seed: u64, broken: Option<Broken>, seats: usize) -> Result<Stats, Violation> {
+    let mut w = world::World::new(seed, broken, seats);
+    w.schedule_refusals();
+    w.run()?;
+    Ok(w.stats)
+}
+
 /// One run of a core of so many seats.
 pub fn run_core(seed: u64, broken: Option<Broken>, seats: usize) -> Result<Stats, Violation> {
     let mut w = world::World::new(seed, broken, seats);
--- a/crates/simulator/src/sim/nodes.rs
+++ b/crates/simulator/src/sim/nodes.rs
@@ -98,13 +98,16 @@
         }
     }
 
+    /// The holder that a blank disk begins.
+    pub fn blank(&self, fresh_inc: u64) -> Holder {
+        Holder { inc: Incarnation(fresh_inc), seat: u8::MAX, ..self.me.clone() }
+    }
+
     /// Starts from what the disk kept; a blank disk gets a new incarnation first.
     pub fn start(&mut self, t: u64, fresh_inc: u64) {
         let img: Image = match &self.disk.kept {
             Some(i) => i.clone(),
-            None => {
-                Seat::blank_image(&Holder { inc: Incarnation(fresh_inc), seat: u8::MAX, ..self.me.clone() })
-            }
+            None => Seat::blank_image(&self.blank(fresh_inc)),
         };
         self.disk.kept = Some(img.clone());
         let seeds = (0..3).map(addr).collect();
--- a/crates/simulator/src/sim/way.rs
+++ b/crates/simulator/src/sim/way.rs
@@ -42,6 +42,7 @@
                 Ok(())
             }
             Mood::Failing => self.seat_step(n, Ev::SyncFailed),
+            Mood::Refusing => self.refused(n),
             _ => match self.seats[n].disk.sync_one() {
                 Some(tok) => self.seat_step(n, Ev::Synced(tok)),
                 None => Ok(()),
@@ -96,6 +97,11 @@
                 let now = self.seats[n].clock.at(self.t);
                 self.seats[n].tenures = Tenures::taken_over(now);
             }
+            Fx::Interrupted => {
+                let before = self.waiting.len();
+                self.waiting.retain(|at, _| at.0 != n);
+                self.stats.undetermined += (before - self.waiting.len()) as u64;
+            }
             Fx::Out => self.note(format!("s{n} learns that it is out")),
             Fx::Framed | Fx::Logged { .. } | Fx::NotLogged { .. } => {}
         }
--- a/crates/simulator/src/sim/world.rs
+++ b/crates/simulator/src/sim/world.rs
@@ -43,6 +43,8 @@
     Act { fence: Fence, node: common::NodeId },
     Operator,
     Fault,
+    Refuse { seat: usize, for_ms: u64 },
+    Recover { seat: usize, life: u64 },
     Heal(Box<super::faults::Undo>),
 }
 
@@ -214,6 +216,11 @@
             What::Act { fence, node } => self.act(fence, node),
             What::Operator => self.operate(),
             What::Fault => self.fault(),
+            What::Refuse { seat, for_ms } => {
+                self.refuse(seat, for_ms);
+                Ok(())
+            }
+            What::Recover { seat, life } => self.recover(seat, life),
             What::Heal(u) => self.undo(*u),
         }
     }
