Model: failed syncs, a replaced voter that stands, and a broken variant for each check

Cause: three checks over the past (one leader per term, one order, one state), the liveness sample and the check of the votes had no way to be seen failing, and a failed sync was not among the actions.

Change: a scenario in which a replaced voter comes back and stands; variants that know voters by their seat only and that ignore join requests; the checks over the past are shown bad histories directly; a sync may fail with any part of the unsynced writes kept.

Seen to fail: voters known by their seat only elect a leader with one vote of the voters in force, after four actions; the core that ignores join requests does not come back.

--- a/crates/control-plane/tests/model/describe.rs
+++ b/crates/control-plane/tests/model/describe.rs
@@ -19,6 +19,9 @@
             Action::Crash { machine, kept } => {
                 format!("n{machine} loses power, {kept} unsynced writes are kept")
             }
+            Action::FailSync { machine, kept } => {
+                format!("a sync of n{machine} fails, {kept} unsynced writes are kept")
+            }
             Action::Wipe { machine } => format!("the disk of n{machine} is wiped"),
             Action::Restart { machine } => format!("n{machine} starts"),
             Action::Propose { machine, change, slow } => {
--- a/crates/control-plane/tests/model/main.rs
+++ b/crates/control-plane/tests/model/main.rs
@@ -14,6 +14,9 @@
 mod variant;
 mod world;
 
+use common::{Incarnation, Index, Revision, View};
+use control_plane::{Ledger, Verdict, seat::LogEntry};
+use history::History;
 use rstest::rstest;
 use scenario::Scenario;
 use schedule::Schedule;
@@ -98,6 +101,7 @@
 #[case::replacement_logged(Scenario::ReplacementLogged)]
 #[case::spare_takes_place(Scenario::SpareTakesPlace)]
 #[case::replaced_voter_returns(Scenario::ReplacedVoterReturns)]
+#[case::replaced_voter_stands(Scenario::ReplacedVoterStands)]
 #[case::second_loss(Scenario::SecondLoss)]
 #[case::follower_out_of_touch(Scenario::FollowerOutOfTouch)]
 #[case::old_term_messages(Scenario::OldTermMessages)]
@@ -120,6 +124,7 @@
 #[case::replacement_logged(Scenario::ReplacementLogged)]
 #[case::spare_takes_place(Scenario::SpareTakesPlace)]
 #[case::replaced_voter_returns(Scenario::ReplacedVoterReturns)]
+#[case::replaced_voter_stands(Scenario::ReplacedVoterStands)]
 #[case::second_loss(Scenario::SecondLoss)]
 #[case::follower_out_of_touch(Scenario::FollowerOutOfTouch)]
 #[case::old_term_messages(Scenario::OldTermMessages)]
@@ -153,6 +158,7 @@
 #[case::replacement_logged(Scenario::ReplacementLogged)]
 #[case::spare_takes_place(Scenario::SpareTakesPlace)]
 #[case::replaced_voter_returns(Scenario::ReplacedVoterReturns)]
+#[case::replaced_voter_stands(Scenario::ReplacedVoterStands)]
 #[case::second_loss(Scenario::SecondLoss)]
 #[case::follower_out_of_touch(Scenario::FollowerOutOfTouch)]
 #[case::old_term_messages(Scenario::OldTermMessages)]
@@ -179,6 +185,12 @@
 )]
 #[case::no_wait_after_restart(Variant::VotesRightAfterRestart, Scenario::FollowerOutOfTouch, "one-lease")]
 #[case::own_log_only(Variant::IgnoresVotersLogs, Scenario::HalfReplicated, "reads-are-newest")]
+#[case::own_log_only_after_acceptance(
+    Variant::IgnoresVotersLogs,
+    Scenario::LoggedOnlyByLeader,
+    "accepted-stays"
+)]
+#[case::voters_by_seat(Variant::KnowsVotersBySeatOnly, Scenario::ReplacedVoterStands, "votes-of-voters")]
 #[case::told_too_early(Variant::AcknowledgesOnceLogged, Scenario::FirstElection, "told-is-kept")]
 #[case::told_as_not_logged(Variant::RefusesWhatWasLogged, Scenario::HalfReplicated, "not-logged-is-final")]
 #[case::rebased(Variant::RebasesChanges, Scenario::RacingChanges, "one-change-per-base")]
@@ -198,3 +210,33 @@
         }
     }
 }
+
+/// What the sequence of effects of one machine can't bring about is shown to the checks directly.
+#[test]
+fn the_checks_over_the_past_can_fail() {
+    let starts_with = |found: Result<(), String>, invariant: &str| {
+        assert!(found.as_ref().is_err_and(|what| what.starts_with(invariant)), "{invariant}: {found:?}");
+    };
+    let mut history = History::default();
+    assert_eq!(history.leads(View(8), Incarnation(10)), Ok(()));
+    starts_with(history.leads(View(8), Incarnation(11)), "one-leader-per-term");
+    let entry = |index, text| LogEntry { idx: Index(index), change: world::apply(text, 0, text) };
+    let verdict = Verdict::Accepted { revision: Revision(1) };
+    ["a", "b"].iter().for_each(|text| history.logged(&entry(1, text).change));
+    assert_eq!(history.accepts(&entry(1, "a"), &verdict), Ok(true));
+    assert_eq!(history.accepts(&entry(1, "a"), &verdict), Ok(false));
+    starts_with(history.accepts(&entry(1, "b"), &verdict).map(drop), "one-order");
+    starts_with(history.accepts(&entry(3, "b"), &verdict).map(drop), "one-order");
+    let state = |cluster: &str| Ledger { cluster: cluster.into(), idx: Index(1), ..Ledger::default() };
+    assert_eq!(history.holds(&state("a")), Ok(()));
+    starts_with(history.holds(&state("b")), "one-state");
+}
+
+/// The liveness sample finds a core that doesn't readmit a wiped voter.
+#[test]
+fn a_core_that_does_not_come_back_is_found_out() {
+    let start = |variant| start_of(Scenario::WipedVoterJoins, variant).unwrap_or_else(|e| panic!("{e}"));
+    assert!(start(None).comes_back().is_ok());
+    let found = start(Some(Variant::IgnoresJoinRequests)).comes_back();
+    assert!(found.is_err_and(|what| what.starts_with("comes-back")));
+}
--- a/crates/control-plane/tests/model/scenario.rs
+++ b/crates/control-plane/tests/model/scenario.rs
@@ -35,6 +35,8 @@
     SpareTakesPlace,
     /// The same, and the silent voter is back: its answer to the leader is in flight.
     ReplacedVoterReturns,
+    /// The spare has the place of a silent voter; that one is back, knows nothing of it, and stands.
+    ReplacedVoterStands,
     /// The wiped voter is a voter again; the next loss comes right then.
     SecondLoss,
     /// A follower heard no leader for longer than its patience and stands, while the others go on.
@@ -61,6 +63,7 @@
             Self::ReplacedVoterReturns => Budget { deadlines: 1, beats: 1, ..none },
             Self::FollowerOutOfTouch => Budget { deadlines: 1, crashes: 1, ..none },
             Self::OldTermMessages => Budget { deadlines: 1, crashes: 1, duplicates: 1, ..none },
+            Self::ReplacedVoterStands => Budget { deadlines: 2, ..none },
             Self::SecondLoss => Budget { deadlines: 4, wipes: 1, proposals: 1, ..none },
         }
     }
@@ -131,10 +134,19 @@
                     world.deliver_first(follower, |m| matches!(m, SeatMsg::Feed { .. }))?;
                 }
             }
-            Self::FollowerOutOfTouch => {
+            Self::ReplacedVoterStands => {
                 let last = (leader + 2) % VOTERS;
-                let stands = |m: &SeatMsg| matches!(m, SeatMsg::Canvass { .. });
-                world.quiet_to(&[last], |w| w.packets.iter().any(|p| stands(&p.value.message)))?;
+                world.crash(follower, 0);
+                world.restart(SPARE);
+                let replaced = |w: &World| w.is_voter(SPARE) && w.all_accepted(&[leader, last, SPARE]);
+                world.quiet(&[follower], replaced)?;
+                world.crash(leader, 0);
+                world.crash(SPARE, 0);
+                world.restart(follower);
+                world.stands(follower)?;
+            }
+            Self::FollowerOutOfTouch => {
+                world.stands((leader + 2) % VOTERS)?;
             }
             Self::OldTermMessages => {
                 world.changes = changes(1, &["c", "d"]);
@@ -165,6 +177,19 @@
         machines.iter().all(|n| self.seat(*n).is_some_and(|seat| seat.accepted() == newest)) && newest.0 > 0
     }
 
+    /// It counts as a voter and has a state of its own.
+    fn is_voter(&self, machine: usize) -> bool {
+        let me = self.machine(machine).disk.synced.me.inc;
+        self.is_whole() && self.history.value.roster.iter().any(|holder| holder.inc == me)
+    }
+
+    /// Runs with one machine cut off, until its pre-vote request is in flight.
+    fn stands(&mut self, machine: usize) -> Result<(), Broken> {
+        let requests =
+            |p: &super::world::Packet| matches!(p.message, SeatMsg::Canvass { .. }) && p.from == machine;
+        self.quiet_to(&[machine], |w| w.packets.iter().any(|p| requests(&p.value)))
+    }
+
     fn order(&mut self, change: usize) -> Result<(), Broken> {
         let machine = self.leader().ok_or("no leader to take an order")?;
         self.budget.proposals += 1;
@@ -250,9 +275,10 @@
         let begin = world.now;
         for machine in 0..world.machines.len() {
             world.sync_all(machine)?;
-            if world.seat(machine).is_none()
-                && (machine != SPARE || world.machine(machine).disk.synced.formed)
-            {
+            if world.seat(machine).is_some_and(|seat| seat.dead) {
+                world.crash(machine, 0);
+            }
+            if world.may_restart(machine) {
                 world.restart(machine);
             }
         }
--- a/crates/control-plane/tests/model/schedule.rs
+++ b/crates/control-plane/tests/model/schedule.rs
@@ -158,6 +158,7 @@
             | Action::CutOff { .. }
             | Action::Freeze { .. }
             | Action::Crash { .. }
+            | Action::FailSync { .. }
             | Action::Wipe { .. }
             | Action::Propose { .. }
             | Action::Yield { .. } => 1,
--- a/crates/control-plane/tests/model/world.rs
+++ b/crates/control-plane/tests/model/world.rs
@@ -10,7 +10,7 @@
 use control_plane::{
     Change, Ledger, Verdict,
     change::Holder,
-    seat::{Ev, Fx, Image, LogEntry, Post, Rec, Seat, SeatMsg},
+    seat::{Ev, Fx, Image, LogEntry, Post, Rec, Seat, SeatMsg, Tail, Voter},
 };
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -56,6 +56,13 @@
         self.synced.replay(record);
         Some(token)
     }
+
+    fn lose_unsynced(&mut self, kept: usize) {
+        for _ in 0..kept {
+            self.sync_oldest();
+        }
+        self.unsynced.clear();
+    }
 }
 
 /// Whether an accepted change outlives a loss of power with this on disk.
@@ -149,6 +156,11 @@
         machine: usize,
         kept: usize,
     },
+    /// A sync fails: this many of the unsynced writes are on disk all the same.
+    FailSync {
+        machine: usize,
+        kept: usize,
+    },
     Wipe {
         machine: usize,
     },
@@ -358,7 +370,11 @@
     pub fn losses(&self, machine: usize, all: &mut Vec<Action>) {
         let disk = &self.machine(machine).disk;
         if self.budget.crashes > 0 {
-            all.extend((0..=disk.unsynced.len()).map(|kept| Action::Crash { machine, kept }));
+            let kept = 0..=disk.unsynced.len();
+            all.extend(kept.clone().map(|kept| Action::Crash { machine, kept }));
+            if !disk.unsynced.is_empty() {
+                all.extend(kept.map(|kept| Action::FailSync { machine, kept }));
+            }
         }
         let votes = self.history.value.roster.iter().any(|holder| holder.inc == disk.synced.me.inc);
         if self.budget.wipes > 0 && votes && self.is_whole() && self.all_in_touch() {
@@ -436,6 +452,11 @@
                 self.crash(machine, kept);
                 Ok(())
             }
+            Action::FailSync { machine, kept } => {
+                self.budget.crashes -= 1;
+                self.edit(machine, |here| here.disk.lose_unsynced(kept));
+                self.step(machine, Ev::SyncFailed, false)
+            }
             Action::Wipe { machine } => {
                 self.budget.wipes -= 1;
                 self.wipe(machine);
@@ -482,10 +503,7 @@
 
     pub fn crash(&mut self, machine: usize, kept: usize) {
         self.edit(machine, |here| {
-            for _ in 0..kept {
-                here.disk.sync_oldest();
-            }
-            here.disk.unsynced.clear();
+            here.disk.lose_unsynced(kept);
             here.process = None;
             here.waiting.clear();
         });
@@ -542,14 +560,23 @@
 
     pub fn deliver(&mut self, packet: &Packet, slow: bool) -> Result<(), Broken> {
         let mut message = packet.message.clone();
-        if let (Some(Variant::IgnoresVotersLogs), SeatMsg::Stopped { tail, .. }) =
-            (self.variant, &mut message)
-        {
-            tail.log_view = View(0);
-            tail.last = Index(0);
-            tail.accepted = Index(0);
-            tail.frame = None;
-            tail.entries.clear();
+        match (self.variant, &mut message) {
+            (Some(Variant::IgnoresVotersLogs), SeatMsg::Stopped { tail, .. }) => {
+                *tail = Tail {
+                    log_view: View(0),
+                    last: Index(0),
+                    accepted: Index(0),
+                    frame: None,
+                    entries: Vec::new(),
+                };
+            }
+            (Some(Variant::IgnoresJoinRequests), SeatMsg::Plea { .. }) => return Ok(()),
+            (Some(Variant::KnowsVotersBySeatOnly), message) => {
+                if let Some(seat) = self.seat(packet.to) {
+                    take_for_voter(seat, message);
+                }
+            }
+            _ => {}
         }
         let event = Ev::Msg(address(packet.from), message);
         self.step(packet.to, event, slow)
@@ -761,6 +788,26 @@
     voters
 }
 
+/// For `Variant::KnowsVotersBySeatOnly`: whoever asks for or gives a vote passes as the voter that
+/// the receiver knows in that seat, and brings no other voter set.
+fn take_for_voter(seat: &Seat, message: &mut SeatMsg) {
+    let known = |by: &mut Voter| {
+        if let Some(holder) = seat.roster().into_iter().find(|holder| holder.seat == by.seat) {
+            by.inc = holder.inc;
+        }
+    };
+    match message {
+        SeatMsg::Canvass { by, .. } | SeatMsg::Canvassed { by, .. } | SeatMsg::Stop { by, .. } => known(by),
+        SeatMsg::Stopped { by, tail, .. } => {
+            known(by);
+            tail.frame = None;
+            tail.entries.retain(|entry| !matches!(entry.change, Change::Roster(_)));
+            tail.log_view = View(0);
+        }
+        _ => {}
+    }
+}
+
 /// For `Variant::CountsReplacedVoter`: the answer of a voter that a logged entry replaces accepts it.
 fn accept_on_replaced_answer(seat: &mut Seat, event: &Ev, effects: &mut Vec<Fx>) {
     let Ev::Msg(_, SeatMsg::Held { by, .. }) = event else { return };
