Model: founding, by three blank machines, is among the starting points

Change: a fifteenth starting point in which the machines found the core during the search; a disk may be lost while a founder's word is still on its way. The control machines of the other points start as before.

--- a/crates/control-plane/tests/model/main.rs
+++ b/crates/control-plane/tests/model/main.rs
@@ -91,6 +91,7 @@
 }
 
 #[rstest]
+#[case::founding(Scenario::Founding)]
 #[case::first_election(Scenario::FirstElection)]
 #[case::racing_changes(Scenario::RacingChanges)]
 #[case::logged_only_by_leader(Scenario::LoggedOnlyByLeader)]
@@ -114,6 +115,7 @@
 /// Of the states a sample is run on undisturbed: once the trouble ends, the core reads its newest
 /// accepted state, and each voter has a state of its own again.
 #[rstest]
+#[case::founding(Scenario::Founding)]
 #[case::first_election(Scenario::FirstElection)]
 #[case::racing_changes(Scenario::RacingChanges)]
 #[case::logged_only_by_leader(Scenario::LoggedOnlyByLeader)]
@@ -148,6 +150,7 @@
 }
 
 #[rstest]
+#[case::founding(Scenario::Founding)]
 #[case::first_election(Scenario::FirstElection)]
 #[case::racing_changes(Scenario::RacingChanges)]
 #[case::logged_only_by_leader(Scenario::LoggedOnlyByLeader)]
