Discovery messages from before a process started found nothing

Cause: a founder counts fresh word that all seeds are blank, and takes the time of receipt for the time at which it was said. A machine that founded a core, committed a change with a second one and was then wiped could take an older message of that second one, from when it was blank, and found a second core over it with the third, which was still blank. Played over the model: "one-leader-per-term: 10 and 110 both lead term 8" with an acknowledged change in the first core. It takes a message that is late by the time from founding to commit: 1.2 s in that run; by wake.rs it may be a few heartbeats where the machines have just started (not measured). A call lives up to `rail_ms`, 0.5 s.

Change: a blank process counts such words only once it has run for `rail_ms`. A call lives no longer than that and its connection no longer than the process it was opened to, so what comes later was said during this life. The first founding comes 0.5 s later.

Seen to fail first: tests/seat.rs what_was_said_before_a_process_started_founds_nothing, "it may be old".

Ruled out: a question that the words answer (as for waking voters), which would hold without a bound on a message's age, changes the wire and each sender; going by the platform's `first-run` alone, since a founder that dies while it founds would leave the other blank machines without one.

Result: the tests of control-plane pass (those of the model but for its searches were run with it).

--- a/crates/control-plane/src/seat/form.rs
+++ b/crates/control-plane/src/seat/form.rs
@@ -105,9 +105,12 @@
         fx: &mut Vec<Fx>,
     ) {
         match (self.formed, formed) {
-            (false, false) => {
+            // A call lives no longer than `rail_ms`: what comes sooner than that after the start of this
+            // process may have been said before it, by a machine that is blank no more.
+            (false, false) if now.since(self.started) > self.t.rail_ms => {
                 self.census.insert(holder.rail, (holder, now));
             }
+            (false, false) => {}
             // A founder's word that was lost is said again to a blank seat of its roster.
             (true, false)
                 if self.accepted() == Index(0)
--- a/crates/control-plane/tests/seat.rs
+++ b/crates/control-plane/tests/seat.rs
@@ -247,3 +247,28 @@
         assert_eq!(sent(&fx).iter().any(|m| matches!(m, SeatMsg::Canvass { .. })), stands);
     }
 }
+
+/// Found by the model test: a machine was wiped right after it founded a core and committed a change
+/// with a second one, while the third was still blank. What the second had said before it was formed
+/// came late, and the wiped machine founded a second core over it. A call lives no longer than
+/// `rail_ms`, so what comes later than that in a process's life was said during this life.
+#[test]
+fn what_was_said_before_a_process_started_founds_nothing() {
+    let census = |n: u8| {
+        let (holder, roster) = (holder(n, 90 + u64::from(n)), Vec::new());
+        Ev::Msg(addr(n), SeatMsg::Census { holder, formed: false, roster, idx: Index(0) })
+    };
+    let mut s = blank(0);
+    let start = Tick(10_000);
+    s.step(census(1), start + 1);
+    s.step(census(2), start + 1);
+    s.step(Ev::Wakeup, start + 100);
+    assert!(!s.formed, "it may be old");
+    let later = start + Timing::default().rail_ms + 1;
+    s.step(Ev::Wakeup, later);
+    assert!(!s.formed, "nothing was said since");
+    s.step(census(1), later);
+    s.step(census(2), later);
+    s.step(Ev::Wakeup, later + 100);
+    assert!(s.formed);
+}
