--- a/crates/control-plane/tests/model/world.rs
+++ b/crates/control-plane/tests/model/world.rs
@@ -10,7 +10,7 @@
 use control_plane::{
     Change, Ledger, Verdict,
     change::Holder,
-    seat::{Ev, Fx, Image, LogEntry, Post, Rec, Seat, SeatMsg},
+    seat::{Ev, Fx, Image, LogEntry, Post, Rec, Seat, SeatMsg, Tail, Voter},
 };
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -56,6 +56,13 @@
         self.synced.replay(record);
         Some(token)
     }
+
+    fn lose_unsynced(&mut self, kept: usize) {
+        for _ in 0..kept {
+            self.sync_oldest();
+        }
+        self.unsynced.clear();
+    }
 }
 
 /// Whether an accepted change outlives a loss of power with this on disk.
@@ -149,6 +156,11 @@
         machine: usize,
         kept: usize,
     },
+    /// A sync fails: this many of the unsynced writes are on disk all the same.
+    FailSync {
+        machine: usize,
+        kept: usize,
+    },
     Wipe {
         machine: usize,
     },
@@ -198,6 +210,11 @@
     pub schedule: Option<Schedule>,
 }
 
+/// Of a machine that never lost its disk.
+fn incarnation(machine: usize) -> u64 {
+    10 + machine as u64
+}
+
 pub fn apply(operation: &str, base: u64, text: &str) -> Change {
     Change::Apply { op: operation.into(), base: Revision(base), text: text.into() }
 }
@@ -205,8 +222,7 @@
 impl World {
     /// Three voters that were just founded, and a blank spare.
     pub fn founded(variant: Option<Variant>) -> Self {
-        let now = Tick(100_000);
-        let roster: Vec<Holder> = (0..VOTERS).map(|n| holder(n, n as u8, 10 + n as u64)).collect();
+        let roster: Vec<Holder> = (0..VOTERS).map(|n| holder(n, n as u8, incarnation(n))).collect();
         let ledger = Ledger::founded(CLUSTER, roster.clone());
         let voter = |n: usize| Image {
             me: roster[n].clone(),
@@ -216,17 +232,27 @@
             ledger: ledger.clone(),
             entries: Vec::new(),
         };
-        let spare = Seat::blank_image(&holder(SPARE, u8::MAX, 10 + SPARE as u64));
-        let images = (0..VOTERS).map(voter).chain([spare]);
+        let mut history = History::default();
+        assert_eq!(history.holds(&ledger), Ok(()));
+        Self::started((0..VOTERS).map(voter), history, variant)
+    }
+
+    /// Three blank machines that start together, and a blank spare that is down.
+    pub fn blank(variant: Option<Variant>) -> Self {
+        let image = |n: usize| Seat::blank_image(&holder(n, u8::MAX, incarnation(n)));
+        Self::started((0..VOTERS).map(image), History::default(), variant)
+    }
+
+    fn started(voters: impl Iterator<Item = Image>, history: History, variant: Option<Variant>) -> Self {
+        let now = Tick(100_000);
+        let spare = Seat::blank_image(&holder(SPARE, u8::MAX, incarnation(SPARE)));
         let machine = |image: Image| Machine {
             process: None,
             disk: Disk { synced: image, unsynced: VecDeque::new() },
             started: now,
             waiting: BTreeMap::new(),
         };
-        let machines: Vec<_> = images.map(|image| Digested::new(machine(image))).collect();
-        let mut history = History::default();
-        assert_eq!(history.holds(&ledger), Ok(()));
+        let machines = voters.chain([spare]).map(|image| Digested::new(machine(image))).collect();
         let mut world = World {
             now,
             machines,
@@ -240,6 +266,7 @@
         for n in 0..VOTERS {
             world.restart(n);
         }
+        world.settle();
         world
     }
 
@@ -358,7 +385,11 @@
     pub fn losses(&self, machine: usize, all: &mut Vec<Action>) {
         let disk = &self.machine(machine).disk;
         if self.budget.crashes > 0 {
-            all.extend((0..=disk.unsynced.len()).map(|kept| Action::Crash { machine, kept }));
+            let kept = 0..=disk.unsynced.len();
+            all.extend(kept.clone().map(|kept| Action::Crash { machine, kept }));
+            if !disk.unsynced.is_empty() {
+                all.extend(kept.map(|kept| Action::FailSync { machine, kept }));
+            }
         }
         let votes = self.history.value.roster.iter().any(|holder| holder.inc == disk.synced.me.inc);
         if self.budget.wipes > 0 && votes && self.is_whole() && self.all_in_touch() {
@@ -368,9 +399,11 @@
 
     /// No loss of a disk waits to be repaired: each voter has its own state.
     pub fn is_whole(&self) -> bool {
+        // A founder's word may still be on its way to a machine that never lost anything.
+        let first = |holder: &Holder| holder.inc.0 < incarnation(VOTERS);
         let has_state = |holder: &Holder| {
-            let disks = self.machines.iter().map(|machine| &machine.value.disk.synced);
-            disks.into_iter().any(|image| image.formed && image.me.inc == holder.inc)
+            let mut disks = self.machines.iter().map(|machine| &machine.value.disk.synced);
+            disks.any(|image| image.me.inc == holder.inc && (image.formed || first(holder)))
         };
         self.history.value.roster.iter().all(has_state)
     }
@@ -436,6 +469,11 @@
                 self.crash(machine, kept);
                 Ok(())
             }
+            Action::FailSync { machine, kept } => {
+                self.budget.crashes -= 1;
+                self.edit(machine, |here| here.disk.lose_unsynced(kept));
+                self.step(machine, Ev::SyncFailed, false)
+            }
             Action::Wipe { machine } => {
                 self.budget.wipes -= 1;
                 self.wipe(machine);
@@ -482,10 +520,7 @@
 
     pub fn crash(&mut self, machine: usize, kept: usize) {
         self.edit(machine, |here| {
-            for _ in 0..kept {
-                here.disk.sync_oldest();
-            }
-            here.disk.unsynced.clear();
+            here.disk.lose_unsynced(kept);
             here.process = None;
             here.waiting.clear();
         });
@@ -542,14 +577,23 @@
 
     pub fn deliver(&mut self, packet: &Packet, slow: bool) -> Result<(), Broken> {
         let mut message = packet.message.clone();
-        if let (Some(Variant::IgnoresVotersLogs), SeatMsg::Stopped { tail, .. }) =
-            (self.variant, &mut message)
-        {
-            tail.log_view = View(0);
-            tail.last = Index(0);
-            tail.accepted = Index(0);
-            tail.frame = None;
-            tail.entries.clear();
+        match (self.variant, &mut message) {
+            (Some(Variant::IgnoresVotersLogs), SeatMsg::Stopped { tail, .. }) => {
+                *tail = Tail {
+                    log_view: View(0),
+                    last: Index(0),
+                    accepted: Index(0),
+                    frame: None,
+                    entries: Vec::new(),
+                };
+            }
+            (Some(Variant::IgnoresJoinRequests), SeatMsg::Plea { .. }) => return Ok(()),
+            (Some(Variant::KnowsVotersBySeatOnly), message) => {
+                if let Some(seat) = self.seat(packet.to) {
+                    take_for_voter(seat, message);
+                }
+            }
+            _ => {}
         }
         let event = Ev::Msg(address(packet.from), message);
         self.step(packet.to, event, slow)
@@ -586,6 +630,7 @@
     fn raw_step(&mut self, machine: usize, event: Ev) -> Result<(), Broken> {
         let Some(before) = self.seat(machine) else { return Ok(()) };
         let (accepted_before, led_before) = (before.accepted(), before.is_leader());
+        let formed_before = before.formed;
         let voters = voters_of(before, &event);
         let now = self.now;
         let variant = self.variant;
@@ -601,6 +646,11 @@
             self.carry_out(machine, effect, &voters)?;
         }
         let Some(seat) = self.seat(machine) else { return Ok(()) };
+        if !formed_before && seat.formed && self.history.value.newest() == Index(0) {
+            let founded = seat.ledger.roster.clone();
+            self.record(|history| history.roster = founded);
+        }
+        let Some(seat) = self.seat(machine) else { return Ok(()) };
         if seat.accepted() != accepted_before {
             let ledger = seat.ledger.clone();
             self.record(|history| history.holds(&ledger))?;
@@ -761,6 +811,26 @@
     voters
 }
 
+/// For `Variant::KnowsVotersBySeatOnly`: whoever asks for or gives a vote passes as the voter that
+/// the receiver knows in that seat, and brings no other voter set.
+fn take_for_voter(seat: &Seat, message: &mut SeatMsg) {
+    let known = |by: &mut Voter| {
+        if let Some(holder) = seat.roster().into_iter().find(|holder| holder.seat == by.seat) {
+            by.inc = holder.inc;
+        }
+    };
+    match message {
+        SeatMsg::Canvass { by, .. } | SeatMsg::Canvassed { by, .. } | SeatMsg::Stop { by, .. } => known(by),
+        SeatMsg::Stopped { by, tail, .. } => {
+            known(by);
+            tail.frame = None;
+            tail.entries.retain(|entry| !matches!(entry.change, Change::Roster(_)));
+            tail.log_view = View(0);
+        }
+        _ => {}
+    }
+}
+
 /// For `Variant::CountsReplacedVoter`: the answer of a voter that a logged entry replaces accepts it.
 fn accept_on_replaced_answer(seat: &mut Seat, event: &Ev, effects: &mut Vec<Fx>) {
     let Ev::Msg(_, SeatMsg::Held { by, .. }) = event else { return };
