Limits on heads, waits and rests of clients' connections are kept to as configured

Cause: of the four limits in a configuration only the body's was kept. A connection that rested, or a head that came slowly, ended after a fixed 30 s: too late for a shorter `idle-ms`, and too soon for one above 37.5 s, where clients take up connections that have rested for four fifths of it. A head could be of any size up to the library's own 400 KB.

Change: `common::connection` times each connection (at rest, in a head, busy) by the limits in force at the moment; a head over its limit gets 431 and a close, a slow one a close, a rest ends when its time is over and never before the time that the newest answer told in `Keep-Alive`. What has arrived is read before the time is looked at, so that a process that was held up cuts nobody off. Other listeners keep 30 s for both.

Seen to fail first: 16 of the 22 cases in tests/serving/limits.rs (heads over the limit answered 200, slow heads and rests ended at 30 s, rests of 48 s and more cut off); 22 pass now. Ruled out: the library's own header timer; it counts a rest as a head and is fixed when a connection opens.

--- a/crates/common/src/http.rs
+++ b/crates/common/src/http.rs
@@ -2,26 +2,24 @@
 
 use crate::{
     fault::{At, Fault, within},
-    ground::{Listener, Stream, dial, spawn},
+    ground::{Stream, dial, spawn},
 };
 use bytes::Bytes;
-use futures::FutureExt;
 use http_body_util::{BodyExt, Full, Limited, combinators::BoxBody};
 use hyper::{
     Method, Request, Response, StatusCode,
     body::Incoming,
     client::conn::http1::{self, SendRequest},
-    service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::Arc,
     sync::atomic::{AtomicUsize, Ordering},
-    time::Duration,
 };
-use tokio::sync::watch;
+
+pub use crate::connection::{ConnectionLimits, LimitsInForce, serve, serve_within};
 
 pub type BoxErr = Box<dyn std::error::Error + Send + Sync>;
 pub type Body = BoxBody<Bytes, BoxErr>;
@@ -70,67 +68,6 @@
     }
 }
 
-/// How long a connection that is open at a stop may still bring its first job.
-const LAST_JOBS: Duration = Duration::from_millis(500);
-
-/// Serves until `stop` turns true. Then what already waits to be accepted is still taken, and
-/// each open connection may bring what is on its way, before it is closed in good order.
-pub async fn serve<F, Fut>(
-    lst: impl Into<Listener>,
-    conns: Arc<Busy>,
-    mut stop: watch::Receiver<bool>,
-    handler: F,
-) where
-    F: Fn(SocketAddr, Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
-    Fut: Future<Output = Result<Response<Body>, BoxErr>> + Send + 'static,
-{
-    let lst = lst.into();
-    loop {
-        let (io, peer) = tokio::select! {
-            biased;
-            _ = async { let _ = stop.wait_for(|s| *s).await; } => break,
-            r = lst.accept() => match r {
-                Ok(x) => x,
-                Err(_) => { tokio::time::sleep(Duration::from_millis(50)).await; continue }
-            },
-        };
-        spawn(one(io, peer, conns.enter(), stop.clone(), handler.clone()));
-    }
-    while let Some(Ok((io, peer))) = lst.accept().now_or_never() {
-        spawn(one(io, peer, conns.enter(), stop.clone(), handler.clone()));
-    }
-}
-
-async fn one<F, Fut>(
-    io: Stream,
-    peer: SocketAddr,
-    _guard: BusyGuard,
-    mut stop: watch::Receiver<bool>,
-    handler: F,
-) where
-    F: Fn(SocketAddr, Request<Incoming>) -> Fut,
-    Fut: Future<Output = Result<Response<Body>, BoxErr>>,
-{
-    let conn = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_secs(30))
-        .half_close(false)
-        .serve_connection(TokioIo::new(io), service_fn(move |r| handler(peer, r)));
-    tokio::pin!(conn);
-    let stopped = async {
-        let _ = stop.wait_for(|s| *s).await;
-        tokio::time::sleep(LAST_JOBS).await;
-    };
-    tokio::select! {
-        biased;
-        _ = conn.as_mut() => {}
-        _ = stopped => {
-            conn.as_mut().graceful_shutdown();
-            let _ = conn.await;
-        }
-    }
-}
-
 /// An open client connection: the sender, and the task that drives it.
 pub type Sender = SendRequest<Body>;
 
--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -1,6 +1,7 @@
 //! Types, wire, clock, journal and settings shared by every foldshunt process (design 1.1).
 
 pub mod clock;
+pub mod connection;
 pub mod fault;
 pub mod ground;
 pub mod http;
--- a/crates/data-plane/src/serving/daemon.rs
+++ b/crates/data-plane/src/serving/daemon.rs
@@ -52,9 +52,8 @@
         let me = s.clone();
         spawn(http::serve(lst, Arc::default(), ended.clone(), move |peer, req| me.clone().asked(peer, req)));
     }
-    let (conns, me) = (Arc::new(http::Busy::default()), s.clone());
-    let serving =
-        spawn(http::serve(clients, conns.clone(), told, move |peer, req| me.clone().serve(peer, req)));
+    let conns = Arc::new(http::Busy::default());
+    let serving = spawn(s.clone().listen(clients, conns.clone(), told));
     let me = s.clone();
     spawn(async move {
         loop {
--- a/crates/data-plane/src/serving/front.rs
+++ b/crates/data-plane/src/serving/front.rs
@@ -8,7 +8,8 @@
 };
 use crate::{go::strip, router::lock};
 use common::{
-    http::{Body, BoxErr, read_body},
+    ground::Listener,
+    http::{Body, BoxErr, Busy, ConnectionLimits, LimitsInForce, read_body, serve_within},
     jot,
 };
 use configuration::Route;
@@ -18,6 +19,7 @@
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
+use tokio::sync::watch;
 
 type Res = Response<Body>;
 
@@ -46,6 +48,29 @@
         Ok(if draining() { close(res) } else { res })
     }
 
+    /// What clients may send and how long they may take, by the configuration in force.
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        let limits = self.map.load().as_ref().map(|map| map.limits).unwrap_or_default();
+        ConnectionLimits {
+            max_head_bytes: limits.max_header_bytes,
+            head_ms: limits.header_wait_ms,
+            idle_ms: limits.idle_ms,
+        }
+    }
+
+    /// Serves clients until `stop` turns true.
+    pub async fn listen(
+        self: Arc<Self>,
+        clients: Listener,
+        connections: Arc<Busy>,
+        stop: watch::Receiver<bool>,
+    ) {
+        let me = self.clone();
+        let limits: LimitsInForce = Arc::new(move || me.connection_limits());
+        let handler = move |peer, request| self.clone().serve(peer, request);
+        serve_within(clients, connections, stop, limits, handler).await;
+    }
+
     /// A node that has just started learns within a few beats what is in force. A first try waits a
     /// quarter of a seat's patience for that: it is told when to come back. A later one, of which the
     /// client has spent some of the route's time, has no other: it waits for a tenure, or half of
--- a/crates/data-plane/tests/serving/main.rs
+++ b/crates/data-plane/tests/serving/main.rs
@@ -7,6 +7,7 @@
 mod events;
 mod fleet;
 mod kit;
+mod limits;
 mod mix;
 mod place;
 mod plan;
--- a/crates/data-plane/tests/serving/stage.rs
+++ b/crates/data-plane/tests/serving/stage.rs
@@ -4,7 +4,7 @@
 use crate::kit::{areas, board, names, prompt, row};
 use common::{
     Area, Clock, Epoch, Incarnation, Region,
-    ground::{Listener, Stream, World, bind, spawn},
+    ground::{Listener, Stream, World, bind, dial, spawn},
     http::{self, Body, full},
     settings::{Settings, Timing},
 };
@@ -351,7 +351,7 @@
         let (me, lst) = (s.clone(), bind(http).await.expect("the router's address"));
         let (end, ended) = watch::channel(false);
         spawn(async move {
-            http::serve(lst, Arc::default(), ended, move |peer, req| me.clone().serve(peer, req)).await;
+            me.listen(lst, Arc::default(), ended).await;
             drop(end);
         });
         Self { world, s, script, http, ledger: l }
@@ -405,6 +405,18 @@
         self.send(path, &[("content-length", &long.to_string())], BodyExt::boxed(never)).await
     }
 
+    /// A client's own connection, for bytes that no library would send.
+    pub async fn connection(&self) -> Stream {
+        dial(IpAddr::from(CLIENT), self.http).await.expect("the router")
+    }
+
+    /// From now on these limits are in force; routes and services stay as they are.
+    pub fn limit(&self, limits: RequestLimits) {
+        let mut map = RouteMap::clone(&self.s.map.load_full().expect("a configuration"));
+        map.limits = limits;
+        self.s.map.store(Some(Arc::new(map)));
+    }
+
     /// What replicas do from now on.
     pub fn next(&self, acts: &[Act]) {
         *lock(&self.script.acts) = acts.iter().copied().collect();
