--- a/crates/data-plane/tests/serving/main.rs
+++ b/crates/data-plane/tests/serving/main.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod fleet;
 mod kit;
+mod limits;
 mod mix;
 mod own_answers;
 mod place;
