Simulated operators read back, race and send again at any member

They decide by the daemons' own operations::standing. Held: a read is never older than what was acknowledged before it; one order for each base is acknowledged; an order in force is never told as refused, and one told as refused never comes into force.

--- a/crates/simulator/src/sim/acts.rs
+++ b/crates/simulator/src/sim/acts.rs
@@ -20,6 +20,7 @@
 impl World {
     pub fn on_accepted(&mut self, n: usize, e: &LogEntry, v: &Verdict) -> Result<(), String> {
         let first = self.book.accepted(e, v)?;
+        self.order_decided(n, e, v)?;
         if first {
             self.stats.accepted += 1;
             match &e.change {
--- a/crates/simulator/src/sim/mod.rs
+++ b/crates/simulator/src/sim/mod.rs
@@ -9,6 +9,8 @@
 pub mod lending;
 pub mod nodes;
 pub mod operate;
+pub mod orders;
+pub mod reads;
 pub mod sweep;
 pub mod table;
 pub mod way;
@@ -38,6 +40,12 @@
     TimeoutRefused,
     /// A leader logs whatever it is asked to, and feeds it in one piece.
     Boundless,
+    /// A member answers reads by what it holds, without the leader's lease.
+    ReadsWithoutLease,
+    /// The verdicts of accepted documents are forgotten.
+    VerdictsByCount,
+    /// An order that lost its race is logged on top of the newer version.
+    Rebases,
 }
 
 pub const BROKEN: &[(&str, Broken)] = &[
@@ -50,6 +58,9 @@
     ("no-fences", Broken::NoFences),
     ("timeout-refused", Broken::TimeoutRefused),
     ("boundless", Broken::Boundless),
+    ("reads-without-lease", Broken::ReadsWithoutLease),
+    ("verdicts-by-count", Broken::VerdictsByCount),
+    ("rebases", Broken::Rebases),
 ];
 
 impl std::str::FromStr for Broken {
@@ -92,6 +103,10 @@
     pub lapses: u64,
     /// Virtual time from the end of all faults to the next acceptance.
     pub back_ms: u64,
+    /// Reads that were answered, calls that were refused for now, and orders acknowledged once more.
+    pub reads: u64,
+    pub unavailable: u64,
+    pub acknowledged_again: u64,
 }
 
 /// One run from one seed.
@@ -105,3 +120,15 @@
     w.run()?;
     Ok(w.stats)
 }
+
+/// One run with operators that read back and send again at any member.
+pub fn run_reads(seed: u64, broken: Option<Broken>, seats: usize) -> Result<Stats, Violation> {
+    let mut w = world::World::new(seed, broken, seats).with_readers();
+    w.run()?;
+    if let Some(readers) = &w.readers {
+        w.stats.reads = readers.reads;
+        w.stats.unavailable = readers.unavailable;
+        w.stats.acknowledged_again = readers.acknowledged_again;
+    }
+    Ok(w.stats)
+}
--- /dev/null
+++ b/crates/simulator/src/sim/reads.rs
@@ -0,0 +1,191 @@
+//! Operators that read back, race on one base, and send orders again at any member (design 7.1).
+//!
+//! They decide by the daemons' own `operations::standing`. Answers are lost, orders are late on their
+//! way to the leader, and an order may be sent again after restarts and after many later changes.
+
+use super::{
+    Broken,
+    orders::{Logged, Order, Readers},
+    world::{QUIET_AT, What, World},
+};
+use common::{OpId, Revision};
+use control_plane::{
+    Change, Ledger, Verdict,
+    operations::{AcceptedOperations, Standing, standing},
+    seat::{Ev, Fx, LogEntry},
+};
+use rand::Rng;
+
+/// Time between two acts of these operators, in milliseconds.
+const GAP_MS: std::ops::Range<u64> = 20..500;
+impl World {
+    /// Lets operators read back and send again in this world.
+    pub fn with_readers(mut self) -> Self {
+        self.readers = Some(Readers::new(self.seed));
+        self.push(3_000, What::Reader);
+        self
+    }
+
+    pub fn reader_acts(&mut self) -> Result<(), String> {
+        let Some(readers) = &mut self.readers else { return Ok(()) };
+        let gap = readers.rng.random_range(GAP_MS);
+        let act = readers.rng.random_range(0..10);
+        if self.t + gap < QUIET_AT {
+            self.push(gap, What::Reader);
+        }
+        match act {
+            0..3 => self.send_new(1),
+            3 => self.send_new(2),
+            4..7 => self.send_again(),
+            _ => self.read_back(),
+        }
+    }
+
+    /// A new order on top of the newest acknowledged revision, or two at once.
+    fn send_new(&mut self, at_once: usize) -> Result<(), String> {
+        for _ in 0..at_once {
+            let Some(readers) = &mut self.readers else { return Ok(()) };
+            let op = OpId::new(format!("order{}", readers.sent.len()));
+            let base = readers.newest_read;
+            readers.sent.push(Order { op, base });
+            let newest = readers.sent.len() - 1;
+            self.send(newest)?;
+        }
+        Ok(())
+    }
+
+    /// An order from any time, whatever its sender was told, at any member.
+    fn send_again(&mut self) -> Result<(), String> {
+        let Some(readers) = self.readers.as_mut().filter(|r| !r.sent.is_empty()) else { return Ok(()) };
+        let n = readers.rng.random_range(0..readers.sent.len());
+        self.send(n)
+    }
+
+    /// What the desk of a member does with an order: it decides by the newest state, or refuses.
+    fn send(&mut self, order: usize) -> Result<(), String> {
+        let Some(readers) = &mut self.readers else { return Ok(()) };
+        let at = readers.rng.random_range(0..self.seats.len());
+        let Order { op, base } = readers.sent[order].clone();
+        let Some((lead, mut ledger)) = self.newest_at(at) else {
+            return self.count_unavailable();
+        };
+        if self.broken == Some(Broken::VerdictsByCount) {
+            ledger.accepted = AcceptedOperations::default();
+        }
+        let text = || format!("document of {op}").into();
+        let rebases = self.broken == Some(Broken::Rebases);
+        let change = match standing(&ledger, &op, base.0, ledger.revision.0) {
+            Standing::Decided(Verdict::Accepted { .. }) => {
+                Change::Apply { op, base: Revision(u64::MAX), text: "".into() }
+            }
+            Standing::Open => Change::Apply { text: text(), op, base },
+            Standing::Superseded if rebases => Change::Apply { text: text(), op, base: ledger.revision },
+            Standing::Superseded | Standing::Decided(_) => {
+                // The refusal tells the version in place.
+                if let Some(readers) = &mut self.readers {
+                    readers.newest_read = readers.newest_read.max(ledger.revision);
+                }
+                return self.readers.as_mut().map_or(Ok(()), |r| r.refused(&op));
+            }
+            Standing::Forgotten => return Ok(()),
+        };
+        match self.late_way(at, lead) {
+            Some(ms) => self.push(ms, What::Forward { to: lead, change: Box::new(change) }),
+            None => self.count_unavailable()?,
+        }
+        Ok(())
+    }
+
+    /// How long an order is on its way to the leader; now and then far longer than its sender waits.
+    fn late_way(&mut self, from: usize, to: usize) -> Option<u64> {
+        if self.cut.contains(&(from, to)) {
+            return None;
+        }
+        let rng = &mut self.readers.as_mut()?.rng;
+        let late = rng.random_bool(0.1);
+        Some(if late { rng.random_range(500..8_000) } else { rng.random_range(1..30) })
+    }
+
+    pub fn forwarded(&mut self, at: usize, change: Change) -> Result<(), String> {
+        if self.seats[at].frozen_until > self.t {
+            let wait = self.seats[at].frozen_until - self.t;
+            self.push(wait, What::Forward { to: at, change: Box::new(change) });
+            return Ok(());
+        }
+        let now = self.seats[at].clock.at(self.t);
+        let life = self.seats[at].life;
+        let Some(seat) = self.seats[at].seat.as_mut() else { return Ok(()) };
+        let fx = seat.step(Ev::Propose(change), now);
+        for f in &fx {
+            if let (Fx::Logged { idx, change }, Some(readers)) = (f, &mut self.readers)
+                && let Some(op) = change.op().cloned()
+            {
+                readers.waiting.insert((at, *idx), Logged { op, life, change: change.clone() });
+            }
+        }
+        fx.into_iter().try_for_each(|f| self.effect(at, f))
+    }
+
+    /// A member accepted an entry: the sender is told, unless the answer is lost.
+    pub fn order_decided(&mut self, n: usize, e: &LogEntry, v: &Verdict) -> Result<(), String> {
+        let life = self.seats[n].life;
+        let Some(readers) = &mut self.readers else { return Ok(()) };
+        let known = e.change.op().filter(|op| readers.sent.iter().any(|o| o.op == **op));
+        if let (Some(op), Verdict::Accepted { revision }) = (known, v) {
+            if readers.told_refused.contains(op) {
+                return Err(format!("{op}, which was told as refused, is in force"));
+            }
+            readers.in_force.entry(op.clone()).or_insert(*revision);
+        }
+        let Some(logged) = readers.waiting.remove(&(n, e.idx)) else { return Ok(()) };
+        let lost = readers.rng.random_bool(0.2);
+        if lost || logged.life != life || logged.change != e.change {
+            return Ok(());
+        }
+        let confirms = matches!(&e.change, Change::Apply { base, .. } if *base == Revision(u64::MAX));
+        match v {
+            Verdict::Accepted { .. } => readers.acknowledged(&logged.op),
+            Verdict::Conflict { .. } if !confirms => readers.refused(&logged.op),
+            _ => Ok(()),
+        }
+    }
+
+    /// A read at any member never tells less than was acknowledged before it began.
+    fn read_back(&mut self) -> Result<(), String> {
+        let Some(readers) = &mut self.readers else { return Ok(()) };
+        let at = readers.rng.random_range(0..self.seats.len());
+        let before = readers.newest_acknowledged;
+        let Some((_, ledger)) = self.newest_at(at) else {
+            return self.count_unavailable();
+        };
+        if let Some(readers) = &mut self.readers {
+            readers.reads += 1;
+            readers.newest_read = readers.newest_read.max(ledger.revision);
+        }
+        if ledger.revision < before {
+            return Err(format!("s{at} read back {} where {before} had been acknowledged", ledger.revision));
+        }
+        Ok(())
+    }
+
+    /// The newest state as a member can have it, and the leader that it is from.
+    fn newest_at(&self, at: usize) -> Option<(usize, Ledger)> {
+        let awake = |n: usize| self.seats[n].frozen_until <= self.t;
+        let own = self.seats[at].seat.as_ref().filter(|s| s.formed && awake(at))?;
+        if self.broken == Some(Broken::ReadsWithoutLease) {
+            return Some((at, own.ledger.clone()));
+        }
+        let lead = own.leader().map_or(at, |h| usize::from(h.rail.port() - 7000));
+        let linked = !self.cut.contains(&(at, lead)) && !self.cut.contains(&(lead, at));
+        let seat = self.seats.get(lead)?.seat.as_ref().filter(|_| linked && awake(lead))?;
+        let current = seat.current(self.seats[lead].clock.at(self.t));
+        current.then(|| (lead, seat.ledger.clone()))
+    }
+
+    fn count_unavailable(&mut self) -> Result<(), String> {
+        if let Some(readers) = &mut self.readers {
+            readers.unavailable += 1;
+        }
+        Ok(())
+    }
+}
--- a/crates/simulator/src/sim/world.rs
+++ b/crates/simulator/src/sim/world.rs
@@ -42,6 +42,8 @@
     News { router: usize, news: Box<News> },
     Act { fence: Fence, node: common::NodeId },
     Operator,
+    Reader,
+    Forward { to: usize, change: Box<Change> },
     Fault,
     Heal(Box<super::faults::Undo>),
 }
@@ -70,6 +72,7 @@
     events: HashMap<u64, What>,
     trace: VecDeque<String>,
     pub calm_since: Option<u64>,
+    pub readers: Option<super::orders::Readers>,
 }
 
 impl World {
@@ -103,6 +106,7 @@
             events: HashMap::new(),
             trace: VecDeque::new(),
             calm_since: None,
+            readers: None,
         };
         w.seats.iter_mut().for_each(|s| s.boundless = broken == Some(Broken::Boundless));
         for n in 0..core {
@@ -213,6 +217,8 @@
             What::News { router, news } => self.take_news(router, *news),
             What::Act { fence, node } => self.act(fence, node),
             What::Operator => self.operate(),
+            What::Reader => self.reader_acts(),
+            What::Forward { to, change } => self.forwarded(to, *change),
             What::Fault => self.fault(),
             What::Heal(u) => self.undo(*u),
         }
--- a/crates/simulator/tests/sim.rs
+++ b/crates/simulator/tests/sim.rs
@@ -4,7 +4,7 @@
 use simulator::sim::{
     BROKEN, Broken,
     data::{BrokenData, Data},
-    run, run_core,
+    run, run_core, run_reads,
 };
 
 #[test]
@@ -109,3 +109,30 @@
     let what = found.map(|v| v.what).unwrap_or_default();
     assert!(by.iter().any(|w| what.contains(w)), "{b:?}: {what:?}");
 }
+
+/// Operators that read back and send again at any member, also at those that are cut off.
+#[rstest]
+fn reads_and_resends_hold(#[values(3, 5)] seats: usize) {
+    let (mut reads, mut again, mut unavailable) = (0, 0, 0);
+    for seed in 1..=60 {
+        match run_reads(seed, None, seats) {
+            Ok(s) => {
+                reads += s.reads;
+                again += s.acknowledged_again;
+                unavailable += s.unavailable;
+            }
+            Err(v) => panic!("{v}"),
+        }
+    }
+    println!("{seats} seats: {reads} reads, {again} orders acknowledged again, {unavailable} unavailable");
+    assert!(reads > 1_000 && again > 500 && unavailable > 1_000, "{reads} {again} {unavailable}");
+}
+
+#[rstest]
+#[case(Broken::ReadsWithoutLease, &["had been acknowledged"])]
+#[case(Broken::VerdictsByCount, &["which is in force, was told as refused"])]
+#[case(Broken::Rebases, &["both acknowledged"])]
+fn broken_answers_to_operators_are_caught(#[case] b: Broken, #[case] by: &[&str]) {
+    let mut found = (1..100).filter_map(|seed| run_reads(seed, Some(b), 3).err()).take(8).map(|v| v.what);
+    assert!(found.any(|what| by.iter().any(|w| what.contains(w))), "{b:?}");
+}
