Seats refuse by name what no seat of their cluster would send

Handlers took a message's numbers as they came. A feed or stop of a view near the end of the numbers was promised and left no view to stand in (next_view overflows); an answer that named a place past the log made a follower count as holding everything from then on, since later answers then looked stale; one with a stamp of the future lengthened the lead past any silence; entries with a gap, a tail longer than its entries, the state of another cluster and a roster of nobody were taken in.

Now Seat::check looks at all of a message before any of it is taken: cluster, roster, owner and reach of the view, reach of places, entries that follow each other and what they are said to follow, the end of a tail, what a leader logged at all, stamps. What it refuses changes nothing, is answered by nothing, and is a named warning with the peer in the log.

A start looks at the same of its short log: a record that does not go on where the log ends is damage.

--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -153,6 +153,9 @@
                     jot!(Info, "lead", "view" => view.0);
                 }
                 Fx::Out => jot!(Error, "seat lost", "cause" => "another holder was accepted for this seat"),
+                Fx::Refused { from, why } => {
+                    jot!(Warn, "seat message", "peer" => from, "cause" => why.to_string())
+                }
                 Fx::Logged { .. } | Fx::NotLogged { .. } => {}
             }
         }
--- a/crates/control-plane/src/seat/mod.rs
+++ b/crates/control-plane/src/seat/mod.rs
@@ -5,14 +5,17 @@
 mod lead;
 mod msg;
 mod post;
+mod replay;
 mod room;
 mod sync;
+mod valid;
 mod view;
 mod wake;
 
 pub(crate) use post::Feed;
 pub use post::{Carried, Peer, Post};
 pub use room::{Room, batch};
+pub use valid::Refusal;
 
 pub use msg::{Body, Ev, Fx, Image, LogEntry, Rec, SeatMsg, Tail, Voter};
 
@@ -212,6 +215,9 @@
     }
 
     fn on_msg(&mut self, from: SocketAddr, m: SeatMsg, now: Tick, fx: &mut Vec<Fx>) {
+        if let Err(why) = self.check(&m, now) {
+            return fx.push(Fx::Refused { from, why });
+        }
         match m {
             SeatMsg::Census { holder, formed, roster, idx } => {
                 self.on_census(from, holder, formed, (roster, idx), now, fx)
--- a/crates/control-plane/src/seat/msg.rs
+++ b/crates/control-plane/src/seat/msg.rs
@@ -1,5 +1,6 @@
 //! Messages, events and effects of a seat (design 2.3).
 
+use super::Refusal;
 use crate::{
     change::{Change, Holder, Verdict},
     ledger::Ledger,
@@ -175,35 +176,6 @@
     }
 }
 
-impl Image {
-    /// Brings the image forward by one record, as the seat did when it wrote it.
-    pub fn replay(&mut self, rec: Rec) {
-        match rec {
-            Rec::Image(i) => *self = *i,
-            Rec::Promise(v) => self.promised = self.promised.max(v),
-            Rec::Install { view, cut, entries } => {
-                self.promised = self.promised.max(view);
-                self.log_view = view;
-                self.entries.retain(|e| e.idx <= cut);
-                let from = self.entries.last().map(|e| e.idx).unwrap_or(self.ledger.idx);
-                self.entries.extend(entries.into_iter().filter(|e| e.idx > from));
-                self.accept_to(cut);
-            }
-            Rec::Append { accepted, entries } => {
-                self.entries.extend(entries);
-                self.accept_to(accepted);
-            }
-        }
-    }
-
-    fn accept_to(&mut self, to: Index) {
-        let due = self.entries.iter().take_while(|e| e.idx <= to).count();
-        for e in self.entries.drain(..due) {
-            self.ledger.fold(e.idx, &e.change);
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 pub enum Ev {
     Wakeup,
@@ -245,4 +217,9 @@
         view: View,
     },
     Out,
+    /// A message that no seat of this cluster sends; nothing of it was taken in.
+    Refused {
+        from: SocketAddr,
+        why: Refusal,
+    },
 }
--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -82,6 +82,9 @@
     let (mut n, mut at) = (0, HEAD as u64);
     while let Some((next, rec)) = record_at(&log, at, seq, n)? {
         let Ok(rec) = rec else { return Ok(Found::OtherForm) };
+        if !img.leads_to(&rec) {
+            return Ok(Found::Damaged(format!("record {n} of log {seq} does not follow its slot")));
+        }
         img.replay(rec);
         (n, at) = (n + 1, next);
     }
--- a/crates/simulator/src/sim/catch_up/cluster.rs
+++ b/crates/simulator/src/sim/catch_up/cluster.rs
@@ -214,6 +214,7 @@
                 }
                 Ok(())
             }
+            Fx::Refused { from, why } => Err(format!("s{n} refuses a message of {from}: {why}")),
             _ => Ok(()),
         }
     }
--- a/crates/simulator/src/sim/way.rs
+++ b/crates/simulator/src/sim/way.rs
@@ -92,6 +92,7 @@
                 self.seats[n].tenures = Tenures::taken_over(now);
             }
             Fx::Out => self.note(format!("s{n} learns that it is out")),
+            Fx::Refused { from, why } => return Err(format!("s{n} refuses a message of {from}: {why}")),
             Fx::Framed | Fx::Logged { .. } | Fx::NotLogged { .. } => {}
         }
         Ok(())
