A late feed of an older view is no longer answered by what is not synced

A follower that had taken an entry in the view 17, its record still on the way to the disk, answered a late feed of the view 9 at once by "view 17, installed, last 7". That goes to the address of whoever led view 9, which may lead view 17 by now, and there it counted as held: a change could be accepted on one durable copy. Long feeds take a connection of their own and arrive late, so the order is not kept.

The answer now waits for the newest record like every other. An answer replaces only older ones to the same asker; before, one to another seat could drop the new leader's.

Seen to fail first: a_late_feed_is_not_answered_by_what_is_not_synced got the Held at once; passes now.

--- a/crates/control-plane/src/seat/feed.rs
+++ b/crates/control-plane/src/seat/feed.rs
@@ -94,7 +94,7 @@
         if !self.knows(&by) || view < self.promised || self.out {
             // Also tells a leader of an older view that it is one no more.
             if self.knows(&by) && !self.out {
-                fx.push(Fx::Send { to: from, msg: self.held(stamp) });
+                self.answer(from, stamp, fx);
             } else if self.formed {
                 self.tell_roster(from, fx);
             }
@@ -142,15 +142,21 @@
             self.persist(rec, now, vec![reply], fx);
         } else if newer {
             self.persist(Rec::Promise(view), now, vec![reply], fx);
-        } else if let Some(u) = self.unsynced.back_mut() {
-            // Only the newest answer matters; an overdue disk holds it back.
-            u.3.retain(|f| !matches!(f, Fx::Send { msg: SeatMsg::Held { .. }, .. }));
-            u.3.push(reply);
         } else {
-            fx.push(reply);
+            self.answer(from, stamp, fx);
         }
     }
 
+    /// Says what this seat holds once all of it is synced. Only the newest answer to each asker matters;
+    /// an overdue disk holds it back.
+    fn answer(&mut self, to: SocketAddr, stamp: Tick, fx: &mut Vec<Fx>) {
+        let reply = Fx::Send { to, msg: self.held(stamp) };
+        let Some(unsynced) = self.unsynced.back_mut() else { return fx.push(reply) };
+        let older = |f: &Fx| matches!(f, Fx::Send { to: t, msg: SeatMsg::Held { .. } } if *t == to);
+        unsynced.3.retain(|f| !older(f));
+        unsynced.3.push(reply);
+    }
+
     pub(super) fn held(&self, stamp: Tick) -> SeatMsg {
         SeatMsg::Held {
             by: self.voter(),
--- a/crates/control-plane/tests/malformed.rs
+++ b/crates/control-plane/tests/malformed.rs
@@ -270,3 +270,17 @@
     assert!(fx.iter().any(|f| matches!(f, Fx::Accepted { .. })), "{fx:?}");
     assert!(!s.current(NOW + 5_000), "a stamp of the future does not lengthen the lead");
 }
+
+/// A feed of an older view that comes late: its answer goes to a seat that leads the newer one by now, so
+/// it may not name what is not synced.
+#[test]
+fn a_late_feed_is_not_answered_by_what_is_not_synced() {
+    let mut s = formed();
+    let fx = s.step(Ev::Msg(address(1), feed(17, 5, install(5, None, &[6, 7]))), NOW);
+    assert!(matches!(fx.as_slice(), [Fx::Persist { .. }]), "{fx:?}");
+    let late = s.step(Ev::Msg(address(1), feed(9, 5, Body::Ping)), NOW);
+    let held = |f: &Fx| matches!(f, Fx::Send { msg: SeatMsg::Held { .. }, .. });
+    assert!(!late.iter().any(held), "{late:?}");
+    let told = s.step(Ev::Synced(1), NOW);
+    assert!(told.iter().any(held), "{told:?}");
+}
