--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -3,6 +3,7 @@
 mod drive;
 mod folder;
 mod leader;
+mod propose;
 mod reach;
 mod recorder;
 mod serve;
@@ -15,7 +16,7 @@
     change::{Change, Holder, Verdict},
     ledger::Ledger,
     rail::{Ask, Proposed, Reply},
-    seat::{Contact, Ev, Fx, Image, LogEntry, Seat},
+    seat::{Ev, Fx, Image, LogEntry, Seat},
     tenure::Tenures,
 };
 use common::{Clock, Index, NodeId, Revision, Tick, jot, link::Lines, settings::Settings};
@@ -197,6 +198,9 @@
                     jot!(Info, "lead", "view" => view.0);
                 }
                 Fx::Out => jot!(Error, "seat lost", "cause" => "another holder was accepted for this seat"),
+                Fx::Refused { from, why } => {
+                    jot!(Warn, "seat message", "peer" => from, "cause" => why.to_string())
+                }
                 Fx::Logged { .. } | Fx::NotLogged { .. } => {}
             }
         }
@@ -213,52 +217,4 @@
         }
         self.moved.send_replace(g.seat.accepted());
     }
-
-    /// Proposes here, where this seat leads; waits for the verdict for at most `ms`.
-    pub async fn propose_here(self: &Arc<Self>, ch: Change, ms: u64) -> Proposed {
-        let narrows = ch.narrows();
-        let (rx, of) = {
-            let mut g = self.lock();
-            if let Some(why) = self.may_miss(&g, &ch) {
-                return Proposed::NotLogged { leader: g.seat.leader(), why };
-            }
-            if g.seat.is_leader() && g.seat.contact(self.clock.now()) == Contact::Lost {
-                return Proposed::NotLogged { leader: None, why: OUT_OF_TOUCH.into() };
-            }
-            let fx = g.seat.step(Ev::Propose(ch.clone()), self.clock.now());
-            let idx = fx.iter().find_map(|f| match f {
-                Fx::Logged { idx, .. } => Some(*idx),
-                _ => None,
-            });
-            let (tx, rx) = oneshot::channel();
-            if let Some(idx) = idx {
-                g.waiting.insert(idx, (ch, tx));
-            }
-            if idx.is_none() {
-                let why = not_logged(&fx);
-                self.carry_out(&mut g, fx);
-                return Proposed::NotLogged { leader: g.seat.leader(), why };
-            }
-            let of = Self::members(&g);
-            self.carry_out(&mut g, fx);
-            (rx, of)
-        };
-        let until = self.clock.now() + ms;
-        match tokio::time::timeout(Duration::from_millis(ms), rx).await {
-            Ok(Ok(Proposed::Settled { idx, verdict: v @ Verdict::Accepted { .. } })) if narrows => {
-                let held = self.held_by_most(&of, idx, until).await;
-                if held { Proposed::Settled { idx, verdict: v } } else { Proposed::Undetermined }
-            }
-            Ok(Ok(p)) => p,
-            _ => Proposed::Undetermined,
-        }
-    }
-}
-
-fn not_logged(fx: &[Fx]) -> String {
-    let why = fx.iter().find_map(|f| match f {
-        Fx::NotLogged { why, .. } => Some(*why),
-        _ => None,
-    });
-    why.unwrap_or("this seat's disk failed").into()
 }
--- a/crates/control-plane/src/seat/feed.rs
+++ b/crates/control-plane/src/seat/feed.rs
@@ -94,8 +94,7 @@
         if !self.knows(&by) || view < self.promised || self.out {
             // Also tells a leader of an older view that it is one no more.
             if self.knows(&by) && !self.out {
-                let reply = Fx::Send { to: from, msg: self.held(stamp) };
-                self.answer_once_synced(reply, fx);
+                self.answer(from, stamp, fx);
             } else if self.formed {
                 self.tell_roster(from, fx);
             }
@@ -144,20 +143,18 @@
         } else if newer {
             self.persist(Rec::Promise(view), now, vec![reply], fx);
         } else {
-            self.answer_once_synced(reply, fx);
+            self.answer(from, stamp, fx);
         }
     }
 
-    /// An answer names what is held here: it waits for all that is on its way to the disk. Only the
-    /// newest to each leader matters.
-    fn answer_once_synced(&mut self, reply: Fx, fx: &mut Vec<Fx>) {
-        let (Some(waiting), Fx::Send { to, .. }) = (self.unsynced.back_mut(), &reply) else {
-            fx.push(reply);
-            return;
-        };
-        let to = *to;
-        waiting.3.retain(|f| !matches!(f, Fx::Send { to: t, msg: SeatMsg::Held { .. } } if *t == to));
-        waiting.3.push(reply);
+    /// Says what this seat holds once all of it is synced. Only the newest answer to each asker matters;
+    /// an overdue disk holds it back.
+    fn answer(&mut self, to: SocketAddr, stamp: Tick, fx: &mut Vec<Fx>) {
+        let reply = Fx::Send { to, msg: self.held(stamp) };
+        let Some(unsynced) = self.unsynced.back_mut() else { return fx.push(reply) };
+        let older = |f: &Fx| matches!(f, Fx::Send { to: t, msg: SeatMsg::Held { .. } } if *t == to);
+        unsynced.3.retain(|f| !older(f));
+        unsynced.3.push(reply);
     }
 
     pub(super) fn held(&self, stamp: Tick) -> SeatMsg {
--- a/crates/control-plane/src/seat/msg.rs
+++ b/crates/control-plane/src/seat/msg.rs
@@ -1,5 +1,6 @@
 //! Messages, events and effects of a seat (design 2.3).
 
+use super::Refusal;
 use crate::{
     change::{Change, Holder, Verdict},
     ledger::Ledger,
@@ -221,4 +222,9 @@
         view: View,
     },
     Out,
+    /// A message that no seat of this cluster sends; nothing of it was taken in.
+    Refused {
+        from: SocketAddr,
+        why: Refusal,
+    },
 }
--- a/crates/control-plane/tests/model/world.rs
+++ b/crates/control-plane/tests/model/world.rs
@@ -697,7 +697,11 @@
                 self.record(|history| history.leads(view, leader))?;
                 self.history.value.elected_by(voters)
             }
-            Fx::NotLogged { .. } | Fx::Framed | Fx::Out => Ok(()),
+            Fx::Interrupted => {
+                self.edit(machine, |here| here.waiting.clear());
+                Ok(())
+            }
+            Fx::NotLogged { .. } | Fx::Framed | Fx::Out | Fx::Refused { .. } => Ok(()),
         }
     }
 
--- a/crates/simulator/src/sim/way.rs
+++ b/crates/simulator/src/sim/way.rs
@@ -103,6 +103,7 @@
                 self.stats.undetermined += (before - self.waiting.len()) as u64;
             }
             Fx::Out => self.note(format!("s{n} learns that it is out")),
+            Fx::Refused { from, why } => return Err(format!("s{n} refuses a message of {from}: {why}")),
             Fx::Framed | Fx::Logged { .. } | Fx::NotLogged { .. } => {}
         }
         Ok(())
