An order to evacuate that is late on its way does not undo what came after it

Cause: evacuations were named by a number drawn at the desk and applied whenever they came. One that hung on a link or at a node while it was sent again elsewhere, taken, and taken back, emptied the area anew when it came through, and nobody took it back.

Change: an evacuation names the newest place known when it was decided. The fold does not apply it if the area's evacuation was begun or taken back since then; the desk then decides anew on the newest state, within the time of its call. One that changes nothing is accepted, so sending again always succeeds. The state keeps for each area ever evacuated where that changed last.

Tests: modules/ledger.rs, operator/orders.rs with the variant late-evacuations (the code before: the area stays evacuated, caught). Tests that build an Evacuate themselves name the highest place, which applies as before.

--- a/crates/control-plane/src/api/moves.rs
+++ b/crates/control-plane/src/api/moves.rs
@@ -91,7 +91,7 @@
                 format!("no area {area:?}; allowed: {}", all.join(", ")),
             ));
         }
-        self.propose(Change::Evacuate { op: self.op.clone(), area: Area::new(area), on }).await
+        self.propose(Change::Evacuate { op: self.op.clone(), area: Area::new(area), on, seen: l.idx }).await
     }
 
     pub(super) async fn list(&self, bytes: &[u8]) -> Early<Res> {
--- a/crates/control-plane/src/change.rs
+++ b/crates/control-plane/src/change.rs
@@ -1,7 +1,7 @@
 //! What the log can hold (design 2.1): every change of the shared state.
 
 use crate::document::Document;
-use common::{Area, Incarnation, NodeId, OpId, ReplicaId, Revision, Service, settings::Settings};
+use common::{Area, Incarnation, Index, NodeId, OpId, ReplicaId, Revision, Service, settings::Settings};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -75,6 +75,9 @@
         op: OpId,
         area: Area,
         on: bool,
+        /// Newest place known when it was decided: an evacuation of the area that was begun or taken
+        /// back since then stands.
+        seen: Index,
     },
     Replica {
         op: OpId,
--- a/crates/control-plane/src/desk.rs
+++ b/crates/control-plane/src/desk.rs
@@ -99,19 +99,30 @@
         let area = Area::new(area);
         let until = within(WAIT_MS);
         self.told_by(until, async {
-            let l = match self.newest(until).await {
-                Ok(l) => l,
-                Err(why) => return Told::Unavailable(why),
-            };
-            if !self.areas.contains(&area) && !stands_in(&l, &area) {
-                return invalid(format!("area: {area} is known to no node"));
+            loop {
+                let told = self.evacuate_once(&area, on, until).await;
+                // Another operator's order came between: this one is decided anew.
+                if !matches!(told, Told::Conflict { .. }) {
+                    return told;
+                }
             }
-            let op = OpId::new(crate::api::drawn_op());
-            self.log(Change::Evacuate { op, area, on }, until).await
         })
         .await
     }
 
+    /// On top of the newest state: an order that is late on its way doesn't undo what came after it.
+    async fn evacuate_once(&self, area: &Area, on: bool, until: Instant) -> Told {
+        let l = match self.newest(until).await {
+            Ok(l) => l,
+            Err(why) => return Told::Unavailable(why),
+        };
+        if !self.areas.contains(area) && !stands_in(&l, area) {
+            return invalid(format!("area: {area} is known to no node"));
+        }
+        let op = OpId::new(crate::api::drawn_op());
+        self.log(Change::Evacuate { op, area: area.clone(), on, seen: l.idx }, until).await
+    }
+
     async fn submit(
         &self,
         op: OpId,
--- a/crates/control-plane/src/ledger.rs
+++ b/crates/control-plane/src/ledger.rs
@@ -28,6 +28,8 @@
     pub revision: Revision,
     pub text: Option<Document>,
     pub evacuated: BTreeSet<Area>,
+    /// Where an area's evacuation was last begun or taken back.
+    pub evacuation_changes: BTreeMap<Area, Index>,
     pub replicas: BTreeMap<ReplicaId, Replica>,
     pub members: BTreeMap<NodeId, Member>,
     pub epoch: Epoch,
@@ -83,12 +85,7 @@
                 self.revision = self.revision.next();
                 self.text = Some(text.clone());
             }
-            Change::Evacuate { area, on: true, .. } => {
-                self.evacuated.insert(area.clone());
-            }
-            Change::Evacuate { area, on: false, .. } => {
-                self.evacuated.remove(area);
-            }
+            Change::Evacuate { area, on, seen, .. } => return self.evacuate(idx, area, *on, *seen),
             Change::Replica { id, what, .. } => return self.replica(id, what),
             Change::Join(card) => {
                 self.epoch = Epoch(idx.0);
@@ -120,6 +117,24 @@
         Verdict::Accepted { revision: self.revision }
     }
 
+    /// One that changes nothing is accepted; one that is overtaken by a newer one is not.
+    fn evacuate(&mut self, idx: Index, area: &Area, on: bool, seen: Index) -> Verdict {
+        if self.evacuated.contains(area) == on {
+            return Verdict::Accepted { revision: self.revision };
+        }
+        let overtaken = self.evacuation_changes.get(area).is_some_and(|at| *at > seen);
+        if overtaken && !common::ground::broken("late-evacuations") {
+            return Verdict::Conflict { current: self.revision };
+        }
+        if on {
+            self.evacuated.insert(area.clone());
+        } else {
+            self.evacuated.remove(area);
+        }
+        self.evacuation_changes.insert(area.clone(), idx);
+        Verdict::Accepted { revision: self.revision }
+    }
+
     fn replica(&mut self, id: &ReplicaId, what: &ReplicaMove) -> Verdict {
         let known = self.replicas.get_mut(id);
         match (what, known) {
--- a/crates/control-plane/src/seat/room.rs
+++ b/crates/control-plane/src/seat/room.rs
@@ -72,7 +72,7 @@
     fn growth(&self) -> usize {
         match self {
             Change::Apply { op, .. } => op.as_str().len() + 128,
-            other => other.weight() + 64,
+            other => other.weight() + 96,
         }
     }
 
@@ -137,7 +137,9 @@
             _ => 32,
         };
         let text = self.text.as_ref().map_or(0, Document::packed_len);
-        let areas: usize = self.evacuated.iter().map(|a| a.as_str().len() + 16).sum();
+        let evacuated: usize = self.evacuated.iter().map(|a| a.as_str().len() + 16).sum();
+        let changes: usize = self.evacuation_changes.keys().map(|a| a.as_str().len() + 24).sum();
+        let areas = evacuated + changes;
         let replicas: usize = self
             .replicas
             .iter()
--- a/crates/control-plane/tests/cluster/mod.rs
+++ b/crates/control-plane/tests/cluster/mod.rs
@@ -8,12 +8,12 @@
 };
 use configuration::{Flaw, Notation, RequestLimits, RouteMap};
 use control_plane::{
-    Role,
+    Change, Role,
     change::Card,
     core::{Core, Drive, MakeDrive, blank},
     desk::{Desk, Told},
     member::Member,
-    rail,
+    rail::{self, Proposed},
     seat::{Ev, Rec, Seat},
 };
 use std::{
@@ -134,6 +134,12 @@
         read.map(|r| r.map(|(version, text)| (version, text.to_string())))
     }
 
+    /// A change as it reaches the leader from another node.
+    pub async fn propose(&self, change: Change) -> Proposed {
+        let core = self.core.clone();
+        self.host.spawn(async move { core.propose_here(change, 800).await }).await.unwrap()
+    }
+
     /// Its process stands still.
     pub fn freeze(&self) {
         self.host.freeze();
--- a/crates/control-plane/tests/modules/ledger.rs
+++ b/crates/control-plane/tests/modules/ledger.rs
@@ -41,7 +41,7 @@
         Change::Join(card),
         Change::Replica { op: OpId::new("r"), id: "r1".into(), what: list },
         Change::Replica { op: OpId::new("q"), id: "r2".into(), what: ReplicaMove::Drain },
-        Change::Evacuate { op: OpId::new("e"), area: "a".into(), on: true },
+        Change::Evacuate { op: OpId::new("e"), area: "a".into(), on: true, seen: common::Index(u64::MAX) },
     ]
     .iter()
     .enumerate()
@@ -51,3 +51,24 @@
     assert_eq!((l.ops.len(), l.accepted.len()), (4, 1));
     assert_eq!(wire::dec::<Ledger>(&wire::enc(&l).unwrap()).unwrap(), l);
 }
+
+/// An evacuation that is late on its way does not undo what was decided after it; one that changes
+/// nothing is accepted.
+#[test]
+fn a_late_evacuation_does_not_come_back() {
+    let mut l = Ledger::founded("c", vec![]);
+    let mut fold = |idx: u64, on: bool, seen: u64| {
+        let op = OpId::new(format!("e{idx}"));
+        let verdict = l.fold(Index(idx), &Change::Evacuate { op, area: "a".into(), on, seen: Index(seen) });
+        (verdict, l.evacuated.len())
+    };
+    let taken = Verdict::Accepted { revision: Revision(0) };
+    let overtaken = Verdict::Conflict { current: Revision(0) };
+    assert_eq!(fold(1, true, 0), (taken.clone(), 1));
+    assert_eq!(fold(2, true, 0), (taken.clone(), 1), "sent again");
+    assert_eq!(fold(3, false, 2), (taken.clone(), 0));
+    assert_eq!(fold(4, true, 0), (overtaken.clone(), 0), "the first one, late");
+    assert_eq!(fold(5, true, 4), (taken.clone(), 1), "a new one");
+    assert_eq!(fold(6, false, 2), (overtaken, 1), "the first end, late");
+    assert_eq!(fold(7, false, 6), (taken, 0));
+}
--- a/crates/control-plane/tests/modules/news.rs
+++ b/crates/control-plane/tests/modules/news.rs
@@ -8,8 +8,12 @@
 };
 
 fn evac(n: u64) -> LogEntry {
-    let change =
-        Change::Evacuate { op: OpId::new(format!("o{n}")), area: Area::new(format!("a{n}")), on: true };
+    let change = Change::Evacuate {
+        op: OpId::new(format!("o{n}")),
+        area: Area::new(format!("a{n}")),
+        on: true,
+        seen: Index(u64::MAX),
+    };
     LogEntry { idx: Index(n), change }
 }
 
--- a/crates/control-plane/tests/operator/orders.rs
+++ b/crates/control-plane/tests/operator/orders.rs
@@ -7,6 +7,7 @@
     desk::Told,
     ledger::OPS_KEPT,
     operations::{ACCEPTED_KEPT, OPERATION_BYTES, Standing, standing},
+    rail::Proposed,
 };
 use rstest::rstest;
 
@@ -137,3 +138,38 @@
     assert_eq!(wire::dec::<Ledger>(&encoded).unwrap(), l);
     println!("{} operations: {} bytes", l.accepted.len(), encoded.len() - empty);
 }
+
+/// An order to evacuate that was decided at one node reaches the leader only after it was sent again
+/// elsewhere, taken, and taken back.
+fn evacuated_after_a_late_order(broken: Option<&str>) -> Vec<String> {
+    World::run(3, broken.map(Into::into), |w| async move {
+        let c = Cluster::formed(w, 3).await;
+        let s = &c.at[c.leader()];
+        let seen = s.core.view().ledger.idx;
+        let late = Change::Evacuate { op: "late".into(), area: "far".into(), on: true, seen };
+        assert_eq!(c.at[0].evacuate("far", true).await, Told::Accepted);
+        assert_eq!(c.at[1].evacuate("far", false).await, Told::Accepted);
+        assert!(matches!(s.propose(late).await, Proposed::Settled { .. }));
+        c.at[2].evacuated().await
+    })
+}
+
+#[test]
+fn a_late_evacuation_does_not_undo_what_came_after_it() {
+    assert!(evacuated_after_a_late_order(None).is_empty());
+    let undone = evacuated_after_a_late_order(Some("late-evacuations"));
+    assert_eq!(undone, ["far"], "the variant evacuates anew");
+}
+
+/// Two operators, one that begins and one that takes back: both are told, and the last one holds.
+#[rstest]
+fn evacuations_sent_at_once_all_end(#[values(1, 2, 3, 4)] seed: u64) {
+    World::run(seed, None, |w| async move {
+        let c = Cluster::formed(w, 3).await;
+        let all = (0..8).map(|n| c.at[n % 3].evacuate("far", n % 2 == 0));
+        let told = futures::future::join_all(all).await;
+        assert!(told.iter().all(|t| *t == Told::Accepted), "{told:?}");
+        assert_eq!(c.at[0].evacuate("far", false).await, Told::Accepted);
+        assert!(c.at[1].evacuated().await.is_empty());
+    });
+}
--- a/crates/control-plane/tests/seat.rs
+++ b/crates/control-plane/tests/seat.rs
@@ -112,7 +112,7 @@
 }
 
 fn evac(a: &str) -> Change {
-    Change::Evacuate { op: a.into(), area: a.into(), on: true }
+    Change::Evacuate { op: a.into(), area: a.into(), on: true, seen: common::Index(u64::MAX) }
 }
 
 #[test]
--- a/crates/control-plane/tests/size.rs
+++ b/crates/control-plane/tests/size.rs
@@ -167,7 +167,7 @@
     let all = [
         Change::Apply { op: op(), base: Revision(u64::MAX), text: noise(1, 70_000).into() },
         Change::Apply { op: "y".into(), base: Revision(1), text: "t".repeat(70_000).into() },
-        Change::Evacuate { op: op(), area: area(), on: true },
+        Change::Evacuate { op: op(), area: area(), on: true, seen: common::Index(u64::MAX) },
         Change::Join(card.clone()),
         Change::Lapse { node: card.node.clone(), inc: card.inc, left: false },
         Change::Down { op: op(), node: card.node.clone() },
--- a/crates/control-plane/tests/store.rs
+++ b/crates/control-plane/tests/store.rs
@@ -19,7 +19,12 @@
 }
 
 fn append(n: u64) -> Rec {
-    let change = Change::Evacuate { op: format!("o{n}").as_str().into(), area: "a".into(), on: true };
+    let change = Change::Evacuate {
+        op: format!("o{n}").as_str().into(),
+        area: "a".into(),
+        on: true,
+        seen: common::Index(u64::MAX),
+    };
     Rec::Append { accepted: Index(0), entries: vec![LogEntry { idx: Index(n), change }] }
 }
 
--- a/crates/data-plane/tests/lag.rs
+++ b/crates/data-plane/tests/lag.rs
@@ -24,7 +24,10 @@
 
 fn evacuated(l: &Ledger) -> Ledger {
     let mut l = l.clone();
-    l.fold(l.idx.next(), &Change::Evacuate { op: "e".into(), area: "norte-1".into(), on: true });
+    l.fold(
+        l.idx.next(),
+        &Change::Evacuate { op: "e".into(), area: "norte-1".into(), on: true, seen: common::Index(u64::MAX) },
+    );
     l
 }
 
--- a/crates/data-plane/tests/serving/stage.rs
+++ b/crates/data-plane/tests/serving/stage.rs
@@ -296,7 +296,7 @@
         add(Change::Apply { op: "a".into(), base: Default::default(), text: "kept elsewhere".into() });
         add(Change::Join(card.clone()));
         if let Some(a) = cast.evacuated {
-            add(Change::Evacuate { op: "e".into(), area: a.into(), on: true });
+            add(Change::Evacuate { op: "e".into(), area: a.into(), on: true, seen: common::Index(u64::MAX) });
         }
         let member = Member::new(set.clone(), card, clock.clone());
         member.hold(Epoch(l.idx.0), clock.now());
@@ -360,7 +360,15 @@
     /// From now on an area is evacuated.
     pub fn evacuate(&self, area: &str) {
         let mut l = self.ledger.clone();
-        l.fold(l.idx.next(), &Change::Evacuate { op: "later".into(), area: area.into(), on: true });
+        l.fold(
+            l.idx.next(),
+            &Change::Evacuate {
+                op: "later".into(),
+                area: area.into(),
+                on: true,
+                seen: common::Index(u64::MAX),
+            },
+        );
         self.s.router.member.install(News::Frame(Box::new(l)), "test");
     }
 
--- a/crates/simulator/src/sim/operate.rs
+++ b/crates/simulator/src/sim/operate.rs
@@ -24,13 +24,13 @@
         for _ in 0..=usize::from(twice) {
             let n = self.rng.random_range(0..self.seats.len());
             let Some(seat) = self.seats[n].seat.as_ref().filter(|s| s.formed) else { continue };
-            let base = seat.ledger.revision;
+            let (base, seen) = (seat.ledger.revision, seat.ledger.idx);
             let op = OpId::new(format!("op{}", self.number()));
             let change = if self.rng.random_bool(0.7) {
                 Change::Apply { op: op.clone(), base, text: self.document(&op).into() }
             } else {
                 let area = Area::new(format!("a{}", self.rng.random_range(0..3)));
-                Change::Evacuate { op: op.clone(), area, on: self.rng.random_bool(0.5) }
+                Change::Evacuate { op: op.clone(), area, on: self.rng.random_bool(0.5), seen }
             };
             self.propose(n, op, change)?;
         }
