--- a/crates/common/src/http.rs
+++ b/crates/common/src/http.rs
@@ -18,6 +18,7 @@
     sync::Arc,
     sync::atomic::{AtomicUsize, Ordering},
 };
+use tokio::io::{AsyncRead, AsyncWrite};
 
 pub use crate::connection::{ConnectionLimits, LimitsInForce, serve, serve_within};
 
@@ -83,15 +84,23 @@
 pub async fn open(ip: IpAddr, to: SocketAddr, ms: u64) -> Result<Sender, Fault> {
     within(ms, "connect", to, async {
         let io = connect(ip, to).await?;
-        let (tx, conn) = http1::handshake(TokioIo::new(io)).await.at("handshake", to)?;
-        spawn(async move {
-            let _ = conn.await;
-        });
-        Ok::<_, Fault>(tx)
+        client_on(io, to).await
     })
     .await
 }
 
+/// A client connection over a stream that is open already.
+pub async fn client_on<I>(io: I, to: SocketAddr) -> Result<Sender, Fault>
+where
+    I: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
+    let (tx, conn) = http1::handshake(TokioIo::new(io)).await.at("handshake", to)?;
+    spawn(async move {
+        let _ = conn.await;
+    });
+    Ok(tx)
+}
+
 /// A small exchange with a known peer: the answer is read whole, up to `max` bytes.
 pub async fn ask(
     ip: IpAddr,
