--- a/crates/control-plane/tests/recovery.rs
+++ b/crates/control-plane/tests/recovery.rs
@@ -76,7 +76,7 @@
         let shown = format!("{event:?}");
         assert!(r.seats[at].step(event, late).is_empty(), "{shown}");
     }
-    let change = Change::Evacuate { op: "o9".into(), area: "a".into(), on: true };
+    let change = Change::Evacuate { op: "o9".into(), area: "a".into(), on: true, seen: Index(u64::MAX) };
     let fx = r.seats[at].step(Ev::Propose(change), late);
     assert!(matches!(fx.as_slice(), [Fx::NotLogged { .. }]), "{fx:?}");
 }
