--- a/crates/control-plane/tests/damage.rs
+++ b/crates/control-plane/tests/damage.rs
@@ -36,7 +36,12 @@
 }
 
 fn append(n: u64) -> Rec {
-    let change = Change::Evacuate { op: format!("o{n}").as_str().into(), area: "a".into(), on: true };
+    let change = Change::Evacuate {
+        op: format!("o{n}").as_str().into(),
+        area: "a".into(),
+        on: true,
+        seen: Index(u64::MAX),
+    };
     Rec::Append { accepted: Index(n - 1), entries: vec![LogEntry { idx: Index(n), change }] }
 }
 
--- a/crates/control-plane/tests/malformed.rs
+++ b/crates/control-plane/tests/malformed.rs
@@ -37,7 +37,12 @@
 }
 
 fn entry(n: u64) -> LogEntry {
-    let change = Change::Evacuate { op: format!("o{n}").as_str().into(), area: "a".into(), on: true };
+    let change = Change::Evacuate {
+        op: format!("o{n}").as_str().into(),
+        area: "a".into(),
+        on: true,
+        seen: Index(u64::MAX),
+    };
     LogEntry { idx: Index(n), change }
 }
 
