--- a/crates/control-plane/tests/cluster/mod.rs
+++ b/crates/control-plane/tests/cluster/mod.rs
@@ -1,6 +1,9 @@
 //! Seats as daemons run them, on hosts of a world in memory: virtual time, links that can be cut,
 //! disks that sync after a moment.
 
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
 use common::{
     Clock, OpId,
     ground::{Host, World, bind, spawn, spawn_at},
@@ -10,7 +13,7 @@
 use control_plane::{
     Role,
     change::Card,
-    core::{Core, Drive, MakeDrive, blank},
+    core::{Core, Drive, MakeDrive, Start, blank},
     desk::{Desk, Told},
     member::Member,
     rail,
@@ -92,11 +95,15 @@
     }
 }
 
-async fn stand(set: Settings, seats: usize, host: Arc<Host>) -> Stand {
+async fn stand(set: Settings, seats: usize, host: Arc<Host>, waits: bool) -> Stand {
     let ip = set.rail.ip();
     let make: MakeDrive = Box::new(move |core| Box::new(MemDrive { core, ip }));
     let rail_lst = bind(set.rail).await.unwrap();
-    let core = Core::start(set.clone(), seats, Seat::blank_image(&blank(&set)), make);
+    let start = match waits {
+        true => Start::Waiting(Box::new(blank(&set))),
+        false => Start::from(Seat::blank_image(&blank(&set))),
+    };
+    let core = Core::start(set.clone(), seats, start, make);
     let card = Card::of(&set, Role::Core, core.view().me.inc);
     Member::new(set.clone(), card, Clock::default()).start();
     spawn(rail::listen(rail_lst, set.me(), core.clone()));
@@ -153,10 +160,19 @@
 impl Cluster {
     /// Starts all seats; `founds` is whether they may found a cluster.
     pub async fn start(world: Arc<World>, seats: usize, founds: bool) -> Self {
+        Self::started(world, seats, founds, None).await
+    }
+
+    /// The disk of one can't be opened yet.
+    pub async fn start_waiting(world: Arc<World>, seats: usize, waits: usize) -> Self {
+        Self::started(world, seats, true, Some(waits)).await
+    }
+
+    async fn started(world: Arc<World>, seats: usize, founds: bool, waits: Option<usize>) -> Self {
         let mut at = Vec::new();
         for n in 0..seats {
             let host = world.host(ip(n));
-            let s = stand(settings(n, seats, founds), seats, host.clone());
+            let s = stand(settings(n, seats, founds), seats, host.clone(), Some(n) == waits);
             at.push(host.spawn(s).await.unwrap());
         }
         Self { world, at }
--- a/crates/control-plane/tests/disk_faults.rs
+++ b/crates/control-plane/tests/disk_faults.rs
@@ -77,7 +77,7 @@
 }
 
 fn record(held: &Image, n: u64) -> Rec {
-    if n % 3 == 0 {
+    if n.is_multiple_of(3) {
         let mut whole = held.clone();
         whole.replay(Rec::Append { accepted: Index(0), entries: vec![entry(n)] });
         return Rec::Image(Box::new(whole));
--- a/crates/simulator/src/acts.rs
+++ b/crates/simulator/src/acts.rs
@@ -78,12 +78,7 @@
         What::SlowDisk => f.node(whom)?.mood(Mood::Slow)?,
         What::StallDisk => f.node(whom)?.mood(Mood::Stalled)?,
         What::FailDisk => f.node(whom)?.mood(Mood::Failing)?,
-        What::WellDisk => {
-            f.node(whom)?.mood(Mood::Well)?;
-            // What lost its disk votes again only in a new process.
-            f.node(whom)?.kill().await?;
-            f.start_node(whom)?;
-        }
+        What::WellDisk => f.node(whom)?.mood(Mood::Well)?,
         _ => return Ok(false),
     }
     Ok(true)
--- a/crates/simulator/src/hosted.rs
+++ b/crates/simulator/src/hosted.rs
@@ -7,7 +7,7 @@
 };
 use common::ground::{Host, World, bind, spawn_at};
 use control_plane::{
-    core::{Core, Drive, blank},
+    core::{Core, Drive, Retry, blank},
     seat::{Ev, Image, Rec, Seat},
 };
 use rand::Rng;
@@ -91,6 +91,23 @@
     img
 }
 
+/// Tries until the disk takes writes again, as the daemon's own drive does.
+async fn recover(core: Weak<Core>, disk: Arc<Mutex<SimDisk>>) {
+    let Some(timing) = core.upgrade().map(|c| c.set.timing.clone()) else { return };
+    let mut retry = Retry::new(&timing);
+    let image = loop {
+        sleep(retry.wait()).await;
+        let d = lock(&disk);
+        if let (Mood::Well | Mood::Slow, Some(image)) = (d.mood, &d.kept) {
+            break image.clone();
+        }
+        retry.failed();
+    };
+    if let Some(core) = core.upgrade() {
+        core.step(Ev::Recovered(Box::new(image)));
+    }
+}
+
 struct WorldDrive {
     core: Weak<Core>,
     disk: Arc<Mutex<SimDisk>>,
@@ -119,13 +136,22 @@
             let ev = {
                 let mut d = lock(&disk);
                 match d.mood {
-                    Mood::Failing | Mood::Refusing => Some(Ev::SyncFailed),
+                    // An earlier write was refused with all that was under way.
+                    _ if d.pending.is_empty() => None,
+                    Mood::Failing | Mood::Refusing => {
+                        d.refuse(0);
+                        Some(Ev::SyncFailed)
+                    }
                     _ => d.sync_one().map(Ev::Synced),
                 }
             };
+            let failed = matches!(ev, Some(Ev::SyncFailed));
             if let (Some(core), Some(ev)) = (core.upgrade(), ev) {
                 core.step(ev);
             }
+            if failed {
+                recover(core, disk).await;
+            }
         });
     }
 }
--- a/crates/simulator/src/sim/refusals.rs
+++ b/crates/simulator/src/sim/refusals.rs
@@ -20,7 +20,7 @@
 impl World {
     /// The pairs are drawn apart from the usual faults, which stay as they are.
     pub fn schedule_refusals(&mut self) {
-        let mut drawn = SmallRng::seed_from_u64(self.seed ^ 0x0064_6973_6b);
+        let mut drawn = SmallRng::seed_from_u64(self.seed ^ 0x6469_736b);
         let seats = self.seats.len() - 1;
         let mut at = drawn.random_range(4_000..12_000);
         while at + 2 * LONGEST_MS < CALM_AT {
