A connection that has not said who it is may send a hello of 4 KiB at most

The hello and its answer now have a bound of 4 KiB, and the connection ends at once with step and peer in the log.

--- a/crates/common/src/link.rs
+++ b/crates/common/src/link.rs
@@ -108,7 +108,7 @@
             return Ok(ch);
         }
         let io = crate::http::connect(self.me.ip, to).await?;
-        let mut f = Framed::new(io, Codec::<Welcome, Hello>::default());
+        let mut f = Framed::new(io, Codec::<Welcome, Hello>::hello());
         let hello = Hello {
             proto: PROTO,
             cluster: self.me.cluster.clone(),
@@ -167,7 +167,7 @@
     F: Fn(String, Q) -> Fut + Clone + Send + 'static,
     Fut: Future<Output = R> + Send + 'static,
 {
-    let mut f = Framed::new(io, Codec::<Hello, Welcome>::default());
+    let mut f = Framed::new(io, Codec::<Hello, Welcome>::hello());
     let hello = within(me.wait_ms * 4, "hello", peer, async {
         f.next().await.unwrap_or_else(|| Err(std::io::ErrorKind::UnexpectedEof.into())).at("hello", peer)
     })
--- a/crates/common/src/wire.rs
+++ b/crates/common/src/wire.rs
@@ -8,6 +8,8 @@
 
 /// Largest message between own processes: a whole frame with a document fits well.
 pub const MAX_FRAME: usize = 8 << 20;
+/// Largest message of a connection that has not said yet who it is: a hello and its answer.
+pub const MAX_HELLO: usize = 4 << 10;
 pub const PROTO: u32 = 3;
 
 #[derive(Encode, Decode)]
@@ -45,10 +47,21 @@
     kinds: PhantomData<fn(Out) -> In>,
 }
 
+impl<In, Out> Codec<In, Out> {
+    /// For the hello of a connection: a stranger makes no process reserve more than that.
+    pub fn hello() -> Self {
+        Self::with_most(MAX_HELLO)
+    }
+
+    fn with_most(bytes: usize) -> Self {
+        let frames = LengthDelimitedCodec::builder().max_frame_length(bytes).new_codec();
+        Self { frames, kinds: PhantomData }
+    }
+}
+
 impl<In, Out> Default for Codec<In, Out> {
     fn default() -> Self {
-        let frames = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec();
-        Self { frames, kinds: PhantomData }
+        Self::with_most(MAX_FRAME)
     }
 }
 
--- a/crates/common/tests/modules/wire.rs
+++ b/crates/common/tests/modules/wire.rs
@@ -1,7 +1,7 @@
 //! Tests of `common::wire`.
 
 use bytes::BytesMut;
-use common::wire::{Codec, MAX_FRAME, dec, enc};
+use common::wire::{Codec, MAX_FRAME, MAX_HELLO, dec, enc};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use tokio_util::codec::Decoder;
@@ -29,3 +29,12 @@
     let mut src = BytesMut::from(&(MAX_FRAME as u32 + 1).to_be_bytes()[..]);
     assert!(c.decode(&mut src).is_err());
 }
+
+/// Who has not said yet who it is can't make a process wait for, or reserve, a long message.
+#[test]
+fn a_hello_is_short() {
+    let declared = |bytes: usize| BytesMut::from(&(bytes as u32).to_be_bytes()[..]);
+    assert!(Codec::<Kind, Kind>::hello().decode(&mut declared(MAX_HELLO + 1)).is_err());
+    assert!(Codec::<Kind, Kind>::hello().decode(&mut declared(MAX_HELLO)).unwrap().is_none());
+    assert!(Codec::<Kind, Kind>::default().decode(&mut declared(MAX_HELLO + 1)).unwrap().is_none());
+}
--- a/crates/control-plane/tests/malformed.rs
+++ b/crates/control-plane/tests/malformed.rs
@@ -1,12 +1,17 @@
 //! Messages that no seat of this cluster sends (design 2.9): thrown at a blank seat, a follower and a
 //! leader. Each is refused by name, takes no vote and no state, and the seat goes on as before.
 
-use common::{Incarnation, Index, Tick, View, settings::Timing};
+use common::{
+    Incarnation, Index, Tick, View,
+    settings::Timing,
+    wire::{dec, enc},
+};
 use control_plane::{
     Change, Ledger,
     change::Holder,
     seat::{Body, Ev, Fx, Image, LogEntry, Refusal, Seat, SeatMsg, Tail, Voter},
 };
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
 use std::net::SocketAddr;
 
@@ -284,3 +289,49 @@
     let told = s.step(Ev::Synced(1), NOW);
     assert!(told.iter().any(held), "{told:?}");
 }
+
+/// Encoded messages with bytes changed, cut off or repeated: what can still be read is thrown at each seat.
+/// Nothing panics, no accepted change is lost, and the seat stays of its cluster.
+#[test]
+fn random_bytes_lose_nothing() {
+    let whole = [
+        feed(17, 7, install(5, None, &[6, 7])),
+        feed(17, 9, install(0, Some(state(9)), &[10])),
+        feed(17, 6, append(5, &[6])),
+        stopped(8, 7, 6, None, &[6, 7]),
+        stopped(8, 9, 9, Some(state(9)), &[]),
+        holds(16, 6, 5, NOW),
+        census(roster(), 9),
+        SeatMsg::Stop { by: voter(1), view: View(17), accepted: Index(5) },
+        SeatMsg::Canvass { by: voter(1), view: View(17) },
+        SeatMsg::Plea { holder: holder(2) },
+        SeatMsg::Found { ledger: state(0) },
+    ];
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut read = 0;
+    for msg in &whole {
+        let bytes = enc(msg).unwrap();
+        for cut in 0..bytes.len() {
+            assert!(dec::<SeatMsg>(&bytes[..cut]).is_err(), "cut off at {cut}: {msg:?}");
+        }
+        for _ in 0..4_000 {
+            let mut bytes = bytes.clone();
+            for _ in 0..rng.random_range(1..4) {
+                let at = rng.random_range(0..bytes.len());
+                bytes[at] = rng.random();
+            }
+            let Ok(msg) = dec::<SeatMsg>(&bytes) else { continue };
+            read += 1;
+            for at in [blank, formed, candidate, leader] {
+                let mut s = at();
+                let accepted = s.accepted();
+                s.step(Ev::Msg(address(1), msg.clone()), NOW);
+                s.step(Ev::Synced(9), NOW);
+                (0..80).for_each(|n| drop(s.step(Ev::Wakeup, NOW + n * 50)));
+                assert!(s.accepted() >= accepted, "{msg:?}");
+                assert!(!s.formed || s.ledger.cluster == "c", "{msg:?}");
+            }
+        }
+    }
+    assert!(read > 500, "{read} of them could still be read");
+}
