--- a/crates/data-plane/tests/serving/own_answers.rs
+++ b/crates/data-plane/tests/serving/own_answers.rs
@@ -239,3 +239,15 @@
         assert_eq!(st.came().len(), 1, "{:?}", st.came());
     });
 }
+
+/// What was paid for a try for which no replica was left comes back: the next request has it.
+#[rstest]
+fn a_try_without_a_replica_costs_nothing(#[values(1, 2, 3)] seed: u64) {
+    let rows = vec![row(1, 0), row(2, 0)];
+    let cast = Cast { rows: [("n1", rows)].into(), tries: 2.0, ..Cast::default() };
+    scene(seed, cast, vec![write()], &[Declines(503, 0); 4], |st| async move {
+        assert!(st.ask("/write/1").await.refused());
+        assert!(st.ask("/write/1").await.refused());
+        assert_eq!(st.came().len(), 4, "one further try each: {:?}", st.came());
+    });
+}
