The platform's list is read whole, within its rate, and never in the way of the probes

Cause: a home asked for the list and then probed, in one loop. With a list that was silent no replica was probed at all, with a slow or refusing one half as often as due. Each page counted as nothing towards the rate that all nodes share, and a refusal for the rate was followed by the next call at the same pace. A replica that moved between pages stood twice among the candidates or not at all. The pace of the probes hung on the rate of the list.

Change: `serving::listing` reads beside the probes, which wait for it for half a look at most; a reading counts whole or not at all and is followed by a pause for each of its pages; 429 doubles the pause, up to four times, since what leaves must still be seen in time; replicas are merged by their id, what leaves by one page leaves, and what one reading of several pages lacks is gone only when the next lacks it too. Cold spans run on while the list can't be read.

--- /dev/null
+++ b/crates/data-plane/src/serving/listing.rs
@@ -0,0 +1,189 @@
+//! The platform's list of replicas, as the home of an area reads it (design 9.3): page by page, within the
+//! rate that all nodes share, and never in the way of the probes.
+
+use super::{
+    dialect::{Listed, Listing},
+    state::Serving,
+};
+use common::{Area, ReplicaId, Tick, fault::Fault, ground::spawn, http::ask, jot};
+use hyper::{Method, StatusCode};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::sync::oneshot;
+
+/// Part of the shared rate that homes use when nothing goes wrong: a third.
+const RATE_HEADROOM: f64 = 3.0;
+/// Longest wait for one page.
+const PAGE_MS: u64 = 1_000;
+/// Pages after which a reading is given up.
+const MOST_PAGES: u32 = 64;
+/// A reader that is refused for its rate pauses up to so many times as long: what leaves must still be seen in time.
+const MOST_BACKOFF: u64 = 4;
+
+/// A whole reading of an area's part of the list.
+#[derive(Debug, Default)]
+pub struct ListRead {
+    rows: BTreeMap<ReplicaId, Listed>,
+    pages: u32,
+}
+
+impl ListRead {
+    /// Adds a page. A replica that moved between pages may stand on two: what says that it leaves counts.
+    pub fn add(&mut self, area: &Area, page: Vec<Listed>) {
+        self.pages += 1;
+        for row in page.into_iter().filter(|r| r.area == *area) {
+            let leaving = |r: &Listed| r.draining || r.time_left_ms.is_some();
+            if !self.rows.get(&row.id).is_some_and(leaving) {
+                self.rows.insert(row.id.clone(), row);
+            }
+        }
+    }
+}
+
+/// Why a reading failed.
+#[derive(Debug)]
+pub enum ListError {
+    /// All nodes together ask too often.
+    OverRate(Fault),
+    Failed(Fault),
+}
+
+/// What is known of an area's list, and when it is read next. Pure.
+#[derive(Debug, Default)]
+pub struct Known {
+    rows: Option<BTreeMap<ReplicaId, Listed>>,
+    /// Lacking in the last reading, which had several pages.
+    absent: BTreeSet<ReplicaId>,
+    read_at: Tick,
+    due: Tick,
+    backoff: u64,
+}
+
+impl Known {
+    pub fn due(&self, now: Tick) -> bool {
+        now >= self.due
+    }
+
+    /// Takes a reading that began at `began`. A replica that moves to an earlier page while the later ones
+    /// are read stands on none of them: it is gone only once a second reading lacks it too.
+    pub fn read(&mut self, read: ListRead, began: Tick, each_ms: u64) {
+        let mut rows = read.rows;
+        let lacking = |(id, _): &(&ReplicaId, &Listed)| !rows.contains_key(*id);
+        let held: Vec<Listed> = if read.pages > 1 {
+            let known = self.rows.iter().flatten().filter(lacking);
+            known.filter(|(id, _)| !self.absent.contains(*id)).map(|(_, r)| r.clone()).collect()
+        } else {
+            Vec::new()
+        };
+        self.absent = held.iter().map(|r| r.id.clone()).collect();
+        rows.extend(held.into_iter().map(|r| (r.id.clone(), r)));
+        (self.rows, self.read_at, self.backoff) = (Some(rows), began, 1);
+        self.due = began + each_ms * u64::from(read.pages);
+    }
+
+    pub fn failed(&mut self, error: &ListError, now: Tick, each_ms: u64) {
+        self.backoff = match error {
+            ListError::OverRate(_) => (self.backoff * 2).clamp(2, MOST_BACKOFF),
+            ListError::Failed(_) => 1,
+        };
+        self.due = now + each_ms * self.backoff;
+    }
+
+    /// The replicas by the newest reading; nothing before the first.
+    pub fn rows(&self, now: Tick) -> Option<Vec<Listed>> {
+        let age = now.since(self.read_at);
+        let aged = |r: &Listed| Listed { cold_left_ms: r.cold_left_ms.saturating_sub(age), ..r.clone() };
+        self.rows.as_ref().map(|rows| rows.values().map(aged).collect())
+    }
+}
+
+/// Reads an area's list beside the home's other work.
+pub struct ListReader {
+    area: Area,
+    known: Known,
+    pending: Option<oneshot::Receiver<(Tick, Result<ListRead, ListError>)>>,
+}
+
+impl ListReader {
+    pub fn new(area: Area) -> Self {
+        Self { area, known: Known::default(), pending: None }
+    }
+
+    /// Forgets the list: the home's duty has ended.
+    pub fn reset(&mut self) {
+        *self = Self::new(self.area.clone());
+    }
+
+    /// The newest list, for which a reading is waited for at most so long.
+    pub async fn refreshed(&mut self, serving: &Arc<Serving>, wait_ms: u64) -> Option<Vec<Listed>> {
+        let each_ms = serving.list_ms();
+        if self.pending.is_none() && self.known.due(serving.now()) {
+            let (tell, told) = oneshot::channel();
+            let (me, area) = (serving.clone(), self.area.clone());
+            spawn(async move {
+                let began = me.now();
+                let _ = tell.send((began, me.read_list(&area).await));
+            });
+            self.pending = Some(told);
+        }
+        if let Some(told) = self.pending.as_mut() {
+            let wait = Duration::from_millis(wait_ms);
+            if let Ok(result) = tokio::time::timeout(wait, told).await {
+                self.pending = None;
+                match result {
+                    Ok((began, Ok(read))) => self.known.read(read, began, each_ms),
+                    Ok((_, Err(e))) => self.failed(e, serving.now(), each_ms),
+                    Err(_) => {}
+                }
+            }
+        }
+        self.known.rows(serving.now())
+    }
+
+    fn failed(&mut self, error: ListError, now: Tick, each_ms: u64) {
+        self.known.failed(&error, now, each_ms);
+        let (ListError::OverRate(fault) | ListError::Failed(fault)) = error;
+        jot!(Info, fault.step, "peer" => fault.peer, "cause" => fault.cause);
+    }
+}
+
+impl Serving {
+    /// Time between two calls for an area's list, so that all areas together stay far below the rate.
+    fn list_ms(&self) -> u64 {
+        let areas = self.site.areas.len().max(1) as f64;
+        let least = RATE_HEADROOM * 1_000.0 * areas / self.site.list_per_s.max(0.1);
+        self.look_ms().max(least as u64)
+    }
+
+    /// The area's part of the list, all pages.
+    async fn read_list(&self, area: &Area) -> Result<ListRead, ListError> {
+        let (mut read, mut page) = (ListRead::default(), None::<String>);
+        while read.pages < MOST_PAGES {
+            let Listing { rows, next } = self.read_page(area, page.as_deref()).await?;
+            read.add(area, rows);
+            match next {
+                Some(token) => page = Some(token),
+                None => return Ok(read),
+            }
+        }
+        Err(ListError::Failed(Fault::new("list replicas", self.site.list, "pages without an end")))
+    }
+
+    async fn read_page(&self, area: &Area, page: Option<&str>) -> Result<Listing, ListError> {
+        const STEP: &str = "list replicas";
+        let (ip, to) = (self.router.set.rail.ip(), self.site.list);
+        let path = self.dialect.listing_path(area, page);
+        let answer = ask(ip, to, Method::GET, &path, &[], "", PAGE_MS).await;
+        let (code, _, body) = answer.map_err(ListError::Failed)?;
+        match code {
+            StatusCode::OK => {}
+            StatusCode::TOO_MANY_REQUESTS => return Err(ListError::OverRate(Fault::new(STEP, to, code))),
+            _ => return Err(ListError::Failed(Fault::new(STEP, to, code))),
+        }
+        let unread = || ListError::Failed(Fault::new(STEP, to, "the answer could not be read"));
+        self.dialect.listing(&body).ok_or_else(unread)
+    }
+}
--- a/crates/data-plane/src/serving/mod.rs
+++ b/crates/data-plane/src/serving/mod.rs
@@ -12,6 +12,7 @@
 pub mod events;
 pub mod fleet;
 pub mod front;
+pub mod listing;
 pub mod mix;
 pub mod pieces;
 pub mod place;
--- a/crates/data-plane/src/serving/watch.rs
+++ b/crates/data-plane/src/serving/watch.rs
@@ -5,6 +5,7 @@
 use super::{
     board::{Board, Probed, Watched, lends},
     dialect::Listed,
+    listing::ListReader,
     state::Serving,
 };
 use crate::{
@@ -13,7 +14,7 @@
 };
 use common::{Area, Fence, NodeId, ReplicaId, Tick, fault::Fault, http::ask, jot};
 use control_plane::{Member, duty};
-use hyper::{Method, StatusCode};
+use hyper::Method;
 use std::{
     collections::{BTreeMap, HashMap},
     sync::Arc,
@@ -26,11 +27,9 @@
 const LEND_SHARE: f64 = 0.8;
 
 impl Serving {
-    /// Time between two looks at an area: all areas together stay far below the list's rate.
-    fn look_ms(&self) -> u64 {
-        let areas = self.site.areas.len().max(1) as f64;
-        let least = 3_000.0 * areas / self.site.list_per_s.max(0.1);
-        (self.router.set.timing.check_ms / 2).max(least as u64)
+    /// Time between two looks at an area's replicas.
+    pub(super) fn look_ms(&self) -> u64 {
+        self.router.set.timing.check_ms / 2
     }
 
     /// Claimants to an area's duty: its own routers first, then the others.
@@ -107,24 +106,21 @@
     async fn publish(self: Arc<Self>, area: Area) {
         let mut wakeup = tokio::time::interval(Duration::from_millis(self.look_ms()));
         wakeup.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let (mut rows, mut watched): (Vec<Listed>, BTreeMap<ReplicaId, Watched>) = Default::default();
-        let (mut seq, mut listed, mut even) = (0u64, false, false);
+        let mut watched: BTreeMap<ReplicaId, Watched> = BTreeMap::new();
+        let mut list = ListReader::new(area.clone());
+        let (mut seq, mut even) = (0u64, false);
         loop {
             wakeup.tick().await;
             let now = self.now();
             let wanted =
                 lock(&self.router.boards).get(&area).is_some_and(|p| now.since(p.asked) < 4 * self.look_ms());
             if !wanted {
-                listed = false;
+                list.reset();
                 continue;
             }
-            match self.list(&area).await {
-                Ok(r) => (rows, listed) = (r, true),
-                Err(e) => jot!(Info, e.step, "peer" => e.peer, "cause" => e.cause),
-            }
-            if !listed {
+            let Some(rows) = list.refreshed(&self, self.look_ms() / 2).await else {
                 continue;
-            }
+            };
             even = !even;
             let asked = self.now();
             watched.retain(|id, _| rows.iter().any(|r| r.id == *id));
@@ -167,28 +163,6 @@
         }
     }
 
-    /// The area's part of the list, all pages.
-    async fn list(&self, area: &Area) -> Result<Vec<Listed>, Fault> {
-        let (ip, to) = (self.router.set.rail.ip(), self.site.list);
-        let (mut rows, mut page) = (Vec::new(), None::<String>);
-        for _ in 0..64 {
-            let path = self.dialect.listing_path(area, page.as_deref());
-            let (code, _, body) = ask(ip, to, Method::GET, &path, &[], "", 1_000).await?;
-            if code != StatusCode::OK {
-                return Err(Fault::new("list replicas", to, code));
-            }
-            let Some(l) = self.dialect.listing(&body) else {
-                return Err(Fault::new("list replicas", to, "the answer could not be read"));
-            };
-            rows.extend(l.rows.into_iter().filter(|r| r.area == *area));
-            match l.next {
-                Some(n) => page = Some(n),
-                None => return Ok(rows),
-            }
-        }
-        Err(Fault::new("list replicas", to, "pages without an end"))
-    }
-
     async fn probe(&self, l: &Listed) -> Probed {
         let map = self.map.load();
         let backend = map.as_ref().and_then(|m| m.backends.get(&l.service));
--- a/crates/data-plane/tests/serving/main.rs
+++ b/crates/data-plane/tests/serving/main.rs
@@ -8,6 +8,8 @@
 mod fleet;
 mod kit;
 mod limits;
+mod listing;
+mod listing_pages;
 mod mix;
 mod place;
 mod plan;
--- a/crates/data-plane/tests/serving/stage.rs
+++ b/crates/data-plane/tests/serving/stage.rs
@@ -1,7 +1,10 @@
 //! One router and its replicas in a world in memory, under virtual time. Replicas do what a script
 //! tells, in the order in which requests reach them, whichever replica that is.
 
-use crate::kit::{areas, board, names, prompt, row};
+use crate::{
+    kit::{areas, board, names, prompt, row},
+    listing,
+};
 use common::{
     Area, Clock, Epoch, Incarnation, Region,
     ground::{Listener, Stream, World, bind, dial, spawn},
@@ -87,11 +90,11 @@
     fn report(&self, _: &[u8]) -> Option<EngineReport> {
         None
     }
-    fn listing(&self, _: &[u8]) -> Option<Listing> {
-        None
+    fn listing(&self, body: &[u8]) -> Option<Listing> {
+        listing::read(body)
     }
-    fn listing_path(&self, _: &Area, _: Option<&str>) -> String {
-        "/".into()
+    fn listing_path(&self, area: &Area, page: Option<&str>) -> String {
+        listing::path(area, page)
     }
     fn prompt(&self, _: &HeaderMap) -> Prompt {
         prompt(&[], 100)
@@ -410,6 +413,32 @@
         dial(IpAddr::from(CLIENT), self.http).await.expect("the router")
     }
 
+    /// Begins to read the platform's list, and to probe what stands there.
+    pub fn watch(&self) {
+        self.s.clone().watch_all();
+    }
+
+    /// Replicas that this router knows, and whether they leave.
+    pub fn known(&self) -> BTreeMap<String, bool> {
+        let fleet = self.s.fleet.load();
+        let all = fleet.by_service.values().flatten();
+        let known: Vec<_> = all.map(|c| (c.id.to_string(), c.draining)).collect();
+        let by_id: BTreeMap<_, _> = known.iter().cloned().collect();
+        assert_eq!(known.len(), by_id.len(), "each replica once: {known:?}");
+        by_id
+    }
+
+    /// Requests and probes that a replica has read.
+    pub fn probes(&self, id: &str) -> usize {
+        self.came().iter().filter(|c| c.replica == id).count()
+    }
+
+    /// Whether a replica is taken for well.
+    pub fn well(&self, id: &str) -> bool {
+        let fleet = self.s.fleet.load();
+        fleet.by_service.values().flatten().any(|c| c.id.as_str() == id && c.well)
+    }
+
     /// From now on these limits are in force; routes and services stay as they are.
     pub fn limit(&self, limits: RequestLimits) {
         let mut map = RouteMap::clone(&self.s.map.load_full().expect("a configuration"));
