--- a/crates/data-plane/src/serving/mod.rs
+++ b/crates/data-plane/src/serving/mod.rs
@@ -14,6 +14,7 @@
 pub mod exchange;
 pub mod fleet;
 pub mod front;
+pub mod listing;
 pub mod mix;
 pub mod outgoing;
 pub mod pieces;
--- a/crates/data-plane/tests/serving/main.rs
+++ b/crates/data-plane/tests/serving/main.rs
@@ -10,6 +10,8 @@
 mod fleet;
 mod kit;
 mod limits;
+mod listing;
+mod listing_pages;
 mod mix;
 mod own_answers;
 mod place;
