--- a/crates/simulator/src/sim/faults.rs
+++ b/crates/simulator/src/sim/faults.rs
@@ -3,11 +3,11 @@
 use super::{
     Broken,
     disk::Mood,
-    nodes::{ROUTERS, SimSeat},
+    nodes::{ROUTERS, SimVoter},
     world::{CALM_AT, CORE, What, World},
 };
-use common::View;
-use control_plane::seat::Image;
+use common::Term;
+use control_plane::consensus::DurableState;
 use rand::Rng;
 
 #[derive(Debug)]
@@ -21,35 +21,35 @@
 
 impl World {
     pub fn crash(&mut self, n: usize) {
-        let s = &mut self.seats[n];
-        s.seat = None;
+        let s = &mut self.voters[n];
+        s.voter = None;
         s.life += 1;
         let reached =
             if s.disk.pending.is_empty() { 0 } else { self.rng.random_range(0..=s.disk.pending.len()) };
         let reached = if self.broken == Some(Broken::LyingDisk) { 0 } else { reached };
-        self.seats[n].disk.crash(reached);
+        self.voters[n].disk.crash(reached);
         self.waiting.retain(|k, _| k.0 != n);
     }
 
     pub fn start(&mut self, n: usize) {
-        if self.seats[n].seat.is_none() && self.seats[n].there {
+        if self.voters[n].voter.is_none() && self.voters[n].there {
             let inc = self.number();
             let t = self.t;
-            self.seats[n].start(t, inc);
+            self.voters[n].start(t, inc);
             self.note(format!("s{n} starts"));
         }
     }
 
-    /// All holders of the newest accepted roster hold a whole state, and no swap is under way:
+    /// All holders of the newest accepted voters hold a whole state, and no swap is under way:
     /// one more machine may be lost.
     pub fn whole(&self) -> bool {
-        let formed = self.seats.iter().filter_map(|s| s.seat.as_ref()).find(|s| s.formed);
-        let Some(first) = formed.map(|s| s.ledger.roster.clone()) else { return false };
-        let newest = self.book.roster.as_ref().unwrap_or(&first);
-        let synced = |s: &SimSeat| s.disk.kept.as_ref().is_some_and(|k| k.formed);
+        let formed = self.voters.iter().filter_map(|s| s.voter.as_ref()).find(|s| s.formed);
+        let Some(first) = formed.map(|s| s.ledger.voters.clone()) else { return false };
+        let newest = self.book.voters.as_ref().unwrap_or(&first);
+        let synced = |s: &SimVoter| s.disk.kept.as_ref().is_some_and(|k| k.formed);
         newest.iter().all(|h| {
-            self.seats.iter().filter(|s| synced(s)).filter_map(|s| s.seat.as_ref()).any(|x| {
-                x.formed && x.me.inc == h.inc && !x.dead && x.roster().iter().all(|r| newest.contains(r))
+            self.voters.iter().filter(|s| synced(s)).filter_map(|s| s.voter.as_ref()).any(|x| {
+                x.formed && x.me.inc == h.inc && !x.dead && x.voters().iter().all(|r| newest.contains(r))
             })
         })
     }
@@ -62,7 +62,7 @@
         let gap = self.rng.random_range(300..4_000);
         self.push(gap, What::Fault);
         self.stats.faults += 1;
-        let n = self.rng.random_range(0..self.seats.len());
+        let n = self.rng.random_range(0..self.voters.len());
         let ms = self.rng.random_range(50..6_000);
         match self.rng.random_range(0..14) {
             0 | 1 => {
@@ -72,7 +72,7 @@
             }
             2 => {
                 self.note("herd crash".into());
-                for n in 0..self.seats.len() {
+                for n in 0..self.voters.len() {
                     self.crash(n);
                     let ms = self.rng.random_range(50..2_000);
                     self.push(ms, What::Heal(Box::new(Undo::Start(n))));
@@ -80,7 +80,7 @@
             }
             3 | 4 => {
                 self.note(format!("freeze s{n} for {ms}"));
-                self.seats[n].frozen_until = self.t + ms;
+                self.voters[n].frozen_until = self.t + ms;
             }
             5 => {
                 let r = self.rng.random_range(0..ROUTERS);
@@ -88,31 +88,31 @@
                 self.routers[r].frozen_until = self.t + ms;
             }
             6 => {
-                let m = self.rng.random_range(0..self.seats.len());
+                let m = self.rng.random_range(0..self.voters.len());
                 self.cut_for(vec![(n, m)], ms, "one-way cut");
             }
             7 | 8 => {
-                let pairs = (0..self.seats.len() + ROUTERS).flat_map(|m| [(n, m), (m, n)]).collect();
+                let pairs = (0..self.voters.len() + ROUTERS).flat_map(|m| [(n, m), (m, n)]).collect();
                 self.cut_for(pairs, ms, "isolated");
             }
             9 => {
                 self.note(format!("slow disk s{n} for {ms}"));
-                self.seats[n].disk.mood = Mood::Slow;
+                self.voters[n].disk.mood = Mood::Slow;
                 self.push(ms, What::Heal(Box::new(Undo::Mood(n))));
             }
             10 => {
                 self.note(format!("stalled disk s{n} for {ms}"));
-                self.seats[n].disk.mood = Mood::Stalled;
+                self.voters[n].disk.mood = Mood::Stalled;
                 self.push(ms, What::Heal(Box::new(Undo::Mood(n))));
             }
             11 if self.rng.random_bool(0.5) => {
                 self.note(format!("failing disk s{n}, new process in {ms}"));
-                self.seats[n].disk.mood = Mood::Failing;
+                self.voters[n].disk.mood = Mood::Failing;
                 self.push(ms, What::Heal(Box::new(Undo::Start(n))));
             }
             11 => {
                 self.note(format!("planned stop of s{n}"));
-                self.seat_step(n, control_plane::seat::Ev::Yield)?;
+                self.voter_step(n, control_plane::consensus::Event::StepDown)?;
                 if self.rng.random_bool(0.7) {
                     self.crash(n);
                     self.push(ms, What::Heal(Box::new(Undo::Start(n))));
@@ -136,12 +136,12 @@
     }
 
     fn lose_disk(&mut self, n: usize, ms: u64) {
-        if !self.whole() || !self.seats[n].there {
+        if !self.whole() || !self.voters[n].there {
             return;
         }
         // A core of more than three bears the loss of two at once.
-        let other = (n + 1) % self.seats.len();
-        if self.seats.len() > CORE + 1 && self.seats[other].there && self.rng.random_bool(0.5) {
+        let other = (n + 1) % self.voters.len();
+        if self.voters.len() > CORE + 1 && self.voters[other].there && self.rng.random_bool(0.5) {
             self.blank(other, ms / 2);
         }
         self.blank(n, ms);
@@ -149,27 +149,27 @@
 
     fn blank(&mut self, n: usize, ms: u64) {
         self.note(format!("s{n} loses its disk"));
-        self.seats[n].lost = true;
-        let was = self.seats[n].disk.kept.clone();
+        self.voters[n].lost = true;
+        let was = self.voters[n].disk.kept.clone();
         self.crash(n);
-        self.seats[n].disk.lose();
+        self.voters[n].disk.lose();
         if let (Some(Broken::BlankVotes), Some(i)) = (self.broken, was.filter(|i| i.formed)) {
-            let ledger = control_plane::Ledger::founded("sim", i.ledger.roster.clone());
-            let img = Image { promised: View(0), log_view: View(0), ledger, entries: Vec::new(), ..i };
-            self.seats[n].disk.kept = Some(img);
+            let ledger = control_plane::Ledger::founded("sim", i.ledger.voters.clone());
+            let img = DurableState { promised: Term(0), log_term: Term(0), ledger, entries: Vec::new(), ..i };
+            self.voters[n].disk.kept = Some(img);
         }
         self.push(ms, What::Heal(Box::new(Undo::Start(n))));
     }
 
     /// An empty machine at a new address takes over; the old one may come back later.
     fn replace(&mut self, n: usize, ms: u64) {
-        let new = self.seats.len() - 1;
-        if !self.whole() || self.seats[new].there || n == new {
+        let new = self.voters.len() - 1;
+        if !self.whole() || self.voters[new].there || n == new {
             return;
         }
         self.note(format!("s{n} is gone, an empty s{new} comes up at another address"));
         self.crash(n);
-        self.seats[new].there = true;
+        self.voters[new].there = true;
         self.push(200, What::Heal(Box::new(Undo::Start(new))));
         self.push(6_000 + 2 * ms, What::Heal(Box::new(Undo::Start(n))));
     }
@@ -178,15 +178,15 @@
         match u {
             Undo::Start(n) => {
                 // A process with a failed disk is restarted by the platform.
-                if self.seats[n].seat.as_ref().is_some_and(|s| s.dead)
-                    || self.seats[n].disk.mood == Mood::Failing
+                if self.voters[n].voter.as_ref().is_some_and(|s| s.dead)
+                    || self.voters[n].disk.mood == Mood::Failing
                 {
                     self.crash(n);
                 }
                 self.start(n);
             }
             Undo::Cut(pairs) => self.cut.retain(|p| !pairs.contains(p)),
-            Undo::Mood(n) => self.seats[n].disk.mood = Mood::Well,
+            Undo::Mood(n) => self.voters[n].disk.mood = Mood::Well,
             Undo::Router(r) => {
                 let inc = self.number();
                 let clock = self.routers[r].clock;
@@ -195,12 +195,12 @@
             Undo::Calm => {
                 self.note("calm".into());
                 self.cut.clear();
-                for n in 0..self.seats.len() {
-                    self.seats[n].frozen_until = 0;
-                    if self.seats[n].disk.mood == Mood::Failing {
+                for n in 0..self.voters.len() {
+                    self.voters[n].frozen_until = 0;
+                    if self.voters[n].disk.mood == Mood::Failing {
                         self.crash(n);
                     }
-                    self.seats[n].disk.mood = Mood::Well;
+                    self.voters[n].disk.mood = Mood::Well;
                     self.start(n);
                 }
                 self.routers.iter_mut().for_each(|r| r.frozen_until = 0);
--- a/crates/simulator/src/sim/lending.rs
+++ b/crates/simulator/src/sim/lending.rs
@@ -10,7 +10,7 @@
 impl Data {
     fn lender(&self, n: usize) -> Option<usize> {
         let line = duty::line(&self.nodes[n].ledger, "lender/quiet", None);
-        line.iter().map(|m| number(&m.card.node)).find(|m| region(*m) == region(5))
+        line.iter().map(|m| number(&m.info.node)).find(|m| region(*m) == region(5))
     }
 
     pub(super) fn look(&mut self, n: usize) {
@@ -32,7 +32,7 @@
         let Some(at) = self.lender(n) else { return };
         let node = NodeId::new(format!("p{n}"));
         let (asked, lag) = (Tick(self.t), self.lag());
-        // The lender answers by its own view of who lends.
+        // The lender answers by its own term of who lends.
         if self.lender(at) != Some(at) {
             return;
         }
--- a/crates/simulator/src/sim/mod.rs
+++ b/crates/simulator/src/sim/mod.rs
@@ -26,13 +26,13 @@
 pub enum Broken {
     /// The disk says "synced" at once and loses it on a crash.
     LyingDisk,
-    /// A seat that lost its disk goes on voting as if nothing had happened.
+    /// A voter that lost its disk goes on voting as if nothing had happened.
     BlankVotes,
-    /// One seat's clock runs four times as fast.
+    /// One voter's clock runs four times as fast.
     FastClock,
-    /// Tenures counted from the answer instead of from before the renewal was sent.
-    LateTenure,
-    /// Followers install whatever frame arrives.
+    /// Leases counted from the answer instead of from before the renewal was sent.
+    LateLease,
+    /// Followers install whatever snapshot arrives.
     NewsGoesBack,
     /// Operators are told "accepted" as soon as the leader has logged the change.
     EarlyAccept,
@@ -40,7 +40,7 @@
     NoFences,
     /// Operators are told "refused" where the answer only took too long.
     TimeoutRefused,
-    /// A seat whose disk refused a write goes on as if that had been synced.
+    /// A voter whose disk refused a write goes on as if that had been synced.
     UnsyncedBelief,
     /// A leader logs whatever it is asked to, and feeds it in one piece.
     Boundless,
@@ -56,7 +56,7 @@
     ("lying-disk", Broken::LyingDisk),
     ("blank-votes", Broken::BlankVotes),
     ("fast-clock", Broken::FastClock),
-    ("late-tenure", Broken::LateTenure),
+    ("late-tenure", Broken::LateLease),
     ("news-goes-back", Broken::NewsGoesBack),
     ("early-accept", Broken::EarlyAccept),
     ("no-fences", Broken::NoFences),
@@ -102,10 +102,10 @@
     pub told_conflict: u64,
     pub told_refused: u64,
     pub undetermined: u64,
-    pub views: u64,
+    pub terms: u64,
     pub faults: u64,
     pub readmitted: u64,
-    pub lapses: u64,
+    pub expirations: u64,
     /// Virtual time from the end of all faults to the next acceptance.
     pub back_ms: u64,
     /// Reads that were answered, calls that were refused for now, and orders acknowledged once more.
@@ -120,23 +120,23 @@
 }
 
 /// One run in which disks refuse writes for a while, one after the other, besides the usual faults.
-pub fn run_refusing(seed: u64, broken: Option<Broken>, seats: usize) -> Result<Stats, Violation> {
-    let mut w = world::World::new(seed, broken, seats);
+pub fn run_refusing(seed: u64, broken: Option<Broken>, voters: usize) -> Result<Stats, Violation> {
+    let mut w = world::World::new(seed, broken, voters);
     w.schedule_refusals();
     w.run()?;
     Ok(w.stats)
 }
 
-/// One run of a core of so many seats.
-pub fn run_core(seed: u64, broken: Option<Broken>, seats: usize) -> Result<Stats, Violation> {
-    let mut w = world::World::new(seed, broken, seats);
+/// One run of a core of so many voters.
+pub fn run_core(seed: u64, broken: Option<Broken>, voters: usize) -> Result<Stats, Violation> {
+    let mut w = world::World::new(seed, broken, voters);
     w.run()?;
     Ok(w.stats)
 }
 
 /// One run with operators that read back and send again at any member.
-pub fn run_reads(seed: u64, broken: Option<Broken>, seats: usize) -> Result<Stats, Violation> {
-    let mut w = world::World::new(seed, broken, seats).with_readers();
+pub fn run_reads(seed: u64, broken: Option<Broken>, voters: usize) -> Result<Stats, Violation> {
+    let mut w = world::World::new(seed, broken, voters).with_readers();
     w.run()?;
     if let Some(readers) = &w.readers {
         w.stats.reads = readers.reads;
--- a/crates/simulator/src/sim/nodes.rs
+++ b/crates/simulator/src/sim/nodes.rs
@@ -1,12 +1,12 @@
-//! The nodes of the simulated cluster: seats with their disks, and routers with their tenures.
+//! The nodes of the simulated cluster: voters with their disks, and routers with their leases.
 
 use super::disk::SimDisk;
 use common::{Incarnation, Tick, settings::Timing};
 use control_plane::{
     Ledger, Role,
-    change::{Card, Holder},
-    seat::{Image, Room, Seat},
-    tenure::{Held, Tenures},
+    change::{NodeInfo, VoterInfo},
+    consensus::{DurableState, Room, Voter},
+    lease::{HeldLease, Leases},
 };
 use std::net::SocketAddr;
 
@@ -25,18 +25,18 @@
     }
 }
 
-pub struct SimSeat {
-    pub seat: Option<Seat>,
+pub struct SimVoter {
+    pub voter: Option<Voter>,
     pub disk: SimDisk,
-    pub me: Holder,
+    pub me: VoterInfo,
     pub clock: SimClock,
-    pub tenures: Tenures,
+    pub leases: Leases,
     /// Rises with each start: events meant for an earlier life are dropped.
     pub life: u64,
     pub frozen_until: u64,
     /// Exists at all: the replacement machine only from when it is put up.
     pub there: bool,
-    /// Seats of the core.
+    /// Voters of the core.
     core: usize,
     /// Its disk was lost once: the whole system is not new any more.
     pub lost: bool,
@@ -45,8 +45,8 @@
 }
 
 pub struct SimRouter {
-    pub card: Card,
-    pub held: Held,
+    pub info: NodeInfo,
+    pub held: HeldLease,
     pub ledger: Ledger,
     pub clock: SimClock,
     pub frozen_until: u64,
@@ -73,10 +73,10 @@
     Timing::default()
 }
 
-impl SimSeat {
+impl SimVoter {
     pub fn new(n: usize, core: usize, clock: SimClock) -> Self {
-        let me = Holder {
-            seat: u8::MAX,
+        let me = VoterInfo {
+            number: u8::MAX,
             inc: Incarnation(0),
             node: format!("s{n}").as_str().into(),
             area: format!("a{}", n % 3).as_str().into(),
@@ -84,11 +84,11 @@
             http: addr(n),
         };
         Self {
-            seat: None,
+            voter: None,
             disk: SimDisk::new(None, ROOM),
             me,
             clock,
-            tenures: Tenures::default(),
+            leases: Leases::default(),
             life: 0,
             frozen_until: 0,
             there: n < core,
@@ -99,56 +99,56 @@
     }
 
     /// The holder that a blank disk begins.
-    pub fn blank(&self, fresh_inc: u64) -> Holder {
-        Holder { inc: Incarnation(fresh_inc), seat: u8::MAX, ..self.me.clone() }
+    pub fn blank(&self, fresh_inc: u64) -> VoterInfo {
+        VoterInfo { inc: Incarnation(fresh_inc), number: u8::MAX, ..self.me.clone() }
     }
 
     /// Starts from what the disk kept; a blank disk gets a new incarnation first.
     pub fn start(&mut self, t: u64, fresh_inc: u64) {
-        let img: Image = match &self.disk.kept {
+        let img: DurableState = match &self.disk.kept {
             Some(i) => i.clone(),
-            None => Seat::blank_image(&self.blank(fresh_inc)),
+            None => Voter::blank_image(&self.blank(fresh_inc)),
         };
         self.disk.kept = Some(img.clone());
         let seeds = (0..3).map(addr).collect();
-        let me = Holder { seat: img.me.seat, inc: img.me.inc, ..self.me.clone() };
-        let mut seat = Seat::new(me, "sim", seeds, timing(), Some(img), self.clock.at(t));
-        seat.expects = self.core;
-        // With more seats than seeds, only who starts with all others founds (design 2.5).
-        seat.founds = self.core == 3 || (self.there && !self.lost && self.me.rail != addr(self.core));
-        seat.room = if self.boundless { Room { log: usize::MAX / 64 } } else { ROOM };
-        self.seat = Some(seat);
-        self.tenures = Tenures::default();
+        let me = VoterInfo { number: img.me.number, inc: img.me.inc, ..self.me.clone() };
+        let mut voter = Voter::new(me, "sim", seeds, timing(), Some(img), self.clock.at(t));
+        voter.expects = self.core;
+        // With more voters than seeds, only who starts with all others founds (design 2.5).
+        voter.founds = self.core == 3 || (self.there && !self.lost && self.me.rail != addr(self.core));
+        voter.room = if self.boundless { Room { log: usize::MAX / 64 } } else { ROOM };
+        self.voter = Some(voter);
+        self.leases = Leases::default();
         self.life += 1;
     }
 }
 
-impl SimSeat {
-    /// For traces: what this seat holds and believes.
+impl SimVoter {
+    /// For traces: what this voter holds and believes.
     pub fn shown(&self) -> String {
-        let Some(s) = &self.seat else { return format!("{} is down", self.me.node) };
-        let roster: Vec<String> = s.roster().iter().map(|h| format!("{}/{}", h.node, h.inc)).collect();
+        let Some(s) = &self.voter else { return format!("{} is down", self.me.node) };
+        let voters: Vec<String> = s.voters().iter().map(|h| format!("{}/{}", h.node, h.inc)).collect();
         format!(
-            "{}/{} seat {} formed {} dead {} out {} promised {} log view {} accepted {} last {} roster {roster:?} pending {} {:?}",
+            "{}/{} seat {} formed {} dead {} out {} promised {} log view {} accepted {} last {} roster {voters:?} pending {} {:?}",
             self.me.node,
             s.me.inc,
-            s.me.seat,
+            s.me.number,
             s.formed,
             s.dead,
             s.out,
             s.promised,
-            s.log_view,
+            s.log_term,
             s.accepted(),
             s.last(),
             self.disk.pending.len(),
-            s.post,
+            s.role,
         )
     }
 }
 
 impl SimRouter {
     pub fn new(n: usize, inc: u64, clock: SimClock) -> Self {
-        let card = Card {
+        let info = NodeInfo {
             node: format!("p{n}").as_str().into(),
             inc: Incarnation(inc),
             role: Role::Router,
@@ -158,8 +158,8 @@
             http: addr(100 + n),
         };
         Self {
-            card,
-            held: Held::default(),
+            info,
+            held: HeldLease::default(),
             ledger: Ledger::default(),
             clock,
             frozen_until: 0,
--- a/crates/simulator/src/sim/operate.rs
+++ b/crates/simulator/src/sim/operate.rs
@@ -8,12 +8,12 @@
 use common::{Area, OpId};
 use control_plane::{
     Change,
-    seat::{Ev, Fx},
+    consensus::{Effect, Event},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 impl World {
-    /// Operators send documents and evacuations to whichever seats they like, at times two at
+    /// Operators send documents and evacuations to whichever voters they like, at times two at
     /// once on the same base.
     pub fn operate(&mut self) -> Result<(), String> {
         let gap = self.rng.random_range(100..1_500);
@@ -22,9 +22,9 @@
         }
         let twice = self.rng.random_bool(0.2);
         for _ in 0..=usize::from(twice) {
-            let n = self.rng.random_range(0..self.seats.len());
-            let Some(seat) = self.seats[n].seat.as_ref().filter(|s| s.formed) else { continue };
-            let (base, seen) = (seat.ledger.revision, seat.ledger.idx);
+            let n = self.rng.random_range(0..self.voters.len());
+            let Some(voter) = self.voters[n].voter.as_ref().filter(|s| s.formed) else { continue };
+            let (base, seen) = (voter.ledger.revision, voter.ledger.idx);
             let op = OpId::new(format!("op{}", self.number()));
             let change = if self.rng.random_bool(0.7) {
                 Change::Apply { op: op.clone(), base, text: self.document(&op).into() }
@@ -48,25 +48,25 @@
 
     fn propose(&mut self, n: usize, op: OpId, change: Change) -> Result<(), String> {
         let lead =
-            self.seats[n].seat.as_ref().and_then(|s| s.leader()).map(|h| usize::from(h.rail.port() - 7000));
+            self.voters[n].voter.as_ref().and_then(|s| s.leader()).map(|h| usize::from(h.rail.port() - 7000));
         let at = lead.unwrap_or(n);
-        if self.seats[at].frozen_until > self.t || self.cut.contains(&(n, at)) {
+        if self.voters[at].frozen_until > self.t || self.cut.contains(&(n, at)) {
             return Ok(());
         }
-        let now = self.seats[at].clock.at(self.t);
-        let Some(seat) = self.seats[at].seat.as_mut() else { return Ok(()) };
-        let fx = seat.step(Ev::Propose(change.clone()), now);
-        for f in &fx {
+        let now = self.voters[at].clock.at(self.t);
+        let Some(voter) = self.voters[at].voter.as_mut() else { return Ok(()) };
+        let effects = voter.step(Event::Propose(change.clone()), now);
+        for f in &effects {
             match f {
-                Fx::Logged { idx, .. } => {
-                    let life = self.seats[at].life;
-                    let p = Proposal { op: op.clone(), change: change.clone(), seat: at, life };
+                Effect::Logged { idx, .. } => {
+                    let life = self.voters[at].life;
+                    let p = Proposal { op: op.clone(), change: change.clone(), voter: at, life };
                     if self.broken == Some(Broken::EarlyAccept) {
                         self.book.told_accepted.insert(op.clone(), *idx);
                     }
                     self.waiting.insert((at, *idx), p);
                 }
-                Fx::NotLogged { .. } => {
+                Effect::NotLogged { .. } => {
                     self.stats.told_refused += 1;
                     self.book.told_refused.insert(op.clone(), ());
                 }
@@ -79,10 +79,10 @@
         {
             self.book.told_refused.insert(op, ());
         }
-        self.effects(at, fx)
+        self.effects(at, effects)
     }
 
-    fn effects(&mut self, n: usize, fx: Vec<Fx>) -> Result<(), String> {
-        fx.into_iter().try_for_each(|f| self.effect(n, f))
+    fn effects(&mut self, n: usize, effects: Vec<Effect>) -> Result<(), String> {
+        effects.into_iter().try_for_each(|f| self.effect(n, f))
     }
 }
--- a/crates/simulator/src/sim/reads.rs
+++ b/crates/simulator/src/sim/reads.rs
@@ -11,8 +11,8 @@
 use common::{OpId, Revision};
 use control_plane::{
     Change, Ledger, Verdict,
+    consensus::{Effect, Event, LogEntry},
     operations::{AcceptedOperations, Standing, standing},
-    seat::{Ev, Fx, LogEntry},
 };
 use rand::Rng;
 
@@ -64,7 +64,7 @@
     /// What the desk of a member does with an order: it decides by the newest state, or refuses.
     fn send(&mut self, order: usize) -> Result<(), String> {
         let Some(readers) = &mut self.readers else { return Ok(()) };
-        let at = readers.rng.random_range(0..self.seats.len());
+        let at = readers.rng.random_range(0..self.voters.len());
         let Order { op, base } = readers.sent[order].clone();
         let Some((lead, mut ledger)) = self.newest_at(at) else {
             return self.count_unavailable();
@@ -107,28 +107,28 @@
     }
 
     pub fn forwarded(&mut self, at: usize, change: Change) -> Result<(), String> {
-        if self.seats[at].frozen_until > self.t {
-            let wait = self.seats[at].frozen_until - self.t;
+        if self.voters[at].frozen_until > self.t {
+            let wait = self.voters[at].frozen_until - self.t;
             self.push(wait, What::Forward { to: at, change: Box::new(change) });
             return Ok(());
         }
-        let now = self.seats[at].clock.at(self.t);
-        let life = self.seats[at].life;
-        let Some(seat) = self.seats[at].seat.as_mut() else { return Ok(()) };
-        let fx = seat.step(Ev::Propose(change), now);
-        for f in &fx {
-            if let (Fx::Logged { idx, change }, Some(readers)) = (f, &mut self.readers)
+        let now = self.voters[at].clock.at(self.t);
+        let life = self.voters[at].life;
+        let Some(voter) = self.voters[at].voter.as_mut() else { return Ok(()) };
+        let effects = voter.step(Event::Propose(change), now);
+        for f in &effects {
+            if let (Effect::Logged { idx, change }, Some(readers)) = (f, &mut self.readers)
                 && let Some(op) = change.op().cloned()
             {
                 readers.waiting.insert((at, *idx), Logged { op, life, change: change.clone() });
             }
         }
-        fx.into_iter().try_for_each(|f| self.effect(at, f))
+        effects.into_iter().try_for_each(|f| self.effect(at, f))
     }
 
     /// A member accepted an entry: the sender is told, unless the answer is lost.
     pub fn order_decided(&mut self, n: usize, e: &LogEntry, v: &Verdict) -> Result<(), String> {
-        let life = self.seats[n].life;
+        let life = self.voters[n].life;
         let Some(readers) = &mut self.readers else { return Ok(()) };
         let known = e.change.op().filter(|op| readers.sent.iter().any(|o| o.op == **op));
         if let (Some(op), Verdict::Accepted { revision }) = (known, v) {
@@ -153,7 +153,7 @@
     /// A read at any member never tells less than was acknowledged before it began.
     fn read_back(&mut self) -> Result<(), String> {
         let Some(readers) = &mut self.readers else { return Ok(()) };
-        let at = readers.rng.random_range(0..self.seats.len());
+        let at = readers.rng.random_range(0..self.voters.len());
         let before = readers.newest_acknowledged;
         let Some((_, ledger)) = self.newest_at(at) else {
             return self.count_unavailable();
@@ -170,16 +170,16 @@
 
     /// The newest state as a member can have it, and the leader that it is from.
     fn newest_at(&self, at: usize) -> Option<(usize, Ledger)> {
-        let awake = |n: usize| self.seats[n].frozen_until <= self.t;
-        let own = self.seats[at].seat.as_ref().filter(|s| s.formed && awake(at))?;
+        let awake = |n: usize| self.voters[n].frozen_until <= self.t;
+        let own = self.voters[at].voter.as_ref().filter(|s| s.formed && awake(at))?;
         if self.broken == Some(Broken::ReadsWithoutLease) {
             return Some((at, own.ledger.clone()));
         }
         let lead = own.leader().map_or(at, |h| usize::from(h.rail.port() - 7000));
         let linked = !self.cut.contains(&(at, lead)) && !self.cut.contains(&(lead, at));
-        let seat = self.seats.get(lead)?.seat.as_ref().filter(|_| linked && awake(lead))?;
-        let current = seat.current(self.seats[lead].clock.at(self.t));
-        current.then(|| (lead, seat.ledger.clone()))
+        let voter = self.voters.get(lead)?.voter.as_ref().filter(|_| linked && awake(lead))?;
+        let current = voter.current(self.voters[lead].clock.at(self.t));
+        current.then(|| (lead, voter.ledger.clone()))
     }
 
     fn count_unavailable(&mut self) -> Result<(), String> {
--- a/crates/simulator/src/sim/refusals.rs
+++ b/crates/simulator/src/sim/refusals.rs
@@ -1,5 +1,5 @@
 //! Disks that refuse every write for a while and then work again, while their processes go on: two
-//! of them one after the other, at different seats, beside the faults of the usual run.
+//! of them one after the other, at different voters, beside the faults of the usual run.
 
 use super::{
     Broken,
@@ -7,12 +7,12 @@
     faults::Undo,
     world::{CALM_AT, What, World},
 };
-use control_plane::seat::{Ev, Seat};
+use control_plane::consensus::{Event, Voter};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 /// Longest refusal; both fit before the calm.
 const LONGEST_MS: u64 = 6_000;
-/// Time between two attempts of a seat to recover.
+/// Time between two attempts of a voter to recover.
 const RETRY_MS: u64 = 120;
 /// How often a folder turns out to be damaged, where the core can bear the loss.
 const DAMAGED: f64 = 0.2;
@@ -21,66 +21,66 @@
     /// The pairs are drawn apart from the usual faults, which stay as they are.
     pub fn schedule_refusals(&mut self) {
         let mut drawn = SmallRng::seed_from_u64(self.seed ^ 0x6469_736b);
-        let seats = self.seats.len() - 1;
+        let voters = self.voters.len() - 1;
         let mut at = drawn.random_range(4_000..12_000);
         while at + 2 * LONGEST_MS < CALM_AT {
-            let first = drawn.random_range(0..seats);
-            let second = (first + drawn.random_range(1..seats)) % seats;
-            for seat in [first, second] {
+            let first = drawn.random_range(0..voters);
+            let second = (first + drawn.random_range(1..voters)) % voters;
+            for voter in [first, second] {
                 let for_ms = drawn.random_range(200..LONGEST_MS);
-                self.push(at, What::Refuse { seat, for_ms });
+                self.push(at, What::Refuse { voter, for_ms });
                 at += for_ms + drawn.random_range(0..2_000);
             }
             at += drawn.random_range(2_000..20_000);
         }
     }
 
-    pub fn refuse(&mut self, seat: usize, for_ms: u64) {
-        self.note(format!("s{seat}'s disk refuses writes for {for_ms}"));
-        self.seats[seat].disk.mood = Mood::Refusing;
-        self.push(for_ms, What::Heal(Box::new(Undo::Mood(seat))));
+    pub fn refuse(&mut self, voter: usize, for_ms: u64) {
+        self.note(format!("s{voter}'s disk refuses writes for {for_ms}"));
+        self.voters[voter].disk.mood = Mood::Refusing;
+        self.push(for_ms, What::Heal(Box::new(Undo::Mood(voter))));
     }
 
     /// A write is refused: of what was under way some may have reached the disk, and none counts.
     pub fn refused(&mut self, n: usize) -> Result<(), String> {
-        let under_way = self.seats[n].disk.pending.len();
+        let under_way = self.voters[n].disk.pending.len();
         if under_way == 0 {
             return Ok(());
         }
         if self.broken == Some(Broken::UnsyncedBelief) {
-            let last = self.seats[n].disk.pending.drain(..).next_back();
-            return last.map_or(Ok(()), |(tok, _)| self.seat_step(n, Ev::Synced(tok)));
+            let last = self.voters[n].disk.pending.drain(..).next_back();
+            return last.map_or(Ok(()), |(tok, _)| self.voter_step(n, Event::Synced(tok)));
         }
         let damaged = self.whole() && self.rng.random_bool(DAMAGED);
         let reached = self.rng.random_range(0..=under_way);
-        self.seats[n].disk.refuse(reached);
+        self.voters[n].disk.refuse(reached);
         if damaged {
             self.note(format!("s{n}'s folder is damaged"));
-            self.seats[n].lost = true;
-            self.seats[n].disk.kept = None;
+            self.voters[n].lost = true;
+            self.voters[n].disk.kept = None;
         }
-        self.seat_step(n, Ev::SyncFailed)?;
-        let life = self.seats[n].life;
-        self.push(RETRY_MS, What::Recover { seat: n, life });
+        self.voter_step(n, Event::SyncFailed)?;
+        let life = self.voters[n].life;
+        self.push(RETRY_MS, What::Recover { voter: n, life });
         Ok(())
     }
 
     /// The same process reads its folder again, once its disk takes writes.
     pub fn recover(&mut self, n: usize, life: u64) -> Result<(), String> {
-        let frozen = self.seats[n].frozen_until > self.t;
-        let s = &self.seats[n];
-        if s.life != life || s.seat.is_none() {
+        let frozen = self.voters[n].frozen_until > self.t;
+        let s = &self.voters[n];
+        if s.life != life || s.voter.is_none() {
             return Ok(());
         }
         if frozen || !matches!(s.disk.mood, Mood::Well | Mood::Slow) {
-            self.push(RETRY_MS, What::Recover { seat: n, life });
+            self.push(RETRY_MS, What::Recover { voter: n, life });
             return Ok(());
         }
         let fresh = self.number();
-        let s = &mut self.seats[n];
-        let blank = Seat::blank_image(&s.blank(fresh));
+        let s = &mut self.voters[n];
+        let blank = Voter::blank_image(&s.blank(fresh));
         let image = s.disk.kept.get_or_insert(blank).clone();
         self.note(format!("s{n}'s disk works again"));
-        self.seat_step(n, Ev::Recovered(Box::new(image)))
+        self.voter_step(n, Event::Recovered(Box::new(image)))
     }
 }
--- a/crates/simulator/src/sim/sweep.rs
+++ b/crates/simulator/src/sim/sweep.rs
@@ -14,7 +14,7 @@
     back: Vec<u64>,
 }
 
-pub fn sweep(from: u64, seeds: u64, seats: usize, broken: Option<Broken>, refusals: bool) -> Result<()> {
+pub fn sweep(from: u64, seeds: u64, voters: usize, broken: Option<Broken>, refusals: bool) -> Result<()> {
     let (next, stop) = (AtomicU64::new(from), AtomicBool::new(false));
     let (sum, found) = (Mutex::new(Sum::default()), Mutex::new(None::<Violation>));
     let cores = std::thread::available_parallelism().map(|n| n.get()).unwrap_or(2);
@@ -27,7 +27,7 @@
                         return;
                     }
                     let run = if refusals { run_refusing } else { run_core };
-                    match run(seed, broken, seats) {
+                    match run(seed, broken, voters) {
                         Ok(st) => add(&mut sum.lock().unwrap_or_else(|e| e.into_inner()), &st),
                         Err(v) => {
                             stop.store(true, Ordering::Release);
@@ -47,7 +47,7 @@
     match found.into_inner().unwrap_or_else(|e| e.into_inner()) {
         Some(v) => {
             let kind = if refusals { " --refusals" } else { "" };
-            bail!("violation\n{v}replay: simulator sim{kind} --seats {seats} --from {} --seeds 1", v.seed)
+            bail!("violation\n{v}replay: simulator sim{kind} --seats {voters} --from {} --seeds 1", v.seed)
         }
         None => Ok(()),
     }
@@ -63,10 +63,10 @@
     a.told_conflict += st.told_conflict;
     a.told_refused += st.told_refused;
     a.undetermined += st.undetermined;
-    a.views += st.views;
+    a.terms += st.terms;
     a.faults += st.faults;
     a.readmitted += st.readmitted;
-    a.lapses += st.lapses;
+    a.expirations += st.expirations;
 }
 
 fn told(from: u64, mut s: Sum) -> String {
@@ -81,14 +81,14 @@
         s.runs,
         a.steps,
         a.faults,
-        a.views,
+        a.terms,
         a.accepted,
         a.told_accepted,
         a.told_conflict,
         a.told_refused,
         a.undetermined,
         a.readmitted,
-        a.lapses,
+        a.expirations,
         at(50),
         at(99),
         at(100),
--- a/crates/simulator/src/sim/table.rs
+++ b/crates/simulator/src/sim/table.rs
@@ -9,7 +9,7 @@
 impl Data {
     pub(super) fn owners(&self, n: usize, shard: u16) -> Vec<usize> {
         let line = duty::line(&self.nodes[n].ledger, &format!("shard/{shard}"), None);
-        line.iter().map(|m| number(&m.card.node)).collect()
+        line.iter().map(|m| number(&m.info.node)).collect()
     }
 
     /// A new owner asks the next in line for what they hold.
--- a/crates/simulator/src/sim/way.rs
+++ b/crates/simulator/src/sim/way.rs
@@ -8,8 +8,8 @@
     world::{What, World},
 };
 use control_plane::{
-    seat::{Ev, Fx, SeatMsg},
-    tenure::Tenures,
+    consensus::{Effect, Event, Message},
+    lease::Leases,
 };
 use rand::Rng;
 
@@ -23,88 +23,88 @@
         Some(if spike { self.rng.random_range(50..600) } else { self.rng.random_range(1..15) })
     }
 
-    pub fn deliver(&mut self, to: usize, from: usize, msg: SeatMsg) -> Result<(), String> {
-        if self.seats[to].frozen_until > self.t {
-            let wait = self.seats[to].frozen_until - self.t;
-            self.push(wait, What::Seat { to, from, msg: Box::new(msg) });
+    pub fn deliver(&mut self, to: usize, from: usize, msg: Message) -> Result<(), String> {
+        if self.voters[to].frozen_until > self.t {
+            let wait = self.voters[to].frozen_until - self.t;
+            self.push(wait, What::Consensus { to, from, msg: Box::new(msg) });
             return Ok(());
         }
-        self.seat_step(to, Ev::Msg(addr(from), msg))
+        self.voter_step(to, Event::Msg(addr(from), msg))
     }
 
     pub fn synced(&mut self, n: usize, life: u64) -> Result<(), String> {
-        if self.seats[n].life != life {
+        if self.voters[n].life != life {
             return Ok(());
         }
-        match self.seats[n].disk.mood {
+        match self.voters[n].disk.mood {
             Mood::Stalled => {
-                self.push(40, What::Synced { seat: n, life });
+                self.push(40, What::Synced { voter: n, life });
                 Ok(())
             }
-            Mood::Failing => self.seat_step(n, Ev::SyncFailed),
+            Mood::Failing => self.voter_step(n, Event::SyncFailed),
             Mood::Refusing => self.refused(n),
-            _ => match self.seats[n].disk.sync_one() {
-                Some(tok) => self.seat_step(n, Ev::Synced(tok)),
+            _ => match self.voters[n].disk.sync_one() {
+                Some(tok) => self.voter_step(n, Event::Synced(tok)),
                 None => Ok(()),
             },
         }
     }
 
-    pub fn seat_step(&mut self, n: usize, ev: Ev) -> Result<(), String> {
+    pub fn voter_step(&mut self, n: usize, ev: Event) -> Result<(), String> {
         let t = self.t;
-        let s = &mut self.seats[n];
-        if s.frozen_until > t && !matches!(ev, Ev::Synced(_) | Ev::SyncFailed) {
+        let s = &mut self.voters[n];
+        if s.frozen_until > t && !matches!(ev, Event::Synced(_) | Event::SyncFailed) {
             return Ok(());
         }
-        let Some(seat) = s.seat.as_mut() else { return Ok(()) };
-        let fx = seat.step(ev, s.clock.at(t));
-        fx.into_iter().try_for_each(|f| self.effect(n, f))
+        let Some(voter) = s.voter.as_mut() else { return Ok(()) };
+        let effects = voter.step(ev, s.clock.at(t));
+        effects.into_iter().try_for_each(|f| self.effect(n, f))
     }
 
-    pub fn effect(&mut self, n: usize, f: Fx) -> Result<(), String> {
+    pub fn effect(&mut self, n: usize, f: Effect) -> Result<(), String> {
         match f {
-            Fx::Send { to, msg } => {
+            Effect::Send { to, msg } => {
                 let to = usize::from(to.port() - 7000);
-                let votes = matches!(msg, SeatMsg::Canvassed { .. } | SeatMsg::Stopped { .. });
-                if votes && self.seats[n].seat.as_ref().is_some_and(|s| !s.formed) {
+                let votes = matches!(msg, Message::PreVoteGranted { .. } | Message::Vote { .. });
+                if votes && self.voters[n].voter.as_ref().is_some_and(|s| !s.formed) {
                     return Err(format!("s{n} votes and holds nothing"));
                 }
                 // A disk that lies is to be caught by what comes of it.
                 if self.broken != Some(Broken::LyingDisk) {
-                    backed(&msg, self.seats[n].disk.kept.as_ref())?;
+                    backed(&msg, self.voters[n].disk.kept.as_ref())?;
                 }
                 fits("a message", &msg, WIRE)?;
-                if let Some(ms) = self.transit(n, to).filter(|_| to < self.seats.len()) {
-                    self.push(ms, What::Seat { to, from: n, msg: Box::new(msg) });
+                if let Some(ms) = self.transit(n, to).filter(|_| to < self.voters.len()) {
+                    self.push(ms, What::Consensus { to, from: n, msg: Box::new(msg) });
                 }
             }
-            Fx::Persist { tok, rec } => {
-                self.seats[n].disk.write(tok, rec)?;
+            Effect::Persist { tok, rec } => {
+                self.voters[n].disk.write(tok, rec)?;
                 if self.broken == Some(Broken::LyingDisk) {
-                    return self.seat_step(n, Ev::Synced(tok));
+                    return self.voter_step(n, Event::Synced(tok));
                 }
-                let ms = match self.seats[n].disk.mood {
+                let ms = match self.voters[n].disk.mood {
                     Mood::Slow => self.rng.random_range(100..900),
                     _ => self.rng.random_range(1..8),
                 };
-                let life = self.seats[n].life;
-                self.push(ms, What::Synced { seat: n, life });
+                let life = self.voters[n].life;
+                self.push(ms, What::Synced { voter: n, life });
             }
-            Fx::Accepted { entry, verdict } => self.on_accepted(n, &entry, &verdict)?,
-            Fx::Lead { view } => {
-                self.stats.views += 1;
-                self.note(format!("s{n} leads view {view}"));
-                let now = self.seats[n].clock.at(self.t);
-                self.seats[n].tenures = Tenures::taken_over(now);
+            Effect::Accepted { entry, verdict } => self.on_accepted(n, &entry, &verdict)?,
+            Effect::BecameLeader { term } => {
+                self.stats.terms += 1;
+                self.note(format!("s{n} leads view {term}"));
+                let now = self.voters[n].clock.at(self.t);
+                self.voters[n].leases = Leases::taken_over(now);
             }
-            Fx::Interrupted => {
+            Effect::Interrupted => {
                 let before = self.waiting.len();
                 self.waiting.retain(|at, _| at.0 != n);
                 self.stats.undetermined += (before - self.waiting.len()) as u64;
             }
-            Fx::Out => self.note(format!("s{n} learns that it is out")),
-            Fx::Refused { from, why } => return Err(format!("s{n} refuses a message of {from}: {why}")),
-            Fx::Framed | Fx::Logged { .. } | Fx::NotLogged { .. } => {}
+            Effect::Removed => self.note(format!("s{n} learns that it is out")),
+            Effect::Refused { from, why } => return Err(format!("s{n} refuses a message of {from}: {why}")),
+            Effect::SnapshotInstalled | Effect::Logged { .. } | Effect::NotLogged { .. } => {}
         }
         Ok(())
     }
--- a/crates/simulator/src/sim/world.rs
+++ b/crates/simulator/src/sim/world.rs
@@ -3,15 +3,15 @@
 use super::{
     Broken, Stats, Violation,
     check::Book,
-    nodes::{ROUTERS, SimClock, SimRouter, SimSeat},
+    nodes::{ROUTERS, SimClock, SimRouter, SimVoter},
 };
 use common::{Epoch, Fence, Index, OpId, Tick};
 use control_plane::{
     Change,
-    change::Card,
+    change::NodeInfo,
+    consensus::{Event, Message},
     duty::Fences,
     news::News,
-    seat::{Ev, SeatMsg},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::{
@@ -19,7 +19,7 @@
     collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque},
 };
 
-/// Seats of the usual core; one more machine may take the place of any.
+/// Voters of the usual core; one more machine may take the place of any.
 pub const CORE: usize = 3;
 /// Faults happen until here; then all is healed and must come back.
 pub const CALM_AT: u64 = 60_000;
@@ -33,27 +33,27 @@
 #[derive(Debug)]
 pub enum What {
     Wakeup(usize),
-    Seat { to: usize, from: usize, msg: Box<SeatMsg> },
-    Synced { seat: usize, life: u64 },
+    Consensus { to: usize, from: usize, msg: Box<Message> },
+    Synced { voter: usize, life: u64 },
     RouterWakeup(usize),
-    Renew { seat: usize, router: usize, card: Card, sent: Tick },
+    Renew { voter: usize, router: usize, info: NodeInfo, sent: Tick },
     Renewed { router: usize, inc: u64, epoch: Epoch, sent: Tick },
-    AskNews { seat: usize, router: usize, have: Index },
+    AskNews { voter: usize, router: usize, have: Index },
     News { router: usize, news: Box<News> },
     Act { fence: Fence, node: common::NodeId },
     Operator,
     Reader,
     Forward { to: usize, change: Box<Change> },
     Fault,
-    Refuse { seat: usize, for_ms: u64 },
-    Recover { seat: usize, life: u64 },
+    Refuse { voter: usize, for_ms: u64 },
+    Recover { voter: usize, life: u64 },
     Heal(Box<super::faults::Undo>),
 }
 
 pub struct Proposal {
     pub op: OpId,
     pub change: Change,
-    pub seat: usize,
+    pub voter: usize,
     pub life: u64,
 }
 
@@ -62,7 +62,7 @@
     pub t: u64,
     pub rng: SmallRng,
     pub broken: Option<Broken>,
-    pub seats: Vec<SimSeat>,
+    pub voters: Vec<SimVoter>,
     pub routers: Vec<SimRouter>,
     pub cut: BTreeSet<(usize, usize)>,
     pub book: Book,
@@ -78,7 +78,7 @@
 }
 
 impl World {
-    /// A core of so many seats, and one more machine; three of them are seeds.
+    /// A core of so many voters, and one more machine; three of them are seeds.
     pub fn new(seed: u64, broken: Option<Broken>, core: usize) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut clock = |n: usize| SimClock {
@@ -89,14 +89,14 @@
                 rng.random_range(0.99..1.01)
             },
         };
-        let seats = (0..=core).map(|n| SimSeat::new(n, core, clock(n))).collect();
+        let voters = (0..=core).map(|n| SimVoter::new(n, core, clock(n))).collect();
         let routers = (0..ROUTERS).map(|n| SimRouter::new(n, 100 + n as u64, clock(9))).collect();
         let mut w = World {
             seed,
             t: 0,
             rng,
             broken,
-            seats,
+            voters,
             routers,
             cut: BTreeSet::new(),
             book: Book::default(),
@@ -110,10 +110,10 @@
             calm_since: None,
             readers: None,
         };
-        w.seats.iter_mut().for_each(|s| s.boundless = broken == Some(Broken::Boundless));
+        w.voters.iter_mut().for_each(|s| s.boundless = broken == Some(Broken::Boundless));
         for n in 0..core {
             let inc = w.number();
-            w.seats[n].start(0, inc);
+            w.voters[n].start(0, inc);
         }
         (0..=core).for_each(|n| w.push(n as u64, What::Wakeup(n)));
         (0..ROUTERS).for_each(|n| w.push(10 + n as u64, What::RouterWakeup(n)));
@@ -157,13 +157,13 @@
         self.last_look().map_err(|e| self.fail(e))
     }
 
-    /// Never two seats that lead at one time.
+    /// Never two voters that lead at one time.
     fn look(&self) -> Result<(), String> {
         let leads: Vec<&str> = self
-            .seats
+            .voters
             .iter()
             .filter(|s| s.frozen_until <= self.t)
-            .filter(|s| s.seat.as_ref().is_some_and(|x| x.leads(s.clock.at(self.t))))
+            .filter(|s| s.voter.as_ref().is_some_and(|x| x.leads(s.clock.at(self.t))))
             .map(|s| s.me.node.as_str())
             .collect();
         if leads.len() > 1 { Err(format!("two seats lead at once: {leads:?}")) } else { Ok(()) }
@@ -172,14 +172,15 @@
     /// After the calm: service is back in time, and what is read is the newest accepted.
     fn last_look(&mut self) -> Result<(), String> {
         if self.stats.back_ms == 0 || self.stats.back_ms > BACK_MS {
-            let seats: Vec<String> = self.seats.iter().map(SimSeat::shown).collect();
+            let voters: Vec<String> = self.voters.iter().map(SimVoter::shown).collect();
             let back = self.stats.back_ms;
             return Err(format!(
-                "no acceptance within {BACK_MS} ms after the faults ended: {back}; {seats:#?}"
+                "no acceptance within {BACK_MS} ms after the faults ended: {back}; {voters:#?}"
             ));
         }
-        let lead = self.seats.iter().find(|s| s.seat.as_ref().is_some_and(|x| x.current(s.clock.at(self.t))));
-        let Some(l) = lead.and_then(|s| s.seat.as_ref()).map(|s| &s.ledger) else {
+        let lead =
+            self.voters.iter().find(|s| s.voter.as_ref().is_some_and(|x| x.current(s.clock.at(self.t))));
+        let Some(l) = lead.and_then(|s| s.voter.as_ref()).map(|s| &s.ledger) else {
             return Err("no seat leads at the end".into());
         };
         let read = (l.revision, l.text.clone());
@@ -197,7 +198,7 @@
         let behind = self.routers.iter().find(|r| r.ledger.revision != l.revision);
         match behind {
             Some(r) => {
-                Err(format!("{} still has revision {} of {}", r.card.node, r.ledger.revision, l.revision))
+                Err(format!("{} still has revision {} of {}", r.info.node, r.ledger.revision, l.revision))
             }
             None => Ok(()),
         }
@@ -207,26 +208,26 @@
         match what {
             What::Wakeup(n) => {
                 self.push(WAKEUP, What::Wakeup(n));
-                self.seat_step(n, Ev::Wakeup)?;
-                self.lapse(n)
+                self.voter_step(n, Event::Timer)?;
+                self.expire(n)
             }
-            What::Seat { to, from, msg } => self.deliver(to, from, *msg),
-            What::Synced { seat, life } => self.synced(seat, life),
+            What::Consensus { to, from, msg } => self.deliver(to, from, *msg),
+            What::Synced { voter, life } => self.synced(voter, life),
             What::RouterWakeup(n) => self.router_wakeup(n),
-            What::Renew { seat, router, card, sent } => self.renew(seat, router, card, sent),
+            What::Renew { voter, router, info, sent } => self.renew(voter, router, info, sent),
             What::Renewed { router, inc, epoch, sent } => self.renewed(router, inc, epoch, sent),
-            What::AskNews { seat, router, have } => self.tell_news(seat, router, have),
+            What::AskNews { voter, router, have } => self.tell_news(voter, router, have),
             What::News { router, news } => self.take_news(router, *news),
             What::Act { fence, node } => self.act(fence, node),
             What::Operator => self.operate(),
             What::Reader => self.reader_acts(),
             What::Forward { to, change } => self.forwarded(to, *change),
             What::Fault => self.fault(),
-            What::Refuse { seat, for_ms } => {
-                self.refuse(seat, for_ms);
+            What::Refuse { voter, for_ms } => {
+                self.refuse(voter, for_ms);
                 Ok(())
             }
-            What::Recover { seat, life } => self.recover(seat, life),
+            What::Recover { voter, life } => self.recover(voter, life),
             What::Heal(u) => self.undo(*u),
         }
     }
--- a/crates/simulator/src/spare.rs
+++ b/crates/simulator/src/spare.rs
@@ -6,7 +6,7 @@
     sim::disk::SimDisk,
     standin::StandIn,
 };
-use control_plane::seat::Room;
+use control_plane::consensus::Room;
 use eyre::Result;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -24,7 +24,7 @@
 }
 
 impl Fleet {
-    /// An empty machine in the same area, at a new address, for a seat that is gone.
+    /// An empty machine in the same area, at a new address, for a voter that is gone.
     pub fn spare_for(&mut self, name: &str) -> Result<()> {
         let old = self.node(name)?;
         let n = Node {
--- a/crates/simulator/tests/sim.rs
+++ b/crates/simulator/tests/sim.rs
@@ -18,9 +18,9 @@
 
 /// Larger cores know of each other through three seeds, and bear the loss of two disks at once.
 #[rstest]
-fn larger_cores_hold(#[values(5, 6)] seats: usize) {
+fn larger_cores_hold(#[values(5, 6)] voters: usize) {
     for seed in 1..=40 {
-        if let Err(v) = run_core(seed, None, seats) {
+        if let Err(v) = run_core(seed, None, voters) {
             panic!("{v}");
         }
     }
@@ -29,18 +29,18 @@
 /// Disks refuse writes for a while, one after the other, under processes that go on. Before: a refusal
 /// cost the vote for ever, and no lead came back (seed 9 of either size).
 #[rstest]
-fn disks_that_refuse_for_a_while_cost_no_vote(#[values(3, 5)] seats: usize) {
+fn disks_that_refuse_for_a_while_cost_no_vote(#[values(3, 5)] voters: usize) {
     for seed in 1..=40 {
-        if let Err(v) = run_refusing(seed, None, seats) {
+        if let Err(v) = run_refusing(seed, None, voters) {
             panic!("{v}");
         }
     }
 }
 
-/// A seat that goes on by what its disk never took is caught by its own words.
+/// A voter that goes on by what its disk never took is caught by its own words.
 #[rstest]
-fn going_on_by_unsynced_belief_is_caught(#[values(3, 5)] seats: usize) {
-    let found = (1..40).find_map(|seed| run_refusing(seed, Some(Broken::UnsyncedBelief), seats).err());
+fn going_on_by_unsynced_belief_is_caught(#[values(3, 5)] voters: usize) {
+    let found = (1..40).find_map(|seed| run_refusing(seed, Some(Broken::UnsyncedBelief), voters).err());
     let what = found.map(|v| v.what).unwrap_or_default();
     assert!(what.contains("a seat says what its disk does not hold"), "{what:?}");
 }
@@ -49,8 +49,8 @@
 #[rstest]
 #[case::elected_with_the_vote_of_a_replaced_holder(5, 616)]
 #[case::a_swap_not_known_as_accepted_kept_its_newcomer_out(6, 246)]
-fn once_found_in_larger_cores_stays_mended(#[case] seats: usize, #[case] seed: u64) {
-    if let Err(v) = run_core(seed, None, seats) {
+fn once_found_in_larger_cores_stays_mended(#[case] voters: usize, #[case] seed: u64) {
+    if let Err(v) = run_core(seed, None, voters) {
         panic!("{v}");
     }
 }
@@ -89,7 +89,7 @@
 #[case(Broken::LyingDisk, &["two changes were accepted", "is gone", "two verdicts", "was accepted before"])]
 #[case(Broken::BlankVotes, &["two seats lead", "two changes were accepted", "was accepted before", "is gone"])]
 #[case(Broken::FastClock, &["two seats lead", "lapsed while it holds"])]
-#[case(Broken::LateTenure, &["lapsed while it holds"])]
+#[case(Broken::LateLease, &["lapsed while it holds"])]
 #[case(Broken::NewsGoesBack, &["went back"])]
 #[case(Broken::EarlyAccept, &["is gone"])]
 #[case(Broken::NoFences, &["acted with effect under fence"])]
@@ -132,10 +132,10 @@
 
 /// Operators that read back and send again at any member, also at those that are cut off.
 #[rstest]
-fn reads_and_resends_hold(#[values(3, 5)] seats: usize) {
+fn reads_and_resends_hold(#[values(3, 5)] voters: usize) {
     let (mut reads, mut again, mut unavailable) = (0, 0, 0);
     for seed in 1..=60 {
-        match run_reads(seed, None, seats) {
+        match run_reads(seed, None, voters) {
             Ok(s) => {
                 reads += s.reads;
                 again += s.acknowledged_again;
@@ -144,7 +144,7 @@
             Err(v) => panic!("{v}"),
         }
     }
-    println!("{seats} seats: {reads} reads, {again} orders acknowledged again, {unavailable} unavailable");
+    println!("{voters} seats: {reads} reads, {again} orders acknowledged again, {unavailable} unavailable");
     assert!(reads > 1_000 && again > 500 && unavailable > 1_000, "{reads} {again} {unavailable}");
 }
 
