Opening a connection goes on behind a call that gave up waiting

Above some 80 ms one way a line between voters could fail to open for ever. Change: a task of its own opens, for at most four times the usual wait; a connection that was opened for a call that timed out stays for the next one. A call's own message is still sent within its time or not at all. Ruled out: one shared attempt for each peer: after a cut it would be waited for, where a fresh one gets through.

--- a/crates/common/src/link.rs
+++ b/crates/common/src/link.rs
@@ -11,7 +11,7 @@
 use std::{
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
-    sync::Mutex,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 use tarpc::{
@@ -20,6 +20,7 @@
     context,
     server::{BaseChannel, Channel as _, serve},
 };
+use tokio::sync::oneshot;
 use tokio_util::codec::Framed;
 
 /// First message on each connection.
@@ -58,7 +59,11 @@
 /// What a call outlives its own time-out by, at most, at the node that is asked.
 const SPARE: Duration = Duration::from_secs(600);
 
-type Cached<Q, R> = Mutex<BTreeMap<SocketAddr, Channel<Q, R>>>;
+/// Opening a connection takes three ways there and back, and so may take longer than a call: it goes on
+/// behind a call that gave up, for at most so many times the usual wait.
+const OPEN_WAITS: u64 = 4;
+
+type Cached<Q, R> = Arc<Mutex<BTreeMap<SocketAddr, Channel<Q, R>>>>;
 
 /// Cached tarpc channels to the processes of one service.
 pub struct Lines<Q, R> {
@@ -73,7 +78,7 @@
     R: Serialize + DeserializeOwned + Send + 'static,
 {
     pub fn new(me: Me, service: &'static str) -> Self {
-        Self { me, service, open: Mutex::default() }
+        Self { me, service, open: Cached::default() }
     }
 
     /// One call within the usual time; a failed link is dropped and opened anew next time.
@@ -84,46 +89,50 @@
     pub async fn call_within(&self, ms: u64, step: &'static str, to: SocketAddr, q: Q) -> Result<R, Fault> {
         let counted = ground::world().filter(|w| w.tally.on());
         let asked = counted.as_ref().map_or(0, |_| length(&q));
+        let was_open = self.lock().contains_key(&to);
+        let mut ended = false;
         let res = within(ms, step, to, async {
-            let ch = self.channel(to).await?;
-            let mut ctx = context::current();
-            // The time-out around this decides; the library's own, on the machine's clock, comes later.
-            ctx.deadline = Instant::now() + Duration::from_millis(ms) + SPARE;
-            ch.call(ctx, q).await.at(step, to)
+            let res = self.ask(ms, step, to, q).await;
+            ended = true;
+            res
         })
         .await;
         if let Some(w) = counted {
             let ends = (self.me.ip, to.ip());
             w.tally.call(ends, (self.service, step), asked, res.as_ref().ok().map(length));
         }
-        if res.is_err() {
+        // A connection that was opened for this call, and took its time, may serve the next one.
+        if res.is_err() && (was_open || ended) {
             self.lock().remove(&to);
         }
         res
     }
 
+    async fn ask(&self, ms: u64, step: &'static str, to: SocketAddr, q: Q) -> Result<R, Fault> {
+        let channel = self.channel(to).await?;
+        let mut ctx = context::current();
+        // The time-out of the caller decides; the library's own, on the machine's clock, comes later.
+        ctx.deadline = Instant::now() + Duration::from_millis(ms) + SPARE;
+        channel.call(ctx, q).await.at(step, to)
+    }
+
+    /// The open channel to a process. Where there is none, one is opened by a task of its own, so that
+    /// what a call did not wait for serves the next.
     async fn channel(&self, to: SocketAddr) -> Result<Channel<Q, R>, Fault> {
         let found = self.lock().get(&to).cloned();
-        if let Some(ch) = found {
-            return Ok(ch);
-        }
-        let io = crate::http::connect(self.me.ip, to).await?;
-        let mut f = Framed::new(io, Codec::<Welcome, Hello>::hello());
-        let hello = Hello {
-            proto: PROTO,
-            cluster: self.me.cluster.clone(),
-            service: self.service.into(),
-            node: self.me.node.clone(),
-        };
-        f.send(hello).await.at("hello", to)?;
-        let w = f.next().await.ok_or("closed during the hello").at("hello", to)?.at("hello", to)?;
-        if let Some(why) = w.bounced {
-            return Err(Fault::new("hello", to, why));
+        if let Some(channel) = found {
+            return Ok(channel);
         }
-        let new = client::new(client::Config::default(), recode(f, Codec::default()));
-        spawn(new.dispatch);
-        self.lock().insert(to, new.client.clone());
-        Ok(new.client)
+        let (me, service, cached) = (self.me.clone(), self.service, self.open.clone());
+        let (tell, told) = oneshot::channel();
+        spawn(async move {
+            let opened = within(me.wait_ms * OPEN_WAITS, "connect", to, open(&me, service, to)).await;
+            if let Ok(channel) = &opened {
+                cached.lock().unwrap_or_else(|e| e.into_inner()).insert(to, channel.clone());
+            }
+            let _ = tell.send(opened);
+        });
+        told.await.at("connect", to)?
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, Channel<Q, R>>> {
@@ -131,6 +140,26 @@
     }
 }
 
+/// Opens a connection: a hello, its answer, then a channel for calls.
+async fn open<Q, R>(me: &Me, service: &'static str, to: SocketAddr) -> Result<Channel<Q, R>, Fault>
+where
+    Q: RequestName + Serialize + Send + 'static,
+    R: Serialize + DeserializeOwned + Send + 'static,
+{
+    let io = crate::http::connect(me.ip, to).await?;
+    let mut f = Framed::new(io, Codec::<Welcome, Hello>::hello());
+    let hello =
+        Hello { proto: PROTO, cluster: me.cluster.clone(), service: service.into(), node: me.node.clone() };
+    f.send(hello).await.at("hello", to)?;
+    let welcome = f.next().await.ok_or("closed during the hello").at("hello", to)?.at("hello", to)?;
+    if let Some(why) = welcome.bounced {
+        return Err(Fault::new("hello", to, why));
+    }
+    let new = client::new(client::Config::default(), recode(f, Codec::default()));
+    spawn(new.dispatch);
+    Ok(new.client)
+}
+
 /// Answers calls of one service until the listener's task is dropped.
 pub async fn listen<Q, R, F, Fut>(lst: impl Into<Listener>, me: Me, service: &'static str, handler: F)
 where
