--- a/crates/data-plane/tests/serving/listing.rs
+++ b/crates/data-plane/tests/serving/listing.rs
@@ -6,7 +6,7 @@
 };
 use common::{
     Area,
-    ground::{World, bind, spawn},
+    ground::{World, bind, spawn_at},
     http::{self, text},
 };
 use configuration::RouteKind;
@@ -107,7 +107,7 @@
         let (me, at) = (list.clone(), SocketAddr::from(LIST));
         let lst = bind(at).await.expect("the list's address");
         let world: Arc<World> = common::ground::world().expect("a world");
-        spawn(async move {
+        spawn_at(at.ip(), async move {
             let handler = move |_, req: hyper::Request<hyper::body::Incoming>| {
                 let (ms, code, page) = me.answer(req.uri().path(), world.ms());
                 async move {
--- a/crates/data-plane/tests/serving/stage.rs
+++ b/crates/data-plane/tests/serving/stage.rs
@@ -508,7 +508,8 @@
 
     /// Begins to read the platform's list, and to probe what stands there.
     pub fn watch(&self) {
-        self.s.clone().watch_all();
+        let s = self.s.clone();
+        spawn_at(IpAddr::from(ROUTER), async move { s.watch_all() });
     }
 
     /// Replicas that this router knows, and whether they leave.
