A newcomer is swapped in once it durably holds the state; a member that leaves waits for it

Cause: a swap counted once a majority without the newcomer held it, and the newcomer was fed after that. A planned replacement waited for the old holder's silence: the core was one short for seconds after the old machine had ended, when the platform's bound permits the next loss at once.

Change: a newcomer is fed as a learner without a vote (seat/learner.rs), swapped in once it says that it durably holds all that is accepted, and votes once it has the accepted swap on its disk. A member that gets SIGTERM asks the leader to be replaced and waits for that, for four leases at most. A replaced holder that returns starts over as a blank newcomer. Resends learn the round trip from answers.

The test of the survivors' word now has the newcomer say first that it holds the state: without that no swap is made at all. It is as strict about the survivors' word.

--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -119,11 +119,19 @@
         if weight <= BULK { (&self.lines, ms) } else { (&self.bulk, 4 * ms + weight as u64 / BYTES_A_MS) }
     }
 
-    /// Hands the lead over before a planned stop, and waits for another to take it.
+    /// Hands the lead over before a planned stop, waits for another to take it, and for a newcomer to
+    /// take the seat where one is there.
     pub async fn yield_lead(self: &Arc<Self>) {
         self.step(Ev::Yield);
-        let t = &self.set.timing;
-        tokio::time::sleep(Duration::from_millis(t.beat_ms() * 3)).await;
+        let beat = Duration::from_millis(self.set.timing.beat_ms());
+        tokio::time::sleep(beat * 3).await;
+        while !self.may_stop() {
+            tokio::time::sleep(beat).await;
+        }
+    }
+
+    fn may_stop(&self) -> bool {
+        self.lock().seat.may_stop(self.clock.now())
     }
 
     fn carry_out(self: &Arc<Self>, g: &mut Inner, fx: Vec<Fx>) {
--- a/crates/control-plane/src/core/serve.rs
+++ b/crates/control-plane/src/core/serve.rs
@@ -88,7 +88,7 @@
             me: g.seat.me.clone(),
             leader: g.seat.leader(),
             formed: g.seat.formed,
-            voting: g.seat.formed && !g.seat.dead && !g.seat.out && !g.seat.overdue(now),
+            voting: g.seat.votes() && !g.seat.overdue(now),
             view: g.seat.promised.0,
             reports: g
                 .reports
--- a/crates/control-plane/src/seat/feed.rs
+++ b/crates/control-plane/src/seat/feed.rs
@@ -20,19 +20,19 @@
         }
     }
 
-    /// A newcomer is fed only once its readmission is accepted (design 2.5).
+    /// A newcomer is fed as a learner until its swap is accepted (design 2.5).
     fn fed(&self) -> Vec<Holder> {
         let mut all = self.others();
         all.retain(|h| self.ledger.roster.contains(h));
+        all.extend(self.learners.values().map(|l| l.holder.clone()));
         all
     }
 
     /// What a follower lacks, once. It is fed again only when the answer is overdue: a long entry on
     /// a long link would be sent many times over, and hold up the beats (design 2.3).
-    fn due_to(&self, h: &Holder, now: Tick) -> Option<Body> {
-        let Post::Leader { peers, .. } = &self.post else { return None };
-        let p = peers.get(&h.seat)?;
-        if p.carried.as_ref().is_some_and(|c| !c.overdue(&self.t, now)) {
+    pub(super) fn due_to(&self, h: &Holder, now: Tick) -> Option<Body> {
+        let p = self.peer(h)?;
+        if p.carried.as_ref().is_some_and(|c| !c.overdue(&self.t, p.round_trip, now)) {
             return None;
         }
         // A follower that lags further than the log reaches takes a frame in its view.
@@ -44,7 +44,7 @@
         (!entries.is_empty()).then_some(Body::Append { prev: p.last, entries })
     }
 
-    fn feed(&mut self, h: &Holder, body: Body, now: Tick, fx: &mut Vec<Fx>) {
+    pub(super) fn feed(&mut self, h: &Holder, body: Body, now: Tick, fx: &mut Vec<Fx>) {
         let upto = match &body {
             Body::Ping => None,
             Body::Install { .. } => Some(self.last()),
@@ -60,8 +60,8 @@
             body,
         };
         fx.push(Fx::Send { to: h.rail, msg });
-        if let (Post::Leader { peers, .. }, Some(upto)) = (&mut self.post, upto)
-            && let Some(p) = peers.get_mut(&h.seat)
+        if let Some(upto) = upto
+            && let Some(p) = self.peer_mut(h)
         {
             p.carried = Some(Carried::new(now, upto, weight));
         }
@@ -87,17 +87,22 @@
     }
 
     pub(super) fn on_feed(&mut self, f: Feed, now: Tick, fx: &mut Vec<Fx>) {
-        if !self.formed {
+        if !self.formed || (self.learner() && !self.knows(&f.by)) {
             return self.first_frame(f, now, fx);
         }
+        let known = self.knows(&f.by) || self.shown(&f);
         let Feed { from, by, view, accepted, stamp, body, .. } = f;
-        if !self.knows(&by) || view < self.promised || self.out {
+        if !known || view < self.promised || self.out {
             // Also tells a leader of an older view that it is one no more.
             if self.knows(&by) && !self.out {
                 fx.push(Fx::Send { to: from, msg: self.held(stamp) });
-            } else if self.formed {
+            } else {
                 self.tell_roster(from, fx);
             }
+            // One that was swapped in meanwhile is asked for the state that names it.
+            if !self.knows(&by) && view > self.promised && !self.out {
+                fx.push(Fx::Send { to: from, msg: self.holds_nothing(view, stamp) });
+            }
             return;
         }
         let newer = view > self.promised;
@@ -131,6 +136,8 @@
         if self.log_view == view {
             self.accept_to(accepted.min(self.last()), fx);
         }
+        // From here on it votes, once this is on its disk.
+        slot |= self.take_seat();
         if let Some(Rec::Append { accepted, .. }) = &mut rec {
             *accepted = self.accepted();
         }
@@ -162,29 +169,46 @@
         }
     }
 
+    pub(super) fn holds_nothing(&self, view: View, stamp: Tick) -> SeatMsg {
+        SeatMsg::Held { by: self.voter(), view, installed: false, last: Index(0), accepted: Index(0), stamp }
+    }
+
     pub(super) fn on_held(&mut self, by: Voter, view: View, p: Peer, now: Tick, fx: &mut Vec<Fx>) {
-        let (known, mine) = (self.knows(&by), self.promised);
-        let Post::Leader { peers, .. } = &mut self.post else { return };
-        if !known || view < mine {
+        let Some(holder) = self.answerer(&by) else { return };
+        let (votes, mine) = (self.knows(&by), self.promised);
+        if view > mine && votes {
+            self.post = Post::Follower { leader: None, heard: now };
+        }
+        if view != mine || !self.is_leader() {
             return;
         }
-        if view > mine {
-            self.post = Post::Follower { leader: None, heard: now };
+        let seatless = !votes && !self.learners.contains_key(&by.inc);
+        let was = self.peer(&holder).cloned().unwrap_or_default();
+        // What it said without its seat counts no more once it has spoken with it.
+        if seatless && was.votes() {
             return;
         }
-        let was = peers.get(&by.seat).cloned().unwrap_or_default();
-        let stale = was.installed && (!p.installed || p.last < was.last);
-        let mut new = if stale { was.clone() } else { p.clone() };
-        new.stamp = was.stamp.max(p.stamp);
-        new.carried = was.carried.filter(|c| !c.held_by(&new));
-        peers.insert(by.seat, new);
+        let new = was.answered(Peer { learner: seatless, ..p }, now);
+        if let Some(learner) = self.learners.get_mut(&by.inc) {
+            (learner.peer, learner.heard) = (new, now);
+        } else if let Post::Leader { peers, .. } = &mut self.post {
+            peers.insert(holder.seat, new);
+        }
         self.advance(now, fx);
-        self.heed_plea(now, fx);
+        self.heed_learners(now, fx);
         // What is due goes on at once; the rest follows with the beat.
-        let to: Vec<Holder> = self.fed().into_iter().filter(|h| h.seat == by.seat).collect();
+        let to: Vec<Holder> = self.fed().into_iter().filter(|h| h.inc == by.inc).collect();
         self.feed_due(&to, now, fx);
     }
 
+    /// Who answers: a learner, or a holder of the accepted roster, that knows its seat or not yet.
+    fn answerer(&self, by: &Voter) -> Option<Holder> {
+        let learner = self.learners.get(&by.inc).map(|l| l.holder.clone());
+        let all = if self.knows(by) { self.roster() } else { self.ledger.roster.clone() };
+        let known = |h: &Holder| h.inc == by.inc && (h.seat == by.seat || by.seat == u8::MAX);
+        learner.or_else(|| all.into_iter().find(known))
+    }
+
     /// Accepts what a majority of the roster in force has synced in this view (design 2.3).
     pub(super) fn advance(&mut self, now: Tick, fx: &mut Vec<Fx>) {
         let Post::Leader { peers, .. } = &self.post else { return };
@@ -193,7 +217,7 @@
             .others()
             .iter()
             .filter(|h| settled.contains(h))
-            .filter_map(|h| peers.get(&h.seat).filter(|p| p.installed).map(|p| p.last))
+            .filter_map(|h| peers.get(&h.seat).filter(|p| p.votes()).map(|p| p.last))
             .collect();
         held.push(self.synced);
         held.sort();
@@ -212,6 +236,8 @@
             let verdict = self.ledger.fold(entry.idx, &entry.change);
             if let (Post::Leader { peers, .. }, Change::Roster(h)) = (&mut self.post, &entry.change) {
                 peers.remove(&h.seat);
+                let learner = self.learners.remove(&h.inc);
+                peers.extend(learner.map(|l| (h.seat, Peer { learner: true, ..l.peer })));
             }
             fx.push(Fx::Accepted { entry, verdict });
         }
--- a/crates/control-plane/src/seat/form.rs
+++ b/crates/control-plane/src/seat/form.rs
@@ -115,9 +115,12 @@
             {
                 fx.push(Fx::Send { to: from, msg: SeatMsg::Found { ledger: self.ledger.clone() } });
             }
-            (true, false) => self.tell_roster(from, fx),
+            (true, false) => {
+                self.tell_roster(from, fx);
+                self.pass_on_plea(holder, now, fx);
+            }
             (false, true) => {
-                let msg = SeatMsg::Plea { holder: self.me.clone() };
+                let msg = SeatMsg::Plea { holder: self.me.clone(), holds: Index(0) };
                 self.census.remove(&holder.rail);
                 self.foreign = !roster.iter().any(|h| h.inc == self.me.inc);
                 if !roster.iter().any(|h| h.inc == self.me.inc) {
@@ -129,10 +132,9 @@
             // Another holds this seat now, and a majority accepted it: this one is out.
             (true, true) => {
                 let mine = roster.iter().any(|h| h.inc == self.me.inc);
-                if !mine && idx > self.accepted() && !self.out {
-                    self.out = true;
-                    self.post = Post::Follower { leader: None, heard: Tick(0) };
+                if !mine && idx > self.accepted() && !self.out && !self.learner() {
                     fx.push(Fx::Out);
+                    self.start_over(now, fx);
                 }
             }
         }
@@ -142,57 +144,19 @@
         self.ledger.roster.iter().find(|o| o.inc == h.inc).map(|o| o.seat).unwrap_or(u8::MAX)
     }
 
-    /// The leader readmits a blank seat in place of its own former self at once, and in place
-    /// of another holder once that one has been silent for a tenure.
-    pub(super) fn on_plea(&mut self, holder: Holder, now: Tick) {
-        let Post::Leader { peers, since, .. } = &self.post else { return };
-        if self.roster().iter().any(|h| h.inc == holder.inc) {
-            return;
-        }
-        let silent = self.t.tenure_ms + self.t.margin_ms();
-        let lapsed = |h: &&Holder| {
-            let heard = peers.get(&h.seat).map(|p| p.stamp).unwrap_or(*since);
-            now.since(heard.max(*since)) > silent
-        };
-        let others = self.others();
-        let own = others.iter().find(|h| h.node == holder.node || h.rail == holder.rail);
-        let found = own.or_else(|| others.iter().find(lapsed)).map(|h| h.seat);
-        // It pleads with each beat. Counted from the first time, or over a long line no answer would
-        // ever be newer than the plea.
-        self.pleas.retain(|_, p| now.since(p.1) <= silent);
-        let at = self.pleas.get(&holder.inc).map_or(now, |p| p.1);
-        match found {
-            Some(seat) => self.pleas.insert(holder.inc, (Holder { seat, ..holder }, at)),
-            None => self.pleas.remove(&holder.inc),
-        };
-    }
-
-    /// A swap is accepted by a majority without the old holder or not at all, and from when it is
-    /// logged until then it bars that holder. So it is begun only on the fresh word of so many.
-    pub(super) fn heed_plea(&mut self, now: Tick, fx: &mut Vec<Fx>) {
-        let Post::Leader { peers, .. } = &self.post else { return };
-        let heeded = self.pleas.values().find(|(h, at)| {
-            let answers = |o: &&Holder| peers.get(&o.seat).is_some_and(|p| p.installed && p.stamp > *at);
-            let others = self.others();
-            others.iter().filter(|o| o.seat != h.seat).filter(answers).count() + 1 >= self.quorum()
-        });
-        if let Some(h) = heeded.map(|p| p.0.clone()) {
-            // The others plead again, by the roster as it is then.
-            self.pleas.clear();
-            self.on_propose(Change::Roster(h), now, fx);
-        }
-    }
-
-    /// A blank seat takes its first frame, from a leader whose roster names it.
+    /// A newcomer takes its first frame, or one from a leader that it doesn't know: as a learner, or
+    /// with a seat where the frame names it.
     pub(super) fn first_frame(&mut self, f: Feed, now: Tick, fx: &mut Vec<Fx>) {
         let inc = self.me.inc;
-        let named = |l: &Ledger| l.cluster == self.cluster && l.roster.iter().any(|h| h.inc == inc);
+        let learns = f.to == u8::MAX;
+        let named = |l: &Ledger| l.roster.iter().any(|h| h.inc == inc);
+        let ours = |l: &Ledger| l.cluster == self.cluster && (learns || named(l)) && l.idx >= self.accepted();
         match f.body {
-            Body::Install { frame: Some(l), entries, .. } if named(&l) && f.view >= self.promised => {
+            Body::Install { frame: Some(l), entries, .. } if ours(&l) && f.view >= self.promised => {
                 self.promised = f.view;
                 self.log_view = f.view;
                 self.log = entries.into();
-                self.me.seat = f.to;
+                self.me.seat = l.roster.iter().find(|h| h.inc == inc).map_or(u8::MAX, |h| h.seat);
                 self.base = l.idx;
                 self.ledger = l;
                 self.formed = true;
@@ -203,14 +167,7 @@
             }
             // Says that it holds nothing, so that the leader sends the frame.
             _ => {
-                let msg = SeatMsg::Held {
-                    by: Voter { seat: f.to, inc },
-                    view: f.view,
-                    installed: false,
-                    last: Index(0),
-                    accepted: Index(0),
-                    stamp: f.stamp,
-                };
+                let msg = self.holds_nothing(f.view, f.stamp);
                 fx.push(Fx::Send { to: f.from, msg });
             }
         }
--- a/crates/control-plane/src/seat/lead.rs
+++ b/crates/control-plane/src/seat/lead.rs
@@ -3,6 +3,18 @@
 use super::*;
 
 impl Seat {
+    /// The other holders of the roster.
+    pub fn others(&self) -> Vec<Holder> {
+        let mut r = self.roster();
+        r.retain(|h| h.seat != self.me.seat);
+        r
+    }
+
+    /// Has a seat and may use it.
+    pub fn votes(&self) -> bool {
+        self.formed && !self.dead && !self.out && !self.learner()
+    }
+
     /// The only seat of its core: its own word is the majority.
     pub(super) fn alone(&self) -> bool {
         self.quorum() == 1
@@ -20,7 +32,7 @@
         let r = self.roster();
         let mut stamps: Vec<Tick> = peers
             .iter()
-            .filter(|(s, p)| p.installed && r.iter().any(|h| h.seat == **s))
+            .filter(|(s, p)| p.votes() && r.iter().any(|h| h.seat == **s))
             .map(|(_, p)| p.stamp)
             .collect();
         stamps.sort();
--- a/crates/control-plane/src/seat/mod.rs
+++ b/crates/control-plane/src/seat/mod.rs
@@ -3,6 +3,7 @@
 mod feed;
 mod form;
 mod lead;
+mod learner;
 mod msg;
 mod post;
 mod room;
@@ -71,8 +72,12 @@
     foreign: bool,
     /// Since when all seeds are known to be blank.
     gathered: Option<Tick>,
-    /// Blank seats' wishes, and when each was first heard.
-    pleas: BTreeMap<Incarnation, (Holder, Tick)>,
+    /// Newcomers that this leader feeds.
+    learners: BTreeMap<Incarnation, learner::Learner>,
+    /// Members that are about to end, and when each last said so.
+    leavers: BTreeMap<Incarnation, Tick>,
+    /// This process was asked to end.
+    leaving: Option<learner::Leaving>,
     log_bytes: usize,
     log_recs: usize,
     last_beat: Tick,
@@ -116,7 +121,9 @@
             census: BTreeMap::new(),
             foreign: false,
             gathered: None,
-            pleas: BTreeMap::new(),
+            learners: BTreeMap::new(),
+            leavers: BTreeMap::new(),
+            leaving: None,
             log_bytes: 0,
             log_recs: 0,
             last_beat: Tick(0),
@@ -160,12 +167,6 @@
         self.roster().iter().any(|h| h.seat == v.seat && h.inc == v.inc)
     }
 
-    pub fn others(&self) -> Vec<Holder> {
-        let mut r = self.roster();
-        r.retain(|h| h.seat != self.me.seat);
-        r
-    }
-
     pub fn quorum(&self) -> usize {
         self.ledger.roster.len() / 2 + 1
     }
@@ -203,6 +204,10 @@
         if self.out {
             return;
         }
+        if self.learner() {
+            return self.learner_wakeup(now, fx);
+        }
+        self.leaving_wakeup(now, fx);
         self.wake(now, fx);
         self.view_wakeup(now, fx);
         if self.is_leader() && now.since(self.last_beat) >= self.t.beat_ms() {
@@ -220,7 +225,9 @@
             SeatMsg::Asks(life) => self.on_asks(from, life, fx),
             SeatMsg::Rests(life) => self.on_rests(from, life, now),
             SeatMsg::Yield { by, view } => self.on_yield(by, view, now),
-            SeatMsg::Plea { holder } => self.on_plea(holder, now),
+            SeatMsg::Plea { holder, holds } => self.on_plea(holder, holds, now, fx),
+            SeatMsg::Leave { by } => self.on_leave(by, from, now, fx),
+            SeatMsg::LeaveHeard { newcomer } => self.on_leave_heard(newcomer),
             SeatMsg::Canvass { by, view } => self.on_canvass(from, by, view, now, fx),
             SeatMsg::Canvassed { by, view } => self.on_canvassed(by, view, now, fx),
             SeatMsg::Stop { by, view, accepted } => self.on_stop(from, by, view, accepted, now, fx),
@@ -230,7 +237,7 @@
                 self.on_feed(f, now, fx)
             }
             SeatMsg::Held { by, view, installed, last, accepted, stamp } => {
-                let p = Peer { installed, last, accepted, stamp, carried: None };
+                let p = Peer { installed, last, accepted, stamp, ..Peer::default() };
                 self.on_held(by, view, p, now, fx)
             }
         }
--- a/crates/control-plane/src/seat/msg.rs
+++ b/crates/control-plane/src/seat/msg.rs
@@ -58,9 +58,18 @@
     Found {
         ledger: Ledger,
     },
-    /// A blank seat asks to be readmitted.
+    /// A newcomer asks to be fed, and names the accepted place that it holds; none where it is blank.
     Plea {
         holder: Holder,
+        holds: Index,
+    },
+    /// A member is about to end, and asks for a newcomer in its place.
+    Leave {
+        by: Voter,
+    },
+    /// The leader has heard that; with a newcomer at hand the member should wait for it.
+    LeaveHeard {
+        newcomer: bool,
     },
     /// A seat that has just started asks whether the other leads.
     Asks(Tick),
@@ -107,33 +116,6 @@
     },
 }
 
-impl Body {
-    /// No less than its length on the wire, but for what is the same in each feed.
-    pub fn weight(&self) -> usize {
-        match self {
-            Body::Ping => 0,
-            Body::Install { frame, entries, .. } => state(frame, entries),
-            Body::Append { entries, .. } => state(&None, entries),
-        }
-    }
-}
-
-fn state(frame: &Option<Ledger>, entries: &[LogEntry]) -> usize {
-    frame.as_ref().map_or(0, Ledger::weight) + entries.iter().map(LogEntry::weight).sum::<usize>()
-}
-
-impl SeatMsg {
-    /// Bytes of state that it carries, at most.
-    pub fn weight(&self) -> usize {
-        match self {
-            SeatMsg::Found { ledger } => ledger.weight(),
-            SeatMsg::Stopped { tail, .. } => state(&tail.frame, &tail.entries),
-            SeatMsg::Feed { body, .. } => body.weight(),
-            _ => 0,
-        }
-    }
-}
-
 /// All that a slot holds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Image {
--- a/crates/control-plane/src/seat/room.rs
+++ b/crates/control-plane/src/seat/room.rs
@@ -1,7 +1,7 @@
 //! What fits (design 2.8): whatever is accepted for logging fits the short log, the slot and the
 //! wire, in every interleaving. All bounds are ratios to the length of the short log.
 
-use super::{LogEntry, Seat};
+use super::{Body, LogEntry, Seat, SeatMsg};
 use crate::{
     change::{Change, Holder, ReplicaMove, Verdict},
     document::Document,
@@ -194,3 +194,30 @@
         }
     }
 }
+
+impl Body {
+    /// No less than its length on the wire, but for what is the same in each feed.
+    pub fn weight(&self) -> usize {
+        match self {
+            Body::Ping => 0,
+            Body::Install { frame, entries, .. } => state(frame, entries),
+            Body::Append { entries, .. } => state(&None, entries),
+        }
+    }
+}
+
+fn state(frame: &Option<Ledger>, entries: &[LogEntry]) -> usize {
+    frame.as_ref().map_or(0, Ledger::weight) + entries.iter().map(LogEntry::weight).sum::<usize>()
+}
+
+impl SeatMsg {
+    /// Bytes of state that it carries, at most.
+    pub fn weight(&self) -> usize {
+        match self {
+            SeatMsg::Found { ledger } => ledger.weight(),
+            SeatMsg::Stopped { tail, .. } => state(&tail.frame, &tail.entries),
+            SeatMsg::Feed { body, .. } => body.weight(),
+            _ => 0,
+        }
+    }
+}
--- a/crates/control-plane/src/seat/view.rs
+++ b/crates/control-plane/src/seat/view.rs
@@ -39,12 +39,15 @@
                 false
             }
             Post::Follower { heard, .. } => now.since(*heard) >= self.patience(),
-            Post::Canvass { since, .. } | Post::Candidate { since, .. } => {
-                now.since(*since) >= self.patience() / 2
-            }
+            // A canvass asked again keeps its view and the answers on their way; a candidacy doesn't, so it
+            // must outlast a round trip and a sync on the longest line.
+            Post::Canvass { since, .. } => now.since(*since) >= self.patience() / 2,
+            Post::Candidate { since, .. } => now.since(*since) >= self.patience(),
         };
-        // A seat that just started waits: it may have answered a leader before it stopped.
-        if ask && !self.overdue(now) && now.since(self.started) >= p {
+        // A seat that just started waits: it may have answered a leader before it stopped. One that is
+        // about to end leaves the lead to others.
+        let stays = self.leaving.is_none() || self.alone();
+        if ask && stays && !self.overdue(now) && now.since(self.started) >= p {
             let view = self.next_view();
             self.post = Post::Canvass { view, ayes: Vec::new(), since: now };
             let msg = SeatMsg::Canvass { by: self.voter(), view };
@@ -61,6 +64,7 @@
             self.post = Post::Follower { leader: None, heard: now };
             self.tell_others(SeatMsg::Yield { by: self.voter(), view: self.promised }, fx);
         }
+        self.begin_leaving(now);
     }
 
     /// Only the leader that is followed, in the view that it gives up, ends the wait for it.
@@ -86,6 +90,7 @@
     ) {
         let aye = self.formed
             && !self.out
+            && !self.learner()
             && self.knows(&by)
             && view > self.promised
             && !self.content(now)
@@ -127,6 +132,7 @@
         let fresh = now.since(self.started) >= self.t.patience_ms();
         if !self.formed
             || self.out
+            || self.learner()
             || !self.knows(&by)
             || view <= self.promised
             || self.content(now)
@@ -181,7 +187,8 @@
         // Nothing counts as held in the new view until the record below is synced.
         self.log_view = v;
         self.synced = Index(0);
-        self.pleas.clear();
+        self.learners.clear();
+        self.leavers.clear();
         self.post = Post::Leader { peers: BTreeMap::new(), since: now, floor: self.last() };
         // Said at once: the count of tenures must start anew before any of them is looked at.
         fx.push(Fx::Lead { view: v });
--- a/crates/control-plane/tests/seat.rs
+++ b/crates/control-plane/tests/seat.rs
@@ -151,6 +151,21 @@
     assert_eq!(sent(&out).len(), usize::from(want), "the answer follows the sync");
 }
 
+/// What a newcomer under that incarnation says that it holds, durably, as a learner.
+fn learnt(seat: u8, inc: u64, last: u64, stamp: Tick) -> Ev {
+    let by = Voter { seat: u8::MAX, inc: Incarnation(inc) };
+    let (last, view) = (Index(last), View(8));
+    Ev::Msg(addr(seat), SeatMsg::Held { by, view, installed: true, last, accepted: last, stamp })
+}
+
+fn plea(seat: u8, inc: u64) -> Ev {
+    Ev::Msg(addr(seat), SeatMsg::Plea { holder: holder(seat, inc), holds: Index(0) })
+}
+
+fn swaps(fx: &[Fx]) -> bool {
+    fx.iter().any(|f| matches!(f, Fx::Logged { change: Change::Roster(_), .. }))
+}
+
 /// Found by the simulator (seed 633): a swap logged while the other survivor was gone could be
 /// neither accepted nor undone, and barred the old holder for good.
 #[test]
@@ -159,15 +174,87 @@
     s.step(held(1, View(8), 0, now, true), now);
     let later = now + 500;
     s.step(held(1, View(8), 0, later, true), later);
-    let plea = SeatMsg::Plea { holder: holder(2, 77) };
-    let swap = |fx: &[Fx]| fx.iter().any(|f| matches!(f, Fx::Logged { change: Change::Roster(_), .. }));
-    assert!(!swap(&s.step(Ev::Msg(addr(2), plea), later)), "not on an old word");
-    assert!(!swap(&s.step(held(1, View(8), 0, later - 1, true), later + 5)));
-    assert!(swap(&s.step(held(1, View(8), 0, later + 1, true), later + 6)));
+    assert!(!swaps(&s.step(plea(2, 77), later)), "not on an old word");
+    assert!(!swaps(&s.step(learnt(2, 77, 0, later), later + 4)), "not on the newcomer's own");
+    assert!(!swaps(&s.step(held(1, View(8), 0, later - 1, true), later + 5)));
+    assert!(swaps(&s.step(held(1, View(8), 0, later + 1, true), later + 6)));
     // From here on the old incarnation counts no more.
     assert!(!s.knows(&voter(2)));
 }
 
+/// A newcomer is sent the whole state unasked, and swapped in once it says that it holds it.
+#[test]
+fn a_swap_waits_for_the_newcomers_word() {
+    let (mut s, now) = leader();
+    s.step(held(1, View(8), 0, now, true), now);
+    let fx = s.step(plea(2, 77), now);
+    let snapshot = |m: &&SeatMsg| {
+        matches!(m, SeatMsg::Feed { to: u8::MAX, body: Body::Install { frame: Some(_), .. }, .. })
+    };
+    assert_eq!(sent(&fx).iter().filter(|m| snapshot(m)).count(), 1);
+    for ms in 1..400 {
+        assert!(!swaps(&s.step(held(1, View(8), 0, now + ms, true), now + ms)), "it holds nothing yet");
+    }
+    assert!(swaps(&s.step(learnt(2, 77, 0, now), now + 400)));
+    // It counts for nothing before it has said that it knows its seat.
+    let fx = s.step(learnt(2, 77, 1, now + 401), now + 401);
+    assert!(s.accepted() == Index(0) && !fx.iter().any(|f| matches!(f, Fx::Accepted { .. })));
+}
+
+/// A spare takes the seat of a member that is about to end, and of none that is heard and stays; the
+/// member is told to wait for it.
+#[test]
+fn a_spare_takes_the_seat_of_a_member_that_leaves() {
+    let (mut s, now) = leader();
+    s.step(plea(4, 77), now);
+    s.step(learnt(4, 77, 0, now + 1), now + 1);
+    for ms in 2..400 {
+        s.step(held(2, View(8), 0, now + ms, true), now + ms);
+        assert!(!swaps(&s.step(held(1, View(8), 0, now + ms, true), now + ms)));
+    }
+    let fx = s.step(Ev::Msg(addr(2), SeatMsg::Leave { by: voter(2) }), now + 400);
+    assert!(sent(&fx).iter().any(|m| matches!(m, SeatMsg::LeaveHeard { newcomer: true })));
+    assert!(swaps(&fx));
+    assert!(!s.knows(&voter(2)) && s.knows(&Voter { seat: 2, inc: Incarnation(77) }));
+}
+
+/// It may end when it is out, when no newcomer is there, and when that takes too long.
+#[test]
+fn a_member_that_leaves_waits_for_its_newcomer() {
+    let t = Timing::default();
+    let mut s = formed(2);
+    let now = Tick(20_000);
+    assert!(s.may_stop(now));
+    s.step(Ev::Yield, now);
+    assert!(!s.may_stop(now + 1), "the leader has not been asked yet");
+    assert!(!s.may_stop(now + 4 * t.tenure_ms) && s.may_stop(now + 4 * t.tenure_ms + 1), "nobody answers");
+    s.step(Ev::Msg(addr(0), SeatMsg::LeaveHeard { newcomer: false }), now + 100);
+    assert!(s.may_stop(now + 101), "nobody is there to take its seat");
+    s.step(Ev::Msg(addr(0), SeatMsg::LeaveHeard { newcomer: true }), now + 100);
+    assert!(!s.may_stop(now + t.tenure_ms));
+    let mut swapped = roster();
+    swapped[2] = holder(2, 77);
+    let told = SeatMsg::Census { holder: holder(0, 10), formed: true, roster: swapped, idx: Index(4) };
+    s.step(Ev::Msg(addr(0), told), now + 200);
+    assert!(s.out && s.may_stop(now + 201));
+}
+
+/// A holder that comes back after its seat was given to another is a blank newcomer, under another
+/// incarnation: nothing that it promised or held counts.
+#[test]
+fn a_replaced_holder_starts_over() {
+    let mut s = formed(2);
+    let now = Tick(20_000);
+    let mut swapped = roster();
+    swapped[2] = holder(2, 77);
+    let told = SeatMsg::Census { holder: holder(0, 10), formed: true, roster: swapped, idx: Index(4) };
+    let fx = s.step(Ev::Msg(addr(0), told), now);
+    assert!(fx.iter().any(|f| matches!(f, Fx::Out)) && !s.formed && s.me.inc != Incarnation(12));
+    synced(&mut s, &fx, now);
+    let canvass = SeatMsg::Canvass { by: voter(1), view: View(9) };
+    assert!(s.step(Ev::Msg(addr(1), canvass), now).is_empty());
+}
+
 /// Found by the simulator (seed 10543): word that a seed was blank some time ago let two blank
 /// seats found a second cluster beside the one that had moved on.
 #[rstest]
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -11,7 +11,7 @@
     run::{run, told},
     scale::{self, ScalePlan, Sizes, scale_plan},
     sim::{
-        Broken,
+        Broken, Days, Plan, readmission,
         sweep::{sweep, sweep_data},
     },
     world::{Variant, WorldPlan, sweep_worlds},
@@ -113,9 +113,18 @@
         #[bpaf(argument("N"), fallback(200))]
         seeds: u64,
     },
+    /// Measures how long a machine that lost its disk takes until its vote counts again (virtual time)
+    #[bpaf(command)]
+    Readmission {
+        /// How many seeds
+        #[bpaf(argument("N"), fallback(200))]
+        seeds: u64,
+    },
     /// Runs the simulator over many seeds; a violation ends it with the seed and its trace
     #[bpaf(command)]
     Sim {
+        /// Losses as close together as the platform permits, over lines of up to 150 ms
+        worst: bool,
         /// Seats of the core: 3, 5 or 6
         #[bpaf(argument("N"), fallback(3))]
         seats: usize,
@@ -170,10 +179,15 @@
             ensure!((1..=10_000_000).contains(&seeds), "--seeds: {seeds}; allowed: 1 to 10000000");
             sweep_data(from, seeds)
         }
-        Opts::Sim { seats, from, seeds, broken } => {
+        Opts::Readmission { seeds } => {
+            ensure!((1..=10_000_000).contains(&seeds), "--seeds: {seeds}; allowed: 1 to 10000000");
+            readmission::table(seeds)
+        }
+        Opts::Sim { worst, seats, from, seeds, broken } => {
             ensure!([3, 5, 6].contains(&seats), "--seats: {seats}; allowed: 3, 5, 6");
             ensure!((1..=10_000_000).contains(&seeds), "--seeds: {seeds}; allowed: 1 to 10000000");
-            sweep(from, seeds, seats, broken)
+            let days = if worst { Days::Worst } else { Days::Usual };
+            sweep(Plan { days, broken, ..Plan::new(from, seats) }, seeds)
         }
     }
 }
--- a/crates/simulator/src/sim/acts.rs
+++ b/crates/simulator/src/sim/acts.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Broken,
-    nodes::{WIRE, fits, timing},
+    nodes::{WIRE, fits},
     world::{What, World},
 };
 use common::{Epoch, Fence, Index, NodeId, Revision, Tick};
@@ -24,6 +24,9 @@
             self.stats.accepted += 1;
             match &e.change {
                 Change::Roster(h) => {
+                    if self.checks_copies {
+                        self.swap_accepted(e.idx, h)?;
+                    }
                     self.book.roster = self.seats[n].seat.as_ref().map(|s| s.ledger.roster.clone());
                     self.stats.readmitted += 1;
                     self.note(format!("{} readmitted as seat {}", h.node, h.seat));
@@ -74,7 +77,7 @@
         let Some(seat) = s.seat.as_ref().filter(|x| x.current(now) && s.frozen_until <= t) else {
             return Ok(());
         };
-        let due = s.tenures.wakeup(&seat.ledger, &timing(), now);
+        let due = s.tenures.wakeup(&seat.ledger, &self.timing, now);
         due.into_iter().try_for_each(|ch| self.seat_step(n, Ev::Propose(ch)))
     }
 
@@ -86,7 +89,7 @@
         }
         let now = self.routers[r].clock.at(t);
         if t >= self.routers[r].next_renew {
-            self.routers[r].next_renew = t + timing().renew_ms();
+            self.routers[r].next_renew = t + self.timing.renew_ms();
             let seat = self.routers[r].hint % self.seats.len();
             self.routers[r].hint = self.rng.random_range(0..self.seats.len());
             let card = self.routers[r].card.clone();
@@ -121,7 +124,7 @@
         let Some(seat) = s.seat.as_ref().filter(|x| x.current(now) && s.frozen_until <= t) else {
             return Ok(());
         };
-        match s.tenures.renew(&seat.ledger, &timing(), &card, now) {
+        match s.tenures.renew(&seat.ledger, &self.timing, &card, now) {
             Ok(epoch) => {
                 if let Some(ms) = self.transit(n, self.seats.len() + r) {
                     self.push(ms, What::Renewed { router: r, inc: card.inc.0, epoch, sent });
@@ -138,7 +141,7 @@
         let me = &mut self.routers[r];
         if me.card.inc.0 == inc {
             let now = me.clock.at(self.t);
-            me.held.renewed(epoch, if late { now } else { sent }, &timing());
+            me.held.renewed(epoch, if late { now } else { sent }, &self.timing);
         }
         Ok(())
     }
--- a/crates/simulator/src/sim/faults.rs
+++ b/crates/simulator/src/sim/faults.rs
@@ -1,7 +1,7 @@
 //! What fails, by seed (design 7.1).
 
 use super::{
-    Broken,
+    Broken, Days,
     disk::Mood,
     nodes::{ROUTERS, SimSeat},
     world::{CALM_AT, CORE, What, World},
@@ -16,6 +16,12 @@
     Cut(Vec<(usize, usize)>),
     Mood(usize),
     Router(usize),
+    /// Disks are lost while all others lose power.
+    Closing,
+    /// A machine is asked to end, for good.
+    Leave(usize),
+    /// It ends once it may, or at that time.
+    Left(usize, u64),
     Calm,
 }
 
@@ -59,6 +65,9 @@
             self.push(0, What::Heal(Box::new(Undo::Calm)));
             return Ok(());
         }
+        if self.days == Days::Worst {
+            return self.trouble();
+        }
         let gap = self.rng.random_range(300..4_000);
         self.push(gap, What::Fault);
         self.stats.faults += 1;
@@ -129,7 +138,7 @@
         Ok(())
     }
 
-    fn cut_for(&mut self, pairs: Vec<(usize, usize)>, ms: u64, what: &str) {
+    pub(super) fn cut_for(&mut self, pairs: Vec<(usize, usize)>, ms: u64, what: &str) {
         self.note(format!("{what}: {:?} for {ms}", pairs.first()));
         self.cut.extend(pairs.iter().copied());
         self.push(ms, What::Heal(Box::new(Undo::Cut(pairs))));
@@ -145,14 +154,15 @@
             self.blank(other, ms / 2);
         }
         self.blank(n, ms);
+        self.copies_wiped();
     }
 
-    fn blank(&mut self, n: usize, ms: u64) {
+    pub(super) fn blank(&mut self, n: usize, ms: u64) {
         self.note(format!("s{n} loses its disk"));
         self.seats[n].lost = true;
         let was = self.seats[n].disk.kept.clone();
         self.crash(n);
-        self.seats[n].disk.lose();
+        self.wipe(n);
         if let (Some(Broken::BlankVotes), Some(i)) = (self.broken, was.filter(|i| i.formed)) {
             let ledger = control_plane::Ledger::founded("sim", i.ledger.roster.clone());
             let img = Image { promised: View(0), log_view: View(0), ledger, entries: Vec::new(), ..i };
@@ -192,6 +202,9 @@
                 let clock = self.routers[r].clock;
                 self.routers[r] = super::nodes::SimRouter::new(r, inc, clock);
             }
+            Undo::Closing => self.close(),
+            Undo::Leave(n) => self.leave(n)?,
+            Undo::Left(n, end) => self.left(n, end)?,
             Undo::Calm => {
                 self.note("calm".into());
                 self.cut.clear();
--- a/crates/simulator/src/sim/mod.rs
+++ b/crates/simulator/src/sim/mod.rs
@@ -3,14 +3,18 @@
 
 pub mod acts;
 pub mod check;
+pub mod copies;
 pub mod data;
 pub mod disk;
+pub mod distance;
 pub mod faults;
 pub mod lending;
 pub mod nodes;
 pub mod operate;
+pub mod readmission;
 pub mod sweep;
 pub mod table;
+pub mod troubles;
 pub mod way;
 
 pub mod world;
@@ -38,6 +42,10 @@
     TimeoutRefused,
     /// A leader logs whatever it is asked to, and feeds it in one piece.
     Boundless,
+    /// A member that is asked to end does not wait until its seat is taken over.
+    LeavesAtOnce,
+    /// A newcomer says that it holds its snapshot long before it is synced.
+    EarlySnapshot,
 }
 
 pub const BROKEN: &[(&str, Broken)] = &[
@@ -50,6 +58,8 @@
     ("no-fences", Broken::NoFences),
     ("timeout-refused", Broken::TimeoutRefused),
     ("boundless", Broken::Boundless),
+    ("leaves-at-once", Broken::LeavesAtOnce),
+    ("early-snapshot", Broken::EarlySnapshot),
 ];
 
 impl std::str::FromStr for Broken {
@@ -94,6 +104,51 @@
     pub back_ms: u64,
 }
 
+/// What kind of days a run draws its troubles from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Days {
+    /// Any fault at any time, disks apart; near areas.
+    #[default]
+    Usual,
+    /// Losses as close together as the platform's bound permits, over lines of up to 150 ms.
+    Worst,
+    /// None; over the lines of a platform.
+    Quiet,
+}
+
+/// What one run is drawn from.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    /// Seats of the core.
+    pub seats: usize,
+    pub days: Days,
+    pub broken: Option<Broken>,
+    /// Whether durable copies are counted after each step.
+    pub checks_copies: bool,
+}
+
+impl Plan {
+    pub fn new(seed: u64, seats: usize) -> Self {
+        Self { seed, seats, days: Days::Usual, broken: None, checks_copies: true }
+    }
+
+    pub fn worst(seed: u64, seats: usize) -> Self {
+        Self { days: Days::Worst, ..Self::new(seed, seats) }
+    }
+
+    /// No troubles, and no count of copies.
+    pub fn quiet(seed: u64, seats: usize) -> Self {
+        Self { days: Days::Quiet, checks_copies: false, ..Self::new(seed, seats) }
+    }
+
+    pub fn run(self) -> Result<Stats, Violation> {
+        let mut w = world::World::new(self);
+        w.run()?;
+        Ok(w.stats)
+    }
+}
+
 /// One run from one seed.
 pub fn run(seed: u64, broken: Option<Broken>) -> Result<Stats, Violation> {
     run_core(seed, broken, world::CORE)
@@ -101,7 +156,6 @@
 
 /// One run of a core of so many seats.
 pub fn run_core(seed: u64, broken: Option<Broken>, seats: usize) -> Result<Stats, Violation> {
-    let mut w = world::World::new(seed, broken, seats);
-    w.run()?;
-    Ok(w.stats)
+    // A variant is to be caught by the check that is meant for it.
+    Plan { broken, checks_copies: broken.is_none(), ..Plan::new(seed, seats) }.run()
 }
--- a/crates/simulator/src/sim/nodes.rs
+++ b/crates/simulator/src/sim/nodes.rs
@@ -42,6 +42,9 @@
     pub lost: bool,
     /// Reckons with no bounds of its disk: for a broken variant.
     pub boundless: bool,
+    /// Machines that its settings name as seeds.
+    pub seeds: Vec<SocketAddr>,
+    pub timing: Timing,
 }
 
 pub struct SimRouter {
@@ -73,6 +76,11 @@
     Timing::default()
 }
 
+/// The bounds of a platform whose changes apply within three seconds.
+pub fn platform_timing() -> Timing {
+    Timing { tenure_ms: 1_200, rail_ms: 500, ..Timing::default() }
+}
+
 impl SimSeat {
     pub fn new(n: usize, core: usize, clock: SimClock) -> Self {
         let me = Holder {
@@ -95,6 +103,8 @@
             core,
             lost: false,
             boundless: false,
+            seeds: (0..3).map(addr).collect(),
+            timing: timing(),
         }
     }
 
@@ -107,9 +117,9 @@
             }
         };
         self.disk.kept = Some(img.clone());
-        let seeds = (0..3).map(addr).collect();
         let me = Holder { seat: img.me.seat, inc: img.me.inc, ..self.me.clone() };
-        let mut seat = Seat::new(me, "sim", seeds, timing(), Some(img), self.clock.at(t));
+        let mut seat =
+            Seat::new(me, "sim", self.seeds.clone(), self.timing.clone(), Some(img), self.clock.at(t));
         seat.expects = self.core;
         // With more seats than seeds, only who starts with all others founds (design 2.5).
         seat.founds = self.core == 3 || (self.there && !self.lost && self.me.rail != addr(self.core));
--- a/crates/simulator/src/sim/operate.rs
+++ b/crates/simulator/src/sim/operate.rs
@@ -23,20 +23,25 @@
         let twice = self.rng.random_bool(0.2);
         for _ in 0..=usize::from(twice) {
             let n = self.rng.random_range(0..self.seats.len());
-            let Some(seat) = self.seats[n].seat.as_ref().filter(|s| s.formed) else { continue };
-            let base = seat.ledger.revision;
-            let op = OpId::new(format!("op{}", self.number()));
-            let change = if self.rng.random_bool(0.7) {
-                Change::Apply { op: op.clone(), base, text: self.document(&op).into() }
-            } else {
-                let area = Area::new(format!("a{}", self.rng.random_range(0..3)));
-                Change::Evacuate { op: op.clone(), area, on: self.rng.random_bool(0.5) }
-            };
-            self.propose(n, op, change)?;
+            self.send_one(n)?;
         }
         Ok(())
     }
 
+    /// One order at a seat.
+    pub fn send_one(&mut self, n: usize) -> Result<(), String> {
+        let Some(seat) = self.seats[n].seat.as_ref().filter(|s| s.formed) else { return Ok(()) };
+        let base = seat.ledger.revision;
+        let op = OpId::new(format!("op{}", self.number()));
+        let change = if self.rng.random_bool(0.7) {
+            Change::Apply { op: op.clone(), base, text: self.document(&op).into() }
+        } else {
+            let area = Area::new(format!("a{}", self.rng.random_range(0..3)));
+            Change::Evacuate { op: op.clone(), area, on: self.rng.random_bool(0.5) }
+        };
+        self.propose(n, op, change)
+    }
+
     /// A good part of the documents is about as long as they may be, and can't be packed.
     fn document(&mut self, op: &OpId) -> String {
         let len = if self.rng.random_bool(0.3) { self.rng.random_range(0..ROOM.doc()) } else { 0 };
--- a/crates/simulator/src/sim/sweep.rs
+++ b/crates/simulator/src/sim/sweep.rs
@@ -1,6 +1,6 @@
 //! A sweep over many seeds, on all cores (design 7.1).
 
-use super::{Broken, Stats, Violation, data::Data, run_core};
+use super::{Days, Plan, Stats, Violation, data::Data};
 use eyre::{Result, bail};
 use std::sync::{
     Mutex,
@@ -14,7 +14,9 @@
     back: Vec<u64>,
 }
 
-pub fn sweep(from: u64, seeds: u64, seats: usize, broken: Option<Broken>) -> Result<()> {
+/// Runs so many seeds of a plan, from its own on.
+pub fn sweep(plan: Plan, seeds: u64) -> Result<()> {
+    let (from, seats) = (plan.seed, plan.seats);
     let (next, stop) = (AtomicU64::new(from), AtomicBool::new(false));
     let (sum, found) = (Mutex::new(Sum::default()), Mutex::new(None::<Violation>));
     let cores = std::thread::available_parallelism().map(|n| n.get()).unwrap_or(2);
@@ -26,7 +28,7 @@
                     if seed >= from + seeds {
                         return;
                     }
-                    match run_core(seed, broken, seats) {
+                    match (Plan { seed, ..plan }).run() {
                         Ok(st) => add(&mut sum.lock().unwrap_or_else(|e| e.into_inner()), &st),
                         Err(v) => {
                             stop.store(true, Ordering::Release);
@@ -44,7 +46,10 @@
     let sum = sum.into_inner().unwrap_or_else(|e| e.into_inner());
     println!("{}", told(from, sum));
     match found.into_inner().unwrap_or_else(|e| e.into_inner()) {
-        Some(v) => bail!("violation\n{v}replay: simulator sim --seats {seats} --from {} --seeds 1", v.seed),
+        Some(v) => {
+            let worst = if plan.days == Days::Worst { " --worst" } else { "" };
+            bail!("violation\n{v}replay: simulator sim{worst} --seats {seats} --from {} --seeds 1", v.seed)
+        }
         None => Ok(()),
     }
 }
--- a/crates/simulator/src/sim/way.rs
+++ b/crates/simulator/src/sim/way.rs
@@ -18,6 +18,9 @@
         if self.cut.contains(&(from, to)) || self.rng.random_bool(0.01) {
             return None;
         }
+        if let Some(distances) = self.distances {
+            return Some(self.far(&distances, from, to));
+        }
         let spike = self.rng.random_bool(0.02);
         Some(if spike { self.rng.random_range(50..600) } else { self.rng.random_range(1..15) })
     }
@@ -77,6 +80,12 @@
                 if self.broken == Some(Broken::LyingDisk) {
                     return self.seat_step(n, Ev::Synced(tok));
                 }
+                let newcomer = self.seats[n].disk.kept.as_ref().is_some_and(|k| !k.formed) && self.t > 4_000;
+                if newcomer && self.broken == Some(Broken::EarlySnapshot) {
+                    let life = self.seats[n].life;
+                    self.push(2_000, What::Synced { seat: n, life });
+                    return self.seat_step(n, Ev::Synced(tok));
+                }
                 let ms = match self.seats[n].disk.mood {
                     Mood::Slow => self.rng.random_range(100..900),
                     _ => self.rng.random_range(1..8),
@@ -92,6 +101,7 @@
                 self.seats[n].tenures = Tenures::taken_over(now);
             }
             Fx::Out => self.note(format!("s{n} learns that it is out")),
+            Fx::Logged { idx, change: control_plane::Change::Roster(_) } => self.swap_logged(idx),
             Fx::Framed | Fx::Logged { .. } | Fx::NotLogged { .. } => {}
         }
         Ok(())
--- a/crates/simulator/src/sim/world.rs
+++ b/crates/simulator/src/sim/world.rs
@@ -1,11 +1,14 @@
 //! Virtual time, the event queue, and the way of each event (design 7.1).
 
 use super::{
-    Broken, Stats, Violation,
+    Broken, Days, Plan, Stats, Violation,
     check::Book,
-    nodes::{ROUTERS, SimClock, SimRouter, SimSeat},
+    copies::Copies,
+    distance::{Connections, Distances},
+    nodes::{ROUTERS, SimClock, SimRouter, SimSeat, platform_timing, timing},
+    troubles::SPARES,
 };
-use common::{Epoch, Fence, Index, OpId, Tick};
+use common::{Epoch, Fence, Index, OpId, Tick, settings::Timing};
 use control_plane::{
     Change,
     change::Card,
@@ -70,11 +73,21 @@
     events: HashMap<u64, What>,
     trace: VecDeque<String>,
     pub calm_since: Option<u64>,
+    pub days: Days,
+    pub timing: Timing,
+    /// One-way delays between areas; a few milliseconds everywhere without them.
+    pub distances: Option<Distances>,
+    pub connections: Connections,
+    /// Until when each machine counts as lost.
+    pub lost_until: Vec<u64>,
+    pub copies: Copies,
+    pub checks_copies: bool,
 }
 
 impl World {
     /// A core of so many seats, and one more machine; three of them are seeds.
-    pub fn new(seed: u64, broken: Option<Broken>, core: usize) -> Self {
+    pub fn new(plan: Plan) -> Self {
+        let Plan { seed, broken, seats: core, days, checks_copies } = plan;
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut clock = |n: usize| SimClock {
             offset: 1_000_000 + rng.random_range(0..1_000_000),
@@ -84,7 +97,8 @@
                 rng.random_range(0.99..1.01)
             },
         };
-        let seats = (0..=core).map(|n| SimSeat::new(n, core, clock(n))).collect();
+        let machines = core + if days == Days::Worst { SPARES } else { 1 };
+        let seats: Vec<SimSeat> = (0..machines).map(|n| SimSeat::new(n, core, clock(n))).collect();
         let routers = (0..ROUTERS).map(|n| SimRouter::new(n, 100 + n as u64, clock(9))).collect();
         let mut w = World {
             seed,
@@ -103,16 +117,30 @@
             events: HashMap::new(),
             trace: VecDeque::new(),
             calm_since: None,
+            days,
+            timing: timing(),
+            distances: None,
+            connections: Connections::new(),
+            lost_until: vec![0; machines],
+            copies: Copies::default(),
+            checks_copies,
         };
+        if days != Days::Usual {
+            w.distances = Some(Distances::drawn(&mut w.rng));
+            w.timing = platform_timing();
+            w.seats.iter_mut().for_each(|s| s.timing = platform_timing());
+        }
         w.seats.iter_mut().for_each(|s| s.boundless = broken == Some(Broken::Boundless));
         for n in 0..core {
             let inc = w.number();
             w.seats[n].start(0, inc);
         }
-        (0..=core).for_each(|n| w.push(n as u64, What::Wakeup(n)));
+        (0..machines).for_each(|n| w.push(n as u64, What::Wakeup(n)));
         (0..ROUTERS).for_each(|n| w.push(10 + n as u64, What::RouterWakeup(n)));
         w.push(2_500, What::Operator);
-        w.push(4_000, What::Fault);
+        if days != Days::Quiet {
+            w.push(4_000, What::Fault);
+        }
         w
     }
 
@@ -134,21 +162,29 @@
         }
     }
 
-    fn fail(&self, what: String) -> Violation {
+    pub fn fail(&self, what: String) -> Violation {
         Violation { seed: self.seed, at_ms: self.t, what, trace: self.trace.iter().cloned().collect() }
     }
 
     pub fn run(&mut self) -> Result<(), Violation> {
-        while let Some(Reverse((t, id))) = self.queue.pop() {
-            if t > END_AT {
-                break;
-            }
+        self.run_until(END_AT)?;
+        self.last_look().map_err(|e| self.fail(e))
+    }
+
+    /// Carries out all that is due up to a moment, and looks at the invariants after each step.
+    pub fn run_until(&mut self, end: u64) -> Result<(), Violation> {
+        while let Some(Reverse((t, id))) = self.queue.peek().copied().filter(|next| next.0.0 <= end) {
+            self.queue.pop();
             self.t = t;
             let Some(what) = self.events.remove(&id) else { continue };
             self.stats.steps += 1;
-            self.one(what).and_then(|_| self.look()).map_err(|e| self.fail(e))?;
+            self.one(what)
+                .and_then(|_| self.look())
+                .and_then(|_| self.look_at_copies())
+                .map_err(|e| self.fail(e))?;
         }
-        self.last_look().map_err(|e| self.fail(e))
+        self.t = end;
+        Ok(())
     }
 
     /// Never two seats that lead at one time.
