What the list calls cold counts as cold from when the answer had come

Cause: a reading's spans were counted from when the call for it began, which is before the list said them: all routers took a replica for warm a call's way too soon, and sent it their full share at once. Change: spans are counted from when the answer had come, so that cold never ends too soon. Ruled out: the shares by rank (23 of 29 at most where all take it for cold).

--- a/crates/data-plane/src/serving/listing.rs
+++ b/crates/data-plane/src/serving/listing.rs
@@ -67,9 +67,9 @@
         now >= self.due
     }
 
-    /// Takes a reading that began at `began`. A replica that moves to an earlier page while the later ones
+    /// Takes a reading whose answer came at `came`. A replica that moves to an earlier page while the later ones
     /// are read stands on none of them: it is gone only once a second reading lacks it too.
-    pub fn read(&mut self, read: ListRead, began: Tick, each_ms: u64) {
+    pub fn read(&mut self, read: ListRead, came: Tick, each_ms: u64) {
         let mut rows = read.rows;
         let lacking = |(id, _): &(&ReplicaId, &Listed)| !rows.contains_key(*id);
         let held: Vec<Listed> = if read.pages > 1 {
@@ -80,8 +80,8 @@
         };
         self.absent = held.iter().map(|r| r.id.clone()).collect();
         rows.extend(held.into_iter().map(|r| (r.id.clone(), r)));
-        (self.rows, self.read_at, self.backoff) = (Some(rows), began, 1);
-        self.due = began + each_ms * u64::from(read.pages);
+        (self.rows, self.read_at, self.backoff) = (Some(rows), came, 1);
+        self.due = came + each_ms * u64::from(read.pages);
     }
 
     pub fn failed(&mut self, error: &ListError, now: Tick, each_ms: u64) {
@@ -124,8 +124,10 @@
             let (tell, told) = oneshot::channel();
             let (me, area) = (serving.clone(), self.area.clone());
             spawn(async move {
-                let began = me.now();
-                let _ = tell.send((began, me.read_list(&area).await));
+                let read = me.read_list(&area).await;
+                // Spans are counted from when the answer had come: it was made before that, so what is
+                // cold counts as cold no shorter than the list says.
+                let _ = tell.send((me.now(), read));
             });
             self.pending = Some(told);
         }
@@ -134,7 +136,7 @@
             if let Ok(result) = tokio::time::timeout(wait, told).await {
                 self.pending = None;
                 match result {
-                    Ok((began, Ok(read))) => self.known.read(read, began, each_ms),
+                    Ok((came, Ok(read))) => self.known.read(read, came, each_ms),
                     Ok((_, Err(e))) => self.failed(e, serving.now(), each_ms),
                     Err(_) => {}
                 }
--- a/crates/data-plane/tests/serving/listing.rs
+++ b/crates/data-plane/tests/serving/listing.rs
@@ -25,12 +25,16 @@
 /// Longest time from a change in the list until a router goes by it: two looks and a page.
 const HEARD_MS: u64 = 1_500;
 
-/// A page is written as lines: `ID draining|ready`, and last `next TOKEN` where there is one.
+/// How long a replica that the list calls cold stays so.
+const COLD_MS: u64 = 2_000;
+
+/// A page is written as lines: `ID draining|ready|cold`, and last `next TOKEN` where there is one.
 pub fn read(body: &[u8]) -> Option<Listing> {
     let mut out = Listing::default();
     for line in std::str::from_utf8(body).ok()?.lines() {
         match line.split_once(' ')? {
             ("next", token) => out.next = Some(token.to_string()),
+            (id, "cold") => out.rows.push(Listed { cold_left_ms: COLD_MS, ..listed(id, false) }),
             (id, state) => out.rows.push(listed(id, state != "ready")),
         }
     }
@@ -232,3 +236,24 @@
         assert_eq!(ids(&stage), ["r1", "r2"]);
     });
 }
+
+/// What the list calls cold counts as cold for no less than it says, however long its answer takes: all
+/// routers together would flood a replica that they take for warm too soon.
+#[rstest]
+fn what_is_cold_is_never_taken_for_warm_too_soon(#[values(0, 50, 200)] slow_ms: u64) {
+    watched(List::default(), |stage, list| async move {
+        list.says(&[("first", 200, "r1 ready\nr2 cold\n")]);
+        list.change(|script| script.slow_ms = slow_ms);
+        let asked = || list.calls.lock().expect("calls").last().copied();
+        while asked().is_none() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        let said_ms = asked().expect("a call");
+        // Later calls fail, so that what is known is of the first one of each area.
+        sleep(Duration::from_millis(slow_ms + 20)).await;
+        list.says(&[("first", 500, "")]);
+        heard().await;
+        let (now_ms, left_ms) = stage.cold_left("r2").await;
+        assert!(now_ms + left_ms >= said_ms + COLD_MS, "{now_ms} and {left_ms} left, said at {said_ms}");
+    });
+}
--- a/crates/data-plane/tests/serving/stage.rs
+++ b/crates/data-plane/tests/serving/stage.rs
@@ -512,6 +512,17 @@
         spawn_at(IpAddr::from(ROUTER), async move { s.watch_all() });
     }
 
+    /// The time of the world, and for how long from then this router takes a replica for cold.
+    pub async fn cold_left(&self, id: &str) -> (u64, u64) {
+        let (s, world, id) = (self.s.clone(), self.world.clone(), id.to_string());
+        let look = async move {
+            let fleet = s.fleet.load();
+            let known = fleet.by_service.values().flatten().find(|c| c.id.as_str() == id);
+            (world.ms(), known.expect("a known replica").cold_until.since(s.now()))
+        };
+        spawn_at(IpAddr::from(ROUTER), look).await.expect("a look")
+    }
+
     /// Replicas that this router knows, and whether they leave.
     pub fn known(&self) -> BTreeMap<String, bool> {
         let fleet = self.s.fleet.load();
