Two comments say what the code does now

Cause: the joining of two readers of a log's header left a comment that the code contradicts; the renaming left a sentence without sense. Change: comments only; no behaviour.

--- a/crates/control-plane/src/core/leader.rs
+++ b/crates/control-plane/src/core/leader.rs
@@ -136,7 +136,7 @@
         let first = if self.reach() == Reach::Near { 1 } else { VOTERS_ASKED };
         self.ask_next(&mut trail, first, &mut asked);
         let mut enough = std::pin::pin!(sleep_until(began + most / ENOUGH_PART));
-        // This voter's own word counts where it holds a voter.
+        // This node's own word counts where it is one of the voters.
         let outside = self.lock().voter.contact(self.clock.now()) == Contact::Outside;
         let mut answered = usize::from(!outside);
         let (majority, mut hedged) = (self.majority(), false);
--- a/crates/control-plane/src/store/raw.rs
+++ b/crates/control-plane/src/store/raw.rs
@@ -162,8 +162,8 @@
     Broken,
 }
 
-/// A header is begun before the log's first record and never blank again, so one that can't be read is
-/// damage, and with it all records behind it.
+/// What the header of a log says of the slot `seq` beside it. One that can't be read is damage, but for the
+/// two ways in which a write that was cut off may leave it.
 pub(super) fn log_state(path: &Path, seq: u64) -> io::Result<LogState> {
     let log = File::open(path)?;
     let bytes = piece(&log, 0, HEAD)?;
