--- a/crates/control-plane/src/consensus/bootstrap.rs
+++ b/crates/control-plane/src/consensus/bootstrap.rs
@@ -11,58 +11,86 @@
         }
         self.last_heartbeat = now;
         self.introduce(effects);
+        if let Some(proposed) = &self.proposed_bootstrap {
+            return effects.extend(self.bootstrap_messages(proposed));
+        }
         // What was blank a while ago may hold a whole cluster by now.
         let fresh_ms = self.timing.election_timeout_ms() / 2;
         self.discovered_voters.retain(|_, (_, discovered)| now.since(*discovered) <= fresh_ms);
+        self.discovered_learners.retain(|_, discovered| now.since(*discovered) <= fresh_ms);
         if let Some(voters) = self.bootstrap_voters(now) {
             let initial = ClusterState::bootstrapped(&self.cluster, voters);
             let cluster_state = ClusterState { secret: self.secret, ..initial };
+            if self.learner {
+                return self.propose_bootstrap(cluster_state, effects);
+            }
             let messages = self.bootstrap_messages(&cluster_state);
             self.initialize(cluster_state, now, messages, effects);
         }
     }
 
     fn introduce(&self, effects: &mut Vec<Effect>) {
-        let msg = Message::Discover {
+        let as_voter = Message::Discover {
             voter: self.me.clone(),
             initialized: false,
             voters: Vec::new(),
             index: Index(0),
         };
+        let msg = if self.learner { Message::Learner } else { as_voter };
         for seed in self.seeds.iter().filter(|seed| **seed != self.me.rpc_addr) {
             effects.push(Effect::Send { to: *seed, msg: msg.clone() });
         }
     }
 
-    /// The voter set of a new cluster. The lowest seed bootstraps it, once it knows that all seeds are blank;
-    /// with them those that found the seeds, for which it waits no longer than two leases.
+    /// The voter set of a new cluster. The lowest seed bootstraps it, once it knows that all seeds are blank or
+    /// have no disk; with them those that found the seeds, for which it waits no longer than two leases (four, where
+    /// they are fewer than the seeds). Seeds without a disk prove nothing: beside them only the first start of the
+    /// whole system does.
     fn bootstrap_voters(&mut self, now: Tick) -> Option<Vec<VoterInfo>> {
         let own = self.me.rpc_addr;
-        let mut seeds = self.seeds.clone();
-        seeds.sort();
-        let all_blank = seeds.iter().all(|seed| *seed == own || self.discovered_voters.contains_key(seed));
-        let lowest = seeds.first() == Some(&own);
-        if !(self.may_bootstrap && !self.saw_other_cluster && lowest && all_blank) {
+        let lowest = self.seeds.iter().min() == Some(&own);
+        let learner_seeds = self.seeds.iter().filter(|seed| self.is_learner(seed)).count();
+        let proven = learner_seeds == 0 || self.first_start;
+        let blank = |seed: &SocketAddr| *seed == own || self.discovered_voters.contains_key(seed);
+        let all_blank = self.seeds.iter().all(|seed| blank(seed) || self.is_learner(seed));
+        if !(self.may_bootstrap && !self.saw_other_cluster && lowest && all_blank && proven) {
             self.seeds_complete_since = None;
             return None;
         }
         let since = *self.seeds_complete_since.get_or_insert(now);
-        self.discovered_voters.insert(own, (self.me.clone(), now));
-        let wanted = self.expected_voters.clamp(seeds.len(), MAX_VOTERS.max(seeds.len()));
-        if self.discovered_voters.len() < wanted && now.since(since) < 2 * self.timing.lease_ms {
-            return None;
+        if !self.learner {
+            self.discovered_voters.insert(own, (self.me.clone(), now));
         }
-        let discovered = self.discovered_voters.keys().copied();
-        let others = discovered.filter(|addr| !seeds.contains(addr)).take(wanted - seeds.len());
-        let numbered = seeds.iter().copied().chain(others).enumerate();
-        let voter = |(number, addr): (usize, SocketAddr)| {
-            let (info, _) = self.discovered_voters.get(&addr)?;
-            Some(VoterInfo { number: number as u8, ..info.clone() })
+        let seeds = self.seeds.len();
+        let wanted = self.expected_voters.clamp(seeds, MAX_VOTERS.max(seeds));
+        let least = match now.since(since) / (2 * self.timing.lease_ms) {
+            0 => wanted,
+            1 => seeds,
+            _ => 1,
         };
-        Some(numbered.filter_map(voter).collect())
+        (self.discovered_voters.len() >= least).then(|| self.chosen_voters(wanted))
+    }
+
+    fn is_learner(&self, seed: &SocketAddr) -> bool {
+        (self.learner && *seed == self.me.rpc_addr) || self.discovered_learners.contains_key(seed)
+    }
+
+    /// The seeds among the discovered voters, then others, so that the zones have alike many.
+    fn chosen_voters(&self, wanted: usize) -> Vec<VoterInfo> {
+        let discovered = self.discovered_voters.values().map(|(voter, _)| voter);
+        let (mut chosen, mut others): (Vec<&VoterInfo>, Vec<&VoterInfo>) =
+            discovered.partition(|voter| self.seeds.contains(&voter.rpc_addr));
+        while chosen.len() < wanted && !others.is_empty() {
+            let in_zone = |zone: &Zone| chosen.iter().filter(|voter| voter.zone == *zone).count();
+            let emptiest = others.iter().enumerate().min_by_key(|(_, voter)| in_zone(&voter.zone));
+            let position = emptiest.map_or(0, |(position, _)| position);
+            chosen.push(others.remove(position));
+        }
+        let numbered = chosen.into_iter().enumerate();
+        numbered.map(|(number, voter)| VoterInfo { number: number as u8, ..voter.clone() }).collect()
     }
 
-    fn bootstrap_messages(&self, cluster_state: &ClusterState) -> Vec<Effect> {
+    pub(super) fn bootstrap_messages(&self, cluster_state: &ClusterState) -> Vec<Effect> {
         let msg = Message::Bootstrap { cluster_state: cluster_state.clone() };
         let others = cluster_state.voters.iter().filter(|voter| voter.rpc_addr != self.me.rpc_addr);
         others.map(|voter| Effect::Send { to: voter.rpc_addr, msg: msg.clone() }).collect()
@@ -99,7 +127,7 @@
     }
 
     /// Tells a voter who the voters are now.
-    pub(super) fn send_membership(&self, to: SocketAddr, effects: &mut Vec<Effect>) {
+    pub(crate) fn send_membership(&self, to: SocketAddr, effects: &mut Vec<Effect>) {
         let msg = Message::Discover {
             voter: self.me.clone(),
             initialized: true,
@@ -128,13 +156,13 @@
 
     /// An RPC lives no longer than its time-out: what arrives sooner than that after the start of this process
     /// may have been sent before it, by a machine that is blank no more.
-    fn note_blank_voter(&mut self, voter: VoterInfo, now: Tick) {
+    pub(super) fn note_blank_voter(&mut self, voter: VoterInfo, now: Tick) {
         if now.since(self.started) > self.timing.rpc_timeout_ms {
             self.discovered_voters.insert(voter.rpc_addr, (voter, now));
         }
     }
 
-    fn answer_blank_voter(&self, from: SocketAddr, voter: &VoterInfo, effects: &mut Vec<Effect>) {
+    pub(super) fn answer_blank_voter(&self, from: SocketAddr, voter: &VoterInfo, effects: &mut Vec<Effect>) {
         let same = |own: &&VoterInfo| own.incarnation == voter.incarnation;
         let number = self.cluster_state.voters.iter().find(same).map_or(u8::MAX, |own| own.number);
         let id = VoterId { number, incarnation: voter.incarnation };
--- a/crates/control-plane/src/consensus/durability.rs
+++ b/crates/control-plane/src/consensus/durability.rs
@@ -124,6 +124,7 @@
         *self = Voter {
             may_bootstrap: self.may_bootstrap && !lost_folder,
             expected_voters: self.expected_voters,
+            first_start: self.first_start,
             secret: self.secret,
             size_limits: self.size_limits,
             writes: PendingWrites { last_token: self.writes.last_token, ..PendingWrites::default() },
--- a/crates/control-plane/src/consensus/event.rs
+++ b/crates/control-plane/src/consensus/event.rs
@@ -1,7 +1,10 @@
 //! Events and effects of one voter (design 2.3).
 
 use super::{DurableState, InvalidMessage, Message, Record};
-use crate::types::{ApplyOutcome, Change, LogEntry};
+use crate::{
+    state_machine::ClusterState,
+    types::{ApplyOutcome, Change, LogEntry, VoterInfo},
+};
 use common::{Index, Term};
 use std::{fmt, net::SocketAddr};
 
@@ -16,6 +19,13 @@
     Propose(Change),
     /// The process is about to stop.
     StepDown,
+    /// A learner's own membership holds this committed state.
+    Followed {
+        /// The state.
+        cluster_state: Box<ClusterState>,
+        /// RPC address of the leader, as far as it is known.
+        leader: Option<SocketAddr>,
+    },
     /// The write with that token is synced.
     Synced(u64),
     /// A write or its sync failed; nothing written since the last sync may be trusted.
@@ -73,6 +83,8 @@
     },
     /// Another holder was committed in this voter's place.
     Removed,
+    /// A learner was told who the voters are: its membership may ask them.
+    VotersDiscovered(Vec<VoterInfo>),
     /// A message was refused: it changed nothing and is not answered.
     Refused {
         /// Who sent it.
@@ -87,6 +99,8 @@
 pub enum NotLogged {
     /// This voter does not lead, or not for certain.
     NotLeader,
+    /// This node has no disk: it is no voter.
+    NotVoter,
     /// A voter is being replaced; one change of the voter set at a time.
     ReplacingVoter,
     /// This voter's disk refuses writes.
@@ -105,6 +119,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             NotLogged::NotLeader => "not the leader",
+            NotLogged::NotVoter => "not a voter",
             NotLogged::ReplacingVoter => "a voter is being replaced",
             NotLogged::DiskFailed => "this voter's disk refuses writes",
             NotLogged::NameTooLong => "a name of more than 64 bytes",
--- a/crates/control-plane/src/consensus/leadership.rs
+++ b/crates/control-plane/src/consensus/leadership.rs
@@ -24,7 +24,7 @@
 
     /// Its contact with the cluster now.
     pub fn contact(&self, now: Tick) -> Contact {
-        if !self.initialized || self.removed {
+        if !self.initialized || self.removed || self.learner {
             return Contact::Outside;
         }
         let silence_ms = self.silence_timeout_ms();
--- /dev/null
+++ b/crates/control-plane/src/consensus/learner.rs
@@ -0,0 +1,91 @@
+//! A learner (design 2.10): a control node without a disk. It takes up the committed state as it is told of it, tells
+//! others where the voters are, and bootstraps a cluster where it is the lowest seed; it never votes and stores
+//! nothing.
+
+use super::*;
+
+impl Voter {
+    /// The events that concern a learner; a proposal is not logged here.
+    pub(super) fn step_as_learner(&mut self, event: Event, now: Tick) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Followed { cluster_state, leader } => {
+                self.take_up(*cluster_state, leader, now, &mut effects);
+            }
+            Event::Propose(change) => {
+                effects.push(Effect::NotLogged { change, why: NotLogged::NotVoter });
+            }
+            Event::Timer if !self.initialized => self.bootstrap_timer(now, &mut effects),
+            Event::Msg(from, message) => self.handle_as_learner(from, message, now, &mut effects),
+            Event::Timer | Event::StepDown | Event::Synced(_) | Event::SyncFailed | Event::Recovered(_) => {}
+        }
+        effects
+    }
+
+    /// A committed state, as this node's own membership follows it; it never goes back.
+    fn take_up(
+        &mut self,
+        cluster_state: ClusterState,
+        leader: Option<SocketAddr>,
+        now: Tick,
+        effects: &mut Vec<Effect>,
+    ) {
+        if cluster_state.cluster != self.cluster || cluster_state.index < self.cluster_state.index {
+            return;
+        }
+        let by_address = |addr| cluster_state.voters.iter().find(|voter| voter.rpc_addr == addr);
+        let leader = leader.and_then(by_address);
+        let leader = leader.map(|voter| VoterId { number: voter.number, incarnation: voter.incarnation });
+        self.role = VoterRole::Follower { leader, last_contact: now };
+        self.initialized = true;
+        self.proposed_bootstrap = None;
+        self.snapshot_index = cluster_state.index;
+        self.cluster_state = cluster_state;
+        effects.push(Effect::SnapshotInstalled);
+    }
+
+    fn handle_as_learner(
+        &mut self,
+        from: SocketAddr,
+        message: Message,
+        now: Tick,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Err(why) = self.validate(&message, now) {
+            return effects.push(Effect::Refused { from, why });
+        }
+        match message {
+            Message::Discover { initialized: true, voters, .. } => self.discover_cluster(voters, effects),
+            Message::Discover { voter, initialized: false, .. } if self.initialized => {
+                self.answer_blank_voter(from, &voter, effects);
+            }
+            Message::Discover { voter, initialized: false, .. } => self.note_blank_voter(voter, now),
+            Message::Learner => self.handle_learner(from, now, effects),
+            _ => {}
+        }
+    }
+
+    /// A cluster exists: none is bootstrapped from here.
+    fn discover_cluster(&mut self, voters: Vec<VoterInfo>, effects: &mut Vec<Effect>) {
+        if !self.initialized {
+            self.saw_other_cluster = true;
+            self.proposed_bootstrap = None;
+            effects.push(Effect::VotersDiscovered(voters));
+        }
+    }
+
+    /// A learner introduced itself: it is told where the voters are, or noted as a seed that does not vote.
+    pub(super) fn handle_learner(&mut self, from: SocketAddr, now: Tick, effects: &mut Vec<Effect>) {
+        if self.initialized && !self.removed {
+            return self.send_membership(from, effects);
+        }
+        self.discovered_learners.insert(from, now);
+    }
+
+    /// Proposes the initial state of a cluster to its voters, again with each heartbeat until there is a cluster.
+    pub(super) fn propose_bootstrap(&mut self, initial: ClusterState, effects: &mut Vec<Effect>) {
+        effects.push(Effect::VotersDiscovered(initial.voters.clone()));
+        effects.extend(self.bootstrap_messages(&initial));
+        self.proposed_bootstrap = Some(initial);
+    }
+}
--- a/crates/control-plane/src/consensus/message.rs
+++ b/crates/control-plane/src/consensus/message.rs
@@ -75,6 +75,8 @@
         #[serde(rename = "idx")]
         index: Index,
     },
+    /// A control node without a disk introduces itself to the seeds (design 2.10).
+    Learner,
     /// The initial state of a new cluster.
     Bootstrap {
         /// With nothing applied yet.
--- a/crates/control-plane/src/consensus/mod.rs
+++ b/crates/control-plane/src/consensus/mod.rs
@@ -12,6 +12,7 @@
 mod follower;
 mod join;
 mod leadership;
+mod learner;
 mod log;
 mod message;
 mod replication;
@@ -32,7 +33,7 @@
     state_machine::{ClusterState, cluster_state::replace_voter},
     types::{Change, LogEntry, MAX_VOTERS, SizeLimits, VoterInfo},
 };
-use common::{Incarnation, Index, Term, Tick, settings::Timing};
+use common::{Incarnation, Index, Term, Tick, Zone, settings::Timing};
 use durability::PendingWrites;
 use join::JoinRequest;
 use std::{
@@ -55,6 +56,10 @@
     pub may_bootstrap: bool,
     /// Voters that a bootstrap waits for; the seeds alone where this is no more (design 2.5).
     pub expected_voters: usize,
+    /// The whole system starts for the first time: blank voters prove that there is no cluster.
+    pub first_start: bool,
+    /// It has no disk: it follows the cluster and votes on nothing (design 2.10).
+    pub learner: bool,
     /// Drawn by the daemon; the voter that bootstraps a cluster makes it the cluster's own (design 5.6).
     pub secret: u128,
     /// It holds the state of a cluster; without, it is blank.
@@ -88,6 +93,10 @@
     writes: PendingWrites,
     /// Blank voters that introduced themselves, and when.
     discovered_voters: BTreeMap<SocketAddr, (VoterInfo, Tick)>,
+    /// Learners that introduced themselves, and when.
+    discovered_learners: BTreeMap<SocketAddr, Tick>,
+    /// The initial state that this learner proposed to the voters of a new cluster.
+    proposed_bootstrap: Option<ClusterState>,
     /// A cluster without this voter was seen: it may neither bootstrap one nor be bootstrapped.
     saw_other_cluster: bool,
     /// Since when all seeds are known to be blank.
@@ -123,6 +132,8 @@
             seeds,
             may_bootstrap: true,
             expected_voters: 0,
+            first_start: false,
+            learner: false,
             secret: 0,
             initialized: false,
             current_term: Term(0),
@@ -140,6 +151,8 @@
             not_leading: BTreeSet::new(),
             writes: PendingWrites::default(),
             discovered_voters: BTreeMap::new(),
+            discovered_learners: BTreeMap::new(),
+            proposed_bootstrap: None,
             saw_other_cluster: false,
             seeds_complete_since: None,
             join_requests: BTreeMap::new(),
--- a/crates/control-plane/src/consensus/step.rs
+++ b/crates/control-plane/src/consensus/step.rs
@@ -5,6 +5,9 @@
 impl Voter {
     /// The one entrance: every event goes through here.
     pub fn step(&mut self, event: Event, now: Tick) -> Vec<Effect> {
+        if self.learner {
+            return self.step_as_learner(event, now);
+        }
         let mut effects = Vec::new();
         match event {
             Event::SyncFailed => self.handle_sync_failed(now, &mut effects),
@@ -17,6 +20,8 @@
             Event::Timer => self.tick(now, &mut effects),
             Event::Propose(change) => self.handle_propose(change, now, &mut effects),
             Event::StepDown => self.step_down(now, &mut effects),
+            // A voter takes the state from the log only.
+            Event::Followed { .. } => {}
             Event::Msg(from, message) => self.handle_message(from, message, now, &mut effects),
         }
         effects
@@ -45,6 +50,7 @@
             Message::Discover { voter, initialized, voters, index } => {
                 self.handle_discover(from, voter, initialized, (voters, index), now, effects);
             }
+            Message::Learner => self.handle_learner(from, now, effects),
             Message::Bootstrap { cluster_state } => self.handle_bootstrap(cluster_state, now, effects),
             Message::LeaderQuery(process_started) => {
                 self.handle_leader_query(from, process_started, effects);
--- a/crates/control-plane/src/consensus/validation.rs
+++ b/crates/control-plane/src/consensus/validation.rs
@@ -122,6 +122,7 @@
                 ensure(!(own_term && *installed && *last > self.last_index()), InvalidMessage::BeyondLog)
             }
             Message::Discover { initialized: false, .. }
+            | Message::Learner
             | Message::JoinRequest { .. }
             | Message::LeaderQuery(_)
             | Message::NotLeading(_) => Ok(()),
--- a/crates/control-plane/src/control_node/mod.rs
+++ b/crates/control-plane/src/control_node/mod.rs
@@ -3,15 +3,17 @@
 
 mod connectivity;
 mod leader_client;
+mod learner;
 mod log_writer;
 mod proposals;
 mod rpc_service;
 mod start;
 
 pub use leader_client::ReadError;
+pub use learner::without_disk;
 pub use log_writer::{LogWriter, LogWriterFactory, open_data_folder};
 pub use rpc_service::listen;
-pub use start::Start;
+pub use start::{Bootstrap, Start, voters_to_survive};
 
 use crate::{
     consensus::{Effect, Event, Voter},
@@ -69,6 +71,8 @@
     /// When this voter was last in contact with its leader, or with a majority as the leader.
     last_contact: Tick,
     leader_seen: Option<LeaderSighting>,
+    /// When this leader last told silent control nodes who the voters are.
+    announced_voters: Tick,
 }
 
 /// A running control node.
@@ -84,6 +88,8 @@
     log_writer: Box<dyn LogWriter>,
     /// The commit index; changes when it does.
     committed: watch::Sender<Index>,
+    /// Addresses of the voters that a learner was told of.
+    discovered: watch::Sender<Vec<SocketAddr>>,
 }
 
 /// What operators are shown of a control node.
@@ -105,16 +111,15 @@
 }
 
 impl ControlNode {
-    /// Starts a control node. A bootstrap waits for `expected_voters`, where they are more than the seeds;
-    /// `log_writer` makes what writes its records.
+    /// Starts a control node; `log_writer` makes what writes its records.
     pub fn start(
         settings: Settings,
-        expected_voters: usize,
+        bootstrap: Bootstrap,
         start: impl Into<Start>,
         log_writer: LogWriterFactory,
     ) -> Arc<ControlNode> {
         let clock = Clock::default();
-        let voter = start::new_voter(&settings, expected_voters, start.into(), clock.now());
+        let voter = start::new_voter(&settings, bootstrap, start.into(), clock.now());
         let (committed, _) = watch::channel(voter.commit_index());
         let inner = Inner {
             voter,
@@ -123,6 +128,7 @@
             reports: BTreeMap::new(),
             last_contact: clock.now(),
             leader_seen: None,
+            announced_voters: Tick(0),
         };
         let client = || ControlClient::new(settings.me(), SERVICE);
         let (client, bulk_client) = (client(), client());
@@ -134,6 +140,7 @@
             inner: Mutex::new(inner),
             log_writer: log_writer(me.clone()),
             committed,
+            discovered: watch::channel(Vec::new()).0,
         });
         spawn(node.clone().run_timer());
         node
@@ -147,6 +154,7 @@
             self.step(Event::Timer);
             self.connectivity();
             self.expire_leases();
+            self.announce_voters();
         }
     }
 
@@ -191,6 +199,10 @@
                 Effect::Removed => {
                     log_event!(Error, "removed", "cause" => "another holder was committed in this voter's place");
                 }
+                Effect::VotersDiscovered(voters) => {
+                    log_event!(Info, "voters discovered", "voters" => voters.len());
+                    self.discovered.send_replace(voters.iter().map(|voter| voter.rpc_addr).collect());
+                }
                 Effect::Refused { from, why } => {
                     log_event!(Warn, "consensus message", "peer" => from, "cause" => why.to_string());
                 }
--- a/crates/control-plane/src/control_node/rpc_service.rs
+++ b/crates/control-plane/src/control_node/rpc_service.rs
@@ -126,7 +126,11 @@
             me: voter.me.clone(),
             leader: voter.leader(),
             initialized: voter.initialized,
-            voting: voter.initialized && !voter.disk_failed && !voter.removed && !voter.sync_overdue(now),
+            voting: voter.initialized
+                && !voter.learner
+                && !voter.disk_failed
+                && !voter.removed
+                && !voter.sync_overdue(now),
             term: voter.current_term.0,
             reports: reports.map(|(node, report)| (node.clone(), (report.index, report.revision))).collect(),
         }
--- a/crates/control-plane/src/daemon.rs
+++ b/crates/control-plane/src/daemon.rs
@@ -2,7 +2,7 @@
 //! time.
 
 use crate::{
-    control_node::{self, ControlNode, LogWriterFactory, Start},
+    control_node::{self, Bootstrap, ControlNode, LogWriterFactory, Start},
     membership::Member,
     types::{NodeInfo, Role},
 };
@@ -26,11 +26,10 @@
 
 /// Runs a control node until `stop` ends, then stops it in good order.
 ///
-/// `handler` answers on the HTTP address: the product's own API is [`crate::operator::api::handle`]. A bootstrap
-/// waits for `expected_voters`, where they are more than the seeds (design 2.5).
+/// `handler` answers on the HTTP address: the product's own API is [`crate::operator::api::handle`].
 pub async fn run<F, Fut>(
     settings: Settings,
-    expected_voters: usize,
+    bootstrap: Bootstrap,
     listeners: Listeners,
     (start, log_writer): (impl Into<Start>, LogWriterFactory),
     handler: F,
@@ -39,10 +38,13 @@
     F: Fn(Arc<ControlNode>, SocketAddr, Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Result<Response<http::Body>, http::BoxErr>> + Send + 'static,
 {
-    let node = ControlNode::start(settings.clone(), expected_voters, start, log_writer);
+    let node = ControlNode::start(settings.clone(), bootstrap, start, log_writer);
     let info = NodeInfo::of(&settings, Role::Control, node.status().me.incarnation);
     let member = Member::new(settings.clone(), info, Clock::default());
     spawn(report_revision(member.clone()));
+    if node.is_learner() {
+        node.follow_as_learner(member.clone());
+    }
     member.start();
     spawn(control_node::listen(listeners.rpc, settings.me(), node.clone()));
     let (stop_serving, stopped) = watch::channel(false);
--- a/crates/control-plane/src/membership/member.rs
+++ b/crates/control-plane/src/membership/member.rs
@@ -42,6 +42,8 @@
     pub revision_in_force: AtomicU64,
     /// Who answered the last renewal.
     leader: Mutex<Option<SocketAddr>>,
+    /// Voters that others told of, for as long as the state that names them is not here.
+    announced_voters: Mutex<Vec<SocketAddr>>,
     /// Indexes that the leader announced and that are not held yet, each with a time before it did.
     pub(super) announced: Mutex<VecDeque<(Index, Tick)>>,
     /// A gap was found in the updates: the next request asks for a snapshot.
@@ -71,6 +73,7 @@
             lease: Mutex::default(),
             revision_in_force: AtomicU64::new(0),
             leader: Mutex::default(),
+            announced_voters: Mutex::default(),
             announced: Mutex::default(),
             gap: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
@@ -148,7 +151,8 @@
         let mut voters: Vec<VoterAddr> = known
             .map(|voter| VoterAddr { addr: voter.rpc_addr, same_zone: voter.zone == self.info.zone })
             .collect();
-        for seed in &self.settings.seeds {
+        let announced = lock(&self.announced_voters).clone();
+        for seed in announced.iter().chain(&self.settings.seeds) {
             if !voters.iter().any(|voter| voter.addr == *seed) {
                 voters.push(VoterAddr { addr: *seed, same_zone: false });
             }
@@ -156,7 +160,12 @@
         voters
     }
 
-    pub(super) fn known_leader(&self) -> Option<SocketAddr> {
+    /// Others told who the voters are.
+    pub(crate) fn note_voters(&self, voters: Vec<SocketAddr>) {
+        *lock(&self.announced_voters) = voters;
+    }
+
+    pub(crate) fn known_leader(&self) -> Option<SocketAddr> {
         *lock(&self.leader)
     }
 
--- a/crates/control-plane/tests/model/describe.rs
+++ b/crates/control-plane/tests/model/describe.rs
@@ -100,5 +100,6 @@
         Message::JoinRequest { voter } => format!("join request of {}", voter.incarnation),
         Message::Discover { initialized, .. } => format!("discovery, formed {initialized}"),
         Message::Bootstrap { .. } => "founding".into(),
+        Message::Learner => "learner".into(),
     }
 }
--- a/crates/control-plane/tests/model/world.rs
+++ b/crates/control-plane/tests/model/world.rs
@@ -732,6 +732,7 @@
             Effect::NotLogged { .. }
             | Effect::SnapshotInstalled
             | Effect::Removed
+            | Effect::VotersDiscovered(_)
             | Effect::Refused { .. } => Ok(()),
         }
     }
--- a/crates/foldshunt-control/src/main.rs
+++ b/crates/foldshunt-control/src/main.rs
@@ -5,7 +5,11 @@
     logging,
     settings::{Flags, Settings, flags, shutdown_signal, warn_deprecated},
 };
-use control_plane::{control_node::open_data_folder, daemon, operator::api};
+use control_plane::{
+    control_node::{Bootstrap, open_data_folder},
+    daemon,
+    operator::api,
+};
 use eyre::Result;
 
 /// Control node of a foldshunt cluster: keeps the replicated log on disk and serves operators
@@ -28,6 +32,6 @@
     warn_deprecated(&flags);
     let listeners = settings.bind().await?;
     let folder = open_data_folder(&settings)?;
-    daemon::run(settings, 0, listeners, folder, api::handle, shutdown_signal()?).await;
+    daemon::run(settings, Bootstrap::default(), listeners, folder, api::handle, shutdown_signal()?).await;
     Ok(())
 }
--- a/crates/simulator/src/hosted.rs
+++ b/crates/simulator/src/hosted.rs
@@ -11,7 +11,7 @@
 };
 use control_plane::{
     consensus::{DurableState, Event, Record},
-    control_node::{ControlNode, LogWriter},
+    control_node::{Bootstrap, ControlNode, LogWriter},
     storage::{RecoveryBackoff, blank_voter},
 };
 use rand::Rng;
@@ -51,7 +51,7 @@
                 });
                 control_plane::daemon::run(
                     set,
-                    0,
+                    Bootstrap::default(),
                     bound,
                     (image, drive),
                     control_plane::operator::api::handle,
--- a/crates/simulator/src/sim/way.rs
+++ b/crates/simulator/src/sim/way.rs
@@ -108,7 +108,10 @@
                 self.note(format!("s{n} refuses a message of {from}: {why}"));
             }
             Effect::Refused { from, why } => return Err(format!("s{n} refuses a message of {from}: {why}")),
-            Effect::SnapshotInstalled | Effect::Logged { .. } | Effect::NotLogged { .. } => {}
+            Effect::SnapshotInstalled
+            | Effect::VotersDiscovered(_)
+            | Effect::Logged { .. }
+            | Effect::NotLogged { .. } => {}
         }
         Ok(())
     }
