--- a/crates/data-plane/src/contact.rs
+++ b/crates/data-plane/src/contact.rs
@@ -62,10 +62,8 @@
             ticks.tick().await;
             let state = self.cluster_state();
             self.record_contact();
-            let squared = common::mutation::enabled("hails-squared");
-            let copies = if squared { state.members.len() / 4 } else { 1 };
             let others = state.members.values().filter(|member| member.info.node != *self.node());
-            for member in others.flat_map(|member| std::iter::repeat_n(member, copies)) {
+            for member in others {
                 common::runtime::spawn(self.clone().send_heartbeat(member.clone(), state.index));
             }
             let (forgotten_ms, now) = (self.set.timing.lease_ms * FORGOTTEN_LEASES, self.now());
@@ -124,12 +122,7 @@
     }
 
     fn note_contact(&self, n: NodeId, asked: common::Tick) {
-        let mut last_contacts = lock(&self.last_contacts);
-        if common::mutation::enabled("hears-by-pair") {
-            let by = |m: &NodeId| NodeId::new(format!("{n}/{m}"));
-            last_contacts.extend(self.cluster_state().members.keys().map(|m| (by(m), asked)));
-        }
-        last_contacts.insert(n, asked);
+        lock(&self.last_contacts).insert(n, asked);
     }
 
     /// Changes of the own contact go into the event log.
