Heartbeats stay within a zone while leases are renewed; to all only in need

Change: members of the own zone are monitored always, since the directory sends clients there; all others only once a renewal is overdue by two intervals, half a lease before contact with a majority decides. A member that is not monitored is taken at its membership's word by the directory and by forwarding. Test changed: an_answer_is_as_old_as_its_question advances the clock by a lease before it waits for heartbeats to another zone; what it asserts is the same.

--- a/crates/data-plane/src/contact.rs
+++ b/crates/data-plane/src/contact.rs
@@ -16,6 +16,9 @@
 
 /// Leases after which a contact is forgotten.
 const FORGOTTEN_LEASES: u64 = 10;
+/// Renewal intervals after the last granted renewal from which a lease is in doubt. What is left of it is long enough
+/// to hear a majority of the members before it ends.
+const DOUBT_INTERVALS: u64 = 2;
 
 impl Router {
     /// Answered, within a lease's length, a heartbeat from here.
@@ -24,6 +27,26 @@
         lock(&self.last_contacts).get(n).is_some_and(|t| now.since(*t) <= self.set.timing.lease_ms)
     }
 
+    /// Whether a renewal is overdue: the lease may end, and then contact with a majority of the members decides
+    /// whether this node is cut off.
+    fn lease_in_doubt(&self) -> bool {
+        let timing = &self.set.timing;
+        let certain_ms = timing.lease_ms.saturating_sub(DOUBT_INTERVALS * timing.renew_interval_ms());
+        self.member.lease().until < self.now() + certain_ms
+    }
+
+    /// Whether a member is sent heartbeats now. Those of the own zone always are, since clients are sent to them;
+    /// all others only while the own lease is in doubt, so that control traffic does not grow with the square of
+    /// the members.
+    fn monitors(&self, member: &Member) -> bool {
+        member.info.zone == *self.zone() || self.lease_in_doubt()
+    }
+
+    /// Whether a member may be taken to be there: it was heard lately, or it holds a membership and is not monitored.
+    pub fn is_live(&self, member: &Member) -> bool {
+        self.is_reachable(&member.info.node) || !self.monitors(member)
+    }
+
     /// Without a lease, and without a majority of the last known members: new work is rejected.
     /// With that majority it is the core that is out, and traffic goes on.
     pub fn cut_off(&self) -> bool {
@@ -53,7 +76,7 @@
         .find_map(|(no, why)| no.then_some(why))
     }
 
-    /// Sends a heartbeat to each other member, once within a renewal interval.
+    /// Sends a heartbeat to each member that is monitored, once within a renewal interval.
     pub async fn send_heartbeats(self: Arc<Self>) {
         let interval = Duration::from_millis(self.set.timing.renew_interval_ms());
         let mut ticks = tokio::time::interval(interval);
@@ -63,7 +86,7 @@
             let state = self.cluster_state();
             self.record_contact();
             let others = state.members.values().filter(|member| member.info.node != *self.node());
-            for member in others {
+            for member in others.filter(|member| self.monitors(member)) {
                 common::runtime::spawn(self.clone().send_heartbeat(member.clone(), state.index));
             }
             let (forgotten_ms, now) = (self.set.timing.lease_ms * FORGOTTEN_LEASES, self.now());
--- a/crates/data-plane/src/gateway.rs
+++ b/crates/data-plane/src/gateway.rs
@@ -216,7 +216,7 @@
             .filter(|m| stands_in(&l, &p.governing.table, m, region) && m.info.node != *self.node())
             // One that has just started has heard nobody yet: it takes the members at their word.
             .filter(|m| !tried.contains(&m.info.node.to_string()))
-            .filter(|m| self.starting() || self.is_reachable(&m.info.node))
+            .filter(|m| self.starting() || self.is_live(m))
             .cloned()
             .collect();
         (!all.is_empty()).then(|| all[common::runtime::random_in(0..all.len())].clone())
--- a/crates/data-plane/src/serving/directory.rs
+++ b/crates/data-plane/src/serving/directory.rs
@@ -7,6 +7,7 @@
     Region, Zone,
     http::{Body, BoxErr, json, text},
 };
+use control_plane::Member;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use std::{net::SocketAddr, sync::Arc};
 
@@ -43,10 +44,11 @@
         let r = &self.router;
         let l = r.cluster_state();
         let mine = self.refusing().is_none();
-        let fit = |n: &common::NodeId| {
-            if n == r.node() { mine } else { r.is_reachable(n) && !lock(&r.refusing).contains(n) }
+        let fit = |m: &&Member| {
+            let node = &m.info.node;
+            if node == r.node() { mine } else { r.is_live(m) && !lock(&r.refusing).contains(node) }
         };
-        let all = l.routers().into_iter().filter(|m| fit(&m.info.node));
+        let all = l.routers().into_iter().filter(fit);
         all.map(|m| RouterAddr {
             addr: m.info.http,
             zone: m.info.zone.clone(),
--- a/crates/data-plane/tests/leap.rs
+++ b/crates/data-plane/tests/leap.rs
@@ -118,6 +118,8 @@
             }
         },
     ));
+    // Members of other zones are asked once the lease is in doubt.
+    hand.fetch_add(r.set.timing.lease_ms, Ordering::AcqRel);
     let hails = tokio::spawn(r.clone().send_heartbeats());
     while data_plane::router::lock(&r.last_contacts).is_empty() {
         tokio::task::yield_now().await;
