Reports of a zone cross to another zone once, and are passed on inside it

Change: a router has reports of other zones from the first router of its own zone, by a ranking that all see alike; only that one asks the publisher. One that has nothing to pass on, or fails, is passed over for a lease. Subscriptions have a file of their own. Seen to fail first: a_report_crosses_between_zones_once without relays counts four times the calls.

--- a/crates/common/src/runtime/traffic.rs
+++ b/crates/common/src/runtime/traffic.rs
@@ -1,4 +1,4 @@
-//! Counts what travels in a simulation (design 7.7): calls by kind at both ends, and all bytes by host. Daemons on the
+//! Counts what travels in a simulation (design 7.7): calls by kind and ends, and all bytes by host. Daemons on the
 //! machine's own network count nothing here.
 
 use crate::sync::lock;
@@ -32,10 +32,8 @@
 /// What was counted.
 #[derive(Clone, Debug, Default)]
 pub struct Traffic {
-    /// Calls by the host that made them.
-    pub from: BTreeMap<(IpAddr, CallKind), Calls>,
-    /// Calls by the host that answered them.
-    pub to: BTreeMap<(IpAddr, CallKind), Calls>,
+    /// Calls by the host that made them and the one that was called.
+    pub calls: BTreeMap<((IpAddr, IpAddr), CallKind), Calls>,
     /// All bytes that a host sent and received, frames, handshakes and HTTP among them.
     pub bytes: BTreeMap<IpAddr, (u64, u64)>,
 }
@@ -70,8 +68,7 @@
     ) {
         let mut counted = lock(&self.0);
         let Some(traffic) = counted.as_mut() else { return };
-        traffic.from.entry((from, kind)).or_default().add(request_bytes, response_bytes);
-        traffic.to.entry((to, kind)).or_default().add(request_bytes, response_bytes);
+        traffic.calls.entry(((from, to), kind)).or_default().add(request_bytes, response_bytes);
     }
 
     pub(super) fn bytes(&self, from: IpAddr, to: IpAddr, count: usize) {
--- a/crates/data-plane/src/router.rs
+++ b/crates/data-plane/src/router.rs
@@ -9,7 +9,7 @@
     request_queue::RequestQueue,
     retry_budget::Budget,
     rpc::{RouterRequest, RouterResponse},
-    serving::{prefill::Reading, replica_report::ReplicaReport},
+    serving::{prefill::Reading, report_publication::HeldReport},
     summary::{Event, EventKind, KEEP, Summary},
 };
 use arc_swap::ArcSwapOption;
@@ -48,7 +48,7 @@
 
 /// What this node publishes of a zone, and when it was asked for it last.
 pub struct Publication {
-    pub tx: watch::Sender<Option<(Arc<ReplicaReport>, Tick)>>,
+    pub tx: watch::Sender<HeldReport>,
     pub asked: Tick,
 }
 
@@ -69,7 +69,9 @@
     /// Those that were heard and said that they take no new work.
     pub refusing: Mutex<HashSet<NodeId>>,
     pub published: Mutex<Published>,
-    pub boards: Mutex<BTreeMap<Zone, Publication>>,
+    pub publications: Mutex<BTreeMap<Zone, Publication>>,
+    /// Reports of zones as this node was told them, for routers of its own zone.
+    pub relayed: Mutex<BTreeMap<Zone, watch::Sender<HeldReport>>>,
     pub reading: Mutex<Reading>,
     pub counters: Counters,
     pub event_log: EventLog<Event, Summary>,
@@ -105,7 +107,8 @@
             last_contacts: Mutex::default(),
             refusing: Mutex::default(),
             published: Mutex::default(),
-            boards: Mutex::default(),
+            publications: Mutex::default(),
+            relayed: Mutex::default(),
             reading: Mutex::default(),
             counters: Counters::default(),
             event_log: EventLog::new(Summary::default(), KEEP),
--- a/crates/data-plane/src/rpc.rs
+++ b/crates/data-plane/src/rpc.rs
@@ -121,6 +121,15 @@
         /// Longest wait in milliseconds.
         wait_ms: u64,
     },
+    /// Asks a router of the same zone for the next report of another zone's replicas, as it was told it.
+    RelayReplicas {
+        /// The zone.
+        zone: Zone,
+        /// Publisher and number of the last report that the asker has.
+        last: Option<(NodeId, u64)>,
+        /// Longest wait in milliseconds.
+        wait_ms: u64,
+    },
 }
 
 /// A router's answer.
@@ -177,6 +186,7 @@
             RouterRequest::RedeemGrant { .. } => "router.redeem-grant",
             RouterRequest::AnnouncePrompt { .. } => "router.announce-prompt",
             RouterRequest::WatchReplicas { .. } => "router.watch-replicas",
+            RouterRequest::RelayReplicas { .. } => "router.relay-replicas",
         }
     }
 }
--- a/crates/data-plane/src/rpc_service.rs
+++ b/crates/data-plane/src/rpc_service.rs
@@ -75,6 +75,10 @@
             RouterRequest::WatchReplicas { zone, seq, wait_ms } => {
                 RouterResponse::ReplicaReport(self.wait_for_report(zone, seq, wait_ms).await.map(Box::new))
             }
+            RouterRequest::RelayReplicas { zone, last, wait_ms } => {
+                let report = self.wait_for_relayed_report(zone, last, wait_ms).await;
+                RouterResponse::ReplicaReport(report.map(Box::new))
+            }
             RouterRequest::RedeemGrant { spent } => match self.redeem_here(&spent) {
                 Ok(()) => RouterResponse::Done,
                 Err(why) => self.no("redeem grant", &node, why.into()),
--- a/crates/data-plane/src/serving/health_prober.rs
+++ b/crates/data-plane/src/serving/health_prober.rs
@@ -1,6 +1,6 @@
-//! The homes of zones (design 9.3): one router reads a zone's part of the platform's list and
-//! probes its replicas; the others subscribe to what it publishes. A router that is asked takes the
-//! singleton role up, so that a lost home is replaced as soon as somebody misses it.
+//! The publishers of zones (design 9.3): one router reads a zone's part of the platform's list and probes its replicas;
+//! the others subscribe to what it publishes ([`super::report_subscription`]). A router that is asked takes the singleton
+//! role up, so that a lost publisher is replaced as soon as somebody misses it.
 
 use super::{
     protocol::ListedReplica,
@@ -8,18 +8,11 @@
     replica_report::{ProbeResult, ReplicaHealth, ReplicaReport, lends},
     state::Serving,
 };
-use crate::{
-    router::lock,
-    rpc::{RouterRequest, RouterResponse},
-};
-use common::{FencingToken, NodeId, ReplicaId, Tick, Zone, error::PeerError, http::ask, log_event};
-use control_plane::{Member, state_machine::singleton};
+use crate::router::lock;
+use common::{FencingToken, ReplicaId, Tick, Zone, http::ask, log_event};
+use control_plane::Member;
 use hyper::Method;
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 /// Looks without an answer after which a replica counts as unwell.
 const FAILS: u32 = 2;
@@ -34,78 +27,8 @@
         self.router.set.timing.probe_interval_ms / 2
     }
 
-    /// Claimants to a zone's singleton role: its own routers first, then the others.
-    fn line(&self, zone: &Zone) -> Vec<Member> {
-        let l = self.router.cluster_state();
-        let key = format!("board/{zone}");
-        let near = singleton::ranked_holders(&l, &key, Some(zone));
-        let far = singleton::ranked_holders(&l, &key, None).into_iter().filter(|m| m.info.zone != *zone);
-        near.into_iter().chain(far).collect()
-    }
-
-    /// Subscribes to each zone's load reports, and publishes those that are this node's to publish.
-    pub fn watch_all(self: &Arc<Self>) {
-        for zone in self.site.zones.keys() {
-            common::runtime::spawn(self.clone().publish(zone.clone()));
-            common::runtime::spawn(self.clone().subscribe(zone.clone()));
-        }
-    }
-
-    fn take_board(&self, b: ReplicaReport, at: Tick) {
-        let mut g = lock(&self.reports);
-        if g.take(b, at) {
-            let valid = self.router.set.timing.report_max_age_ms();
-            let fleet = g.fleet(&self.site.zones, self.routers().len(), valid);
-            let listed = |id: &ReplicaId| fleet.by_service.values().flatten().any(|c| c.id == *id);
-            lock(&self.router.reading).retain(&listed);
-            self.fleet.store(Arc::new(fleet));
-        }
-    }
-
-    async fn subscribe(self: Arc<Self>, zone: Zone) {
-        let mut failed: HashMap<NodeId, Tick> = HashMap::new();
-        let (mut publisher, mut seq) = (None::<NodeId>, 0);
-        let pause = Duration::from_millis(self.router.set.timing.heartbeat_ms());
-        loop {
-            let now = self.now();
-            failed.retain(|_, t| now.since(*t) < self.router.set.timing.lease_ms);
-            let first = self.line(&zone).into_iter().find(|m| !failed.contains_key(&m.info.node));
-            let Some(home) = first else {
-                tokio::time::sleep(pause).await;
-                continue;
-            };
-            let node = home.info.node.clone();
-            if publisher.as_ref() != Some(&node) {
-                (publisher, seq) = (Some(node.clone()), 0);
-            }
-            let wait_ms = self.report_interval_ms() * 2;
-            let told = if node == *self.router.node() {
-                Ok(self.router.wait_for_report(zone.clone(), seq, wait_ms).await)
-            } else {
-                let q = RouterRequest::WatchReplicas { zone: zone.clone(), seq, wait_ms };
-                let ms = wait_ms + self.router.set.timing.rpc_timeout_ms;
-                match self.router.lines.call_within(ms, "watch replicas", home.info.rpc_addr, q).await {
-                    Ok(RouterResponse::ReplicaReport(b)) => Ok(b.map(|b| *b)),
-                    Ok(_) => Err(PeerError::new("watch replicas", home.info.rpc_addr, "another answer")),
-                    Err(e) => Err(e),
-                }
-            };
-            match told {
-                Ok(Some(b)) => {
-                    seq = b.seq;
-                    let at = b.fresh_at(now, self.now());
-                    self.take_board(b, at);
-                }
-                Ok(None) => tokio::time::sleep(pause).await,
-                Err(e) => {
-                    log_event!(Debug, e.step, "peer" => e.peer, "cause" => e.cause());
-                    failed.insert(node, now);
-                }
-            }
-        }
-    }
-
-    async fn publish(self: Arc<Self>, zone: Zone) {
+    /// Probes a zone's replicas and publishes their report, while somebody asks this node for it.
+    pub(super) async fn publish(self: Arc<Self>, zone: Zone) {
         let mut ticks = tokio::time::interval(Duration::from_millis(self.report_interval_ms()));
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut health: BTreeMap<ReplicaId, ReplicaHealth> = BTreeMap::new();
@@ -125,7 +48,7 @@
             self.probe_listed(&listed, &mut health, probe_all).await;
             seq += 1;
             let report = self.report(&zone, seq, &listed, &health);
-            if let Some(publication) = lock(&self.router.boards).get(&zone) {
+            if let Some(publication) = lock(&self.router.publications).get(&zone) {
                 publication.tx.send_replace(Some((Arc::new(report), asked)));
             }
         }
@@ -134,7 +57,7 @@
     /// Whether somebody asked for a zone's report lately.
     fn is_asked_for(&self, zone: &Zone) -> bool {
         let recent = |asked: Tick| self.now().since(asked) < ASKED_INTERVALS * self.report_interval_ms();
-        lock(&self.router.boards).get(zone).is_some_and(|publication| recent(publication.asked))
+        lock(&self.router.publications).get(zone).is_some_and(|publication| recent(publication.asked))
     }
 
     /// Probes the listed replicas. What was healthy is probed each second time: answers and refusals of requests
--- a/crates/data-plane/src/serving/mod.rs
+++ b/crates/data-plane/src/serving/mod.rs
@@ -23,6 +23,7 @@
 pub mod replica_selection;
 pub mod replica_view;
 pub mod report_publication;
+pub mod report_subscription;
 pub mod request_flush;
 pub mod retry_budget;
 pub mod slow_start;
--- a/crates/data-plane/tests/serving/main.rs
+++ b/crates/data-plane/tests/serving/main.rs
@@ -14,6 +14,7 @@
 mod replica_list_pages;
 mod replica_report;
 mod replica_view;
+mod report_subscription;
 mod retry_budget;
 mod slow_start;
 mod stage;
--- a/crates/data-plane/tests/serving/stage.rs
+++ b/crates/data-plane/tests/serving/stage.rs
@@ -108,7 +108,7 @@
     connections: AtomicUsize,
 }
 
-struct Wire(HeaderNames);
+pub struct Wire(pub HeaderNames);
 
 impl ProtocolAdapter for Wire {
     fn names(&self) -> &HeaderNames {
@@ -134,7 +134,7 @@
     }
 }
 
-struct Unread;
+pub struct Unread;
 
 impl DocumentFormat for Unread {
     fn read(&self, _: &str) -> Result<RouteMap, Vec<Diagnostic>> {
