A request compares two replicas by its prefix; a router's own change counts once

Cause: a replica's load was the report plus the router's own change since, times the routers. Change: power of two choices: a request compares the two replicas of the highest rendezvous claim of its shared prefix (drawn where it has none) among its own kind, two of the other kind, and for a long prompt the one that has most of it; the own change counts once. Ruled out: a smaller factor instead of the routers' number: it is noise as soon as a router has less than some requests a replica.

--- a/crates/data-plane/src/serving/replica_choice.rs
+++ b/crates/data-plane/src/serving/replica_choice.rs
@@ -21,6 +21,9 @@
 /// What a request avoids among replicas of the other kind.
 const APART_MS: f64 = 60.0;
 
+/// Replicas of a kind that a request compares.
+const CHOICES: usize = 2;
+
 /// What the choice goes by, besides the candidates.
 pub struct ChoiceContext<'a> {
     pub prompt: &'a Prompt,
@@ -44,12 +47,22 @@
 }
 
 impl ChoiceContext<'_> {
+    /// Tokens of the prompt that a replica would have to read.
+    fn unread(&self, c: &Candidate) -> u32 {
+        self.reading.unread(&c.id, self.prefixes, self.prompt.tokens_in)
+    }
+
     fn shared(&self) -> u32 {
         if self.affinity { self.prompt.shared_tokens() } else { 0 }
     }
 
+    /// The rendezvous claim of a replica to the request: by its shared prefix, or drawn where it has none.
     fn claim(&self, c: &Candidate) -> u64 {
-        let ids: Vec<u8> = self.prompt.shared().iter().flat_map(|p| p.0.to_le_bytes()).collect();
+        let ids: Vec<u8> = if self.shared() > 0 {
+            self.prompt.shared().iter().flat_map(|p| p.0.to_le_bytes()).collect()
+        } else {
+            self.unit.to_le_bytes().to_vec()
+        };
         stable_hash(&[&ids, c.id.as_str().as_bytes()])
     }
 }
@@ -91,27 +104,48 @@
     stable_hash(&[b"long", c.id.as_str().as_bytes()])
 }
 
-/// The best of these for the request: the least time until its first event, and what it costs those
-/// that run beside it.
+/// The best of these for the request: of a few, the least time until its first event, and what it costs those that run
+/// beside it.
 pub fn best<'a>(cands: &[&'a Candidate], w: &ChoiceContext<'_>) -> Option<&'a Candidate> {
-    let keeps = w.shared() > 0;
     let half = if w.apart { long_half(cands) } else { Vec::new() };
     let other = |c: &Candidate| w.apart && half.contains(&place(c)) != w.long;
-    let first = cands.iter().max_by_key(|c| (!other(c), w.claim(c))).map(|c| c.id.clone());
+    let compared = compared(cands, w, &other);
+    let first = compared.first().filter(|_| w.shared() > 0).map(|c| c.id.clone());
     let score = |c: &Candidate| {
         let spread = stable_hash(&[&w.unit.to_le_bytes(), c.id.as_str().as_bytes()]) % 1000;
         let base = delay(c, w) + spread as f64 / 1000.0 * 4.0 + if other(c) { APART_MS } else { 0.0 };
         if w.long {
             return base + reading_costs(c, w);
         }
-        base + if keeps && first.as_ref() != Some(&c.id) { LEAST_KEPT_MS } else { 0.0 }
+        base + if first.as_ref().is_some_and(|first| *first != c.id) { LEAST_KEPT_MS } else { 0.0 }
     };
-    cands.iter().copied().min_by(|a, b| score(a).total_cmp(&score(b)))
+    compared.into_iter().min_by(|a, b| score(a).total_cmp(&score(b)))
+}
+
+/// The few that a request compares ("power of two choices"): those of the highest claim among its own kind, then those
+/// among the other. Reports are as old as a look at the replicas, and many routers go by the same one: if each
+/// took the best of all by it, all would go to the same few replicas until the next. A long prompt also looks at
+/// the replica that has the longest prefix of it.
+fn compared<'a>(
+    cands: &[&'a Candidate],
+    w: &ChoiceContext<'_>,
+    other: &dyn Fn(&Candidate) -> bool,
+) -> Vec<&'a Candidate> {
+    let mut ranked: Vec<(bool, u64, &'a Candidate)> =
+        cands.iter().map(|c| (other(c), w.claim(c), *c)).collect();
+    ranked.sort_unstable_by_key(|(other, claim, _)| (*other, std::cmp::Reverse(*claim)));
+    let (own, others): (Vec<_>, Vec<_>) = ranked.into_iter().partition(|(other, _, _)| !other);
+    let keeper = own.iter().map(|r| r.2).min_by_key(|c| (w.unread(c), std::cmp::Reverse(w.claim(c))));
+    let keeper = keeper.filter(|c| w.long && w.unread(c) < w.prompt.tokens_in);
+    let few = own.into_iter().take(CHOICES).chain(others.into_iter().take(CHOICES));
+    let mut few: Vec<&Candidate> = few.map(|r| r.2).collect();
+    few.extend(keeper.filter(|keeper| few.iter().all(|c| c.id != keeper.id)).into_iter().collect::<Vec<_>>());
+    few
 }
 
 /// What reading a long prompt there takes from it and from all that runs beside it.
 fn reading_costs(c: &Candidate, w: &ChoiceContext<'_>) -> f64 {
-    let tokens = w.reading.unread(&c.id, w.prefixes, w.prompt.tokens_in);
+    let tokens = w.unread(c);
     let own = w.prompt.tokens_in.saturating_sub(w.prompt.shared_tokens());
     let read = f64::from(tokens) / w.reads_per_ms;
     let again = f64::from(tokens.saturating_sub(own)) / w.reads_per_ms;
--- a/crates/data-plane/src/serving/replica_view.rs
+++ b/crates/data-plane/src/serving/replica_view.rs
@@ -54,8 +54,6 @@
     /// What all had there when the load reports were fresh, and this router among them.
     pub all: i64,
     pub mine: i64,
-    /// Routers that go by the same load reports: what this one sent since, they have sent too.
-    pub routers: i64,
     pub waiting: u32,
     pub memory_used: u64,
     pub memory_total: u64,
@@ -63,9 +61,12 @@
 }
 
 impl Candidate {
+    /// Requests there: those of the report, with what this router itself has begun and ended since. What the others
+    /// did since is unknown; that they don't all go to the same replicas is up to the choice among few
+    /// ([`super::replica_choice`]).
     pub fn load(&self) -> f64 {
         let open = self.own.open.load(Ordering::Relaxed).max(0);
-        (self.all + (open - self.mine) * self.routers).max(open) as f64
+        (self.all + open - self.mine).max(open) as f64
     }
 }
 
@@ -105,7 +106,7 @@
     }
 
     /// Folds all reports into what may be chosen. `valid_ms` is how long load reports lend.
-    pub fn fleet(&mut self, zones: &BTreeMap<Zone, Region>, routers: usize, valid_ms: u64) -> ReplicaView {
+    pub fn fleet(&mut self, zones: &BTreeMap<Zone, Region>, valid_ms: u64) -> ReplicaView {
         let mut out = ReplicaView::default();
         for (zone, h) in &self.by_zone {
             let Some(region) = zones.get(zone) else { continue };
@@ -125,7 +126,6 @@
                     cold_until: h.at + r.cold_left_ms,
                     all: all.max(mine),
                     mine,
-                    routers: routers.max(1) as i64,
                     waiting: r.waiting,
                     memory_used: r.memory_used,
                     memory_total: r.memory_total,
--- a/crates/data-plane/src/serving/report_subscription.rs
+++ b/crates/data-plane/src/serving/report_subscription.rs
@@ -147,7 +147,7 @@
         }
         self.router.pass_report_on(passed_on, at);
         let valid = self.router.set.timing.report_max_age_ms();
-        let fleet = reports.fleet(&self.site.zones, self.routers().len(), valid);
+        let fleet = reports.fleet(&self.site.zones, valid);
         let listed = |id: &ReplicaId| fleet.by_service.values().flatten().any(|c| c.id == *id);
         lock(&self.router.reading).retain(&listed);
         self.fleet.store(Arc::new(fleet));
