Long and short prompts are no longer kept apart

Cause: half of a region's replicas read long prompts and the other half took short ones, up to a penalty. In a burst of short prompts that are bound to one region their half was full (late first events at 13 of 36 replicas) while the other had room; with the choice among few the halves no longer buy anything. Change: the halves go (workload_isolation); what remains of the file, which routes send long prompts, is prompt_length. A long prompt's cost to what runs beside it is weighed as before.

--- a/crates/data-plane/src/serving/gateway.rs
+++ b/crates/data-plane/src/serving/gateway.rs
@@ -118,7 +118,7 @@
         let deadline = deadline(self.dialect.names(), &head.headers, &route, came);
         let body = self.read_request_body(&head, body, map.limits.max_body_bytes, deadline, peer).await?;
         let prompt = self.dialect.prompt(&head.headers);
-        let long = lock(&self.isolation).long(&route, prompt.tokens_in, came);
+        let long = lock(&self.prompt_lengths).note(&route, prompt.tokens_in, came);
         let prefixes = if long { prefill::prefixes(&prompt) } else { Vec::new() };
         let key = user_key(&route, &service, &prompt, &self.site.region);
         let mut headers = head.headers;
--- a/crates/data-plane/src/serving/mod.rs
+++ b/crates/data-plane/src/serving/mod.rs
@@ -15,6 +15,7 @@
 pub mod pool;
 pub mod prefill;
 pub mod prefill_announce;
+pub mod prompt_length;
 pub mod protocol;
 pub mod region_choice;
 pub mod replica_choice;
@@ -30,7 +31,6 @@
 pub mod state;
 pub mod stream_relay;
 pub mod sync_stream;
-pub mod workload_isolation;
 
 pub use protocol::{EngineReport, HeaderNames, ListPage, ListedReplica, Lookup, Prompt, ProtocolAdapter};
 pub use state::{Bounds, Serving, Site};
--- a/crates/data-plane/src/serving/replica_choice.rs
+++ b/crates/data-plane/src/serving/replica_choice.rs
@@ -18,10 +18,8 @@
 const BESIDE: f64 = 0.6;
 /// What each millisecond above that costs, for each stream that runs there.
 const HURT: f64 = 0.5;
-/// What a request avoids among replicas of the other kind.
-const APART_MS: f64 = 60.0;
 
-/// Replicas of a kind that a request compares.
+/// Replicas that a request compares.
 const CHOICES: usize = 2;
 
 /// What the choice goes by, besides the candidates.
@@ -32,8 +30,6 @@
     pub affinity: bool,
     /// Reading its prompt holds up what runs beside it.
     pub long: bool,
-    /// Long and short prompts both come to these replicas.
-    pub apart: bool,
     pub reading: &'a Reading,
     pub prefixes: &'a [(u64, u32)],
     pub reads_per_ms: f64,
@@ -91,29 +87,14 @@
     c.memory_total == 0 || u64::from(p.tokens_in) + u64::from(p.tokens_out) <= c.memory_total
 }
 
-/// Replicas that read long prompts: half of them, or one less than the others, by an order on which
-/// all routers agree.
-fn long_half(cands: &[&Candidate]) -> Vec<u64> {
-    let mut order: Vec<u64> = cands.iter().map(|c| place(c)).collect();
-    order.sort_unstable();
-    order.truncate((cands.len() / 2).max(1));
-    order
-}
-
-fn place(c: &Candidate) -> u64 {
-    stable_hash(&[b"long", c.id.as_str().as_bytes()])
-}
-
 /// The best of these for the request: of a few, the least time until its first event, and what it costs those that run
 /// beside it.
 pub fn best<'a>(cands: &[&'a Candidate], w: &ChoiceContext<'_>) -> Option<&'a Candidate> {
-    let half = if w.apart { long_half(cands) } else { Vec::new() };
-    let other = |c: &Candidate| w.apart && half.contains(&place(c)) != w.long;
-    let compared = compared(cands, w, &other);
+    let compared = compared(cands, w);
     let first = compared.first().filter(|_| w.shared() > 0).map(|c| c.id.clone());
     let score = |c: &Candidate| {
         let spread = stable_hash(&[&w.unit.to_le_bytes(), c.id.as_str().as_bytes()]) % 1000;
-        let base = delay(c, w) + spread as f64 / 1000.0 * 4.0 + if other(c) { APART_MS } else { 0.0 };
+        let base = delay(c, w) + spread as f64 / 1000.0 * 4.0;
         if w.long {
             return base + reading_costs(c, w);
         }
@@ -122,24 +103,18 @@
     compared.into_iter().min_by(|a, b| score(a).total_cmp(&score(b)))
 }
 
-/// The few that a request compares ("power of two choices"): those of the highest claim among its own kind, then those
-/// among the other. Reports are as old as a look at the replicas, and many routers go by the same one: if each
-/// took the best of all by it, all would go to the same few replicas until the next. A long prompt also looks at
-/// the replica that has the longest prefix of it.
-fn compared<'a>(
-    cands: &[&'a Candidate],
-    w: &ChoiceContext<'_>,
-    other: &dyn Fn(&Candidate) -> bool,
-) -> Vec<&'a Candidate> {
-    let mut ranked: Vec<(bool, u64, &'a Candidate)> =
-        cands.iter().map(|c| (other(c), w.claim(c), *c)).collect();
-    ranked.sort_unstable_by_key(|(other, claim, _)| (*other, std::cmp::Reverse(*claim)));
-    let (own, others): (Vec<_>, Vec<_>) = ranked.into_iter().partition(|(other, _, _)| !other);
-    let keeper = own.iter().map(|r| r.2).min_by_key(|c| (w.unread(c), std::cmp::Reverse(w.claim(c))));
-    let keeper = keeper.filter(|c| w.long && w.unread(c) < w.prompt.tokens_in);
-    let few = own.into_iter().take(CHOICES).chain(others.into_iter().take(CHOICES));
-    let mut few: Vec<&Candidate> = few.map(|r| r.2).collect();
-    few.extend(keeper.filter(|keeper| few.iter().all(|c| c.id != keeper.id)).into_iter().collect::<Vec<_>>());
+/// The few that a request compares ("power of two choices"): those of the highest claim. Reports are as old as a look at
+/// the replicas, and many routers go by the same one: if each took the best of all by it, all would go to the same few
+/// replicas until the next. A long prompt also looks at the replica that has the longest prefix of it.
+fn compared<'a>(cands: &[&'a Candidate], w: &ChoiceContext<'_>) -> Vec<&'a Candidate> {
+    let mut ranked: Vec<(u64, &'a Candidate)> = cands.iter().map(|c| (w.claim(c), *c)).collect();
+    ranked.sort_unstable_by_key(|(claim, _)| std::cmp::Reverse(*claim));
+    let mut few: Vec<&Candidate> = ranked.iter().take(CHOICES).map(|(_, c)| *c).collect();
+    if w.long {
+        let keeper = ranked.iter().map(|(_, c)| *c).min_by_key(|c| w.unread(c));
+        let keeper = keeper.filter(|c| w.unread(c) < w.prompt.tokens_in);
+        few.extend(keeper.filter(|keeper| few.iter().all(|c| c.id != keeper.id)));
+    }
     few
 }
 
--- a/crates/data-plane/src/serving/replica_selection.rs
+++ b/crates/data-plane/src/serving/replica_selection.rs
@@ -94,7 +94,6 @@
             region: &serving.site.region,
             affinity: plan.route.affinity,
             long: plan.long,
-            apart: false,
             pause_ms: plan.route.max_event_gap_ms.unwrap_or(plan.route.latency_target_ms) as f64,
             reading,
             prefixes: &plan.prefixes,
@@ -115,8 +114,8 @@
     ) -> Result<Candidate, &'static str> {
         let selection = Selection::new(self, plan, history);
         let reading = lock(&self.router.reading);
-        let mut context = selection.context(&reading);
-        let healthy = self.best_healthy(&selection, &mut context);
+        let context = selection.context(&reading);
+        let healthy = self.best_healthy(&selection, &context);
         let best = healthy.or_else(|| self.best_doubtful(&selection, &context));
         let replica = best.ok_or("no room at any replica")?;
         if selection.is_warming_up(&replica) {
@@ -133,7 +132,7 @@
     fn best_healthy(
         self: &Arc<Self>,
         selection: &Selection<'_>,
-        context: &mut ChoiceContext<'_>,
+        context: &ChoiceContext<'_>,
     ) -> Option<Candidate> {
         let plan = selection.plan;
         let usable = |replica: &Candidate| selection.is_available(replica) && selection.is_healthy(replica);
@@ -141,7 +140,6 @@
             let here = selection.replicas.of(&plan.service).iter().filter(|replica| replica.region == region);
             let candidates: Vec<&Candidate> =
                 here.filter(|replica| usable(replica) && selection.has_room(replica)).collect();
-            context.apart = lock(&self.isolation).meet(&plan.service, &region, selection.now);
             if replica_choice::all_overdue(&candidates, context, plan.route.latency_target_ms as f64) {
                 continue;
             }
--- a/crates/data-plane/src/serving/state.rs
+++ b/crates/data-plane/src/serving/state.rs
@@ -3,10 +3,10 @@
 
 use super::{
     pool::Pool,
+    prompt_length::PromptLengths,
     protocol::ProtocolAdapter,
     replica_view::{Candidate, ReplicaView, ReportStore},
     retry_budget::RetryBudget,
-    workload_isolation::WorkloadIsolation,
 };
 use crate::router::{Router, lock};
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -57,7 +57,7 @@
     pub reports: Mutex<ReportStore>,
     pub pool: Pool,
     pub retries: RetryBudget,
-    pub isolation: Mutex<WorkloadIsolation>,
+    pub prompt_lengths: Mutex<PromptLengths>,
     /// How long requests of a service take, as seen here lately.
     pub service_times: Mutex<HashMap<Service, f64>>,
     /// When the evacuation of a zone ended last: its replicas may have turned cold.
@@ -84,7 +84,7 @@
             reports: Mutex::default(),
             pool: Pool::default(),
             retries,
-            isolation: Mutex::default(),
+            prompt_lengths: Mutex::default(),
             service_times: Mutex::default(),
             zone_returned: Mutex::default(),
             forwarded_open: Mutex::default(),
