A replica that is cold is not taken for warm on a report's way, nor after it was away

Cause of FAILBACK on the grown sites, as far as it was found: (1) what is left of a warm-up counted from when a report was asked for, so at a router far away it ended too soon by the time that the question took, and all routers there sent at full rate; a relay would have added its own. (2) A replica that was dark and came back was well with the first probe, while the list said only later that it had turned cold. Change: what is left counts from when the report came, less its age at the sender; a relay passes on what is left and not what was. A replica that comes back counts as cold for its slow start until a reading of the list that was begun late enough says otherwise. Tests seen to fail first: a_warm_up_never_ends_early_on_the_way (6 of 6), what_comes_back_may_be_cold (new function).

--- a/crates/data-plane/src/serving/health_prober.rs
+++ b/crates/data-plane/src/serving/health_prober.rs
@@ -5,7 +5,8 @@
 use super::{
     protocol::ListedReplica,
     replica_list::ListReader,
-    replica_report::{ProbeResult, ReplicaHealth, ReplicaReport, lends},
+    replica_report::{ProbeResult, ReplicaHealth, ReplicaReport, ReplicaRow, lends},
+    replica_view::ReceivedReport,
     state::Serving,
 };
 use crate::router::lock;
@@ -47,9 +48,10 @@
             let asked = self.now();
             self.probe_listed(&listed, &mut health, probe_all).await;
             seq += 1;
-            let report = self.report(&zone, seq, &listed, &health);
+            let board = self.report(&zone, seq, (&listed, list.read_begun()), &health);
+            let report = ReceivedReport { board, at: asked, received: asked };
             if let Some(publication) = lock(&self.router.publications).get(&zone) {
-                publication.tx.send_replace(Some((Arc::new(report), asked)));
+                publication.tx.send_replace(Some(Arc::new(report)));
             }
         }
     }
@@ -82,21 +84,37 @@
             let was_well = known.well(FAILS);
             known.fold(result, FAILS);
             let well = known.well(FAILS);
+            if !was_well && well {
+                known.returned = Some(self.now());
+            }
             if was_well != well {
                 log_event!(Info, "replica health", "peer" => id, "well" => well);
             }
         }
     }
 
+    /// For how much longer a replica that came back may be cold, as long as the list can't tell.
+    fn unlisted_cold_ms(&self, replica: &ListedReplica, health: &ReplicaHealth, read_begun: Tick) -> u64 {
+        let map = self.map.load();
+        let backend = map.as_ref().and_then(|map| map.backends.get(&replica.service));
+        let slow_start_ms = backend.map_or(0, |backend| backend.slow_start_ms);
+        health.unlisted_cold_ms(slow_start_ms, read_begun, self.site.list_lag_ms, self.now())
+    }
+
     fn report(
         &self,
         zone: &Zone,
         seq: u64,
-        listed: &[ListedReplica],
+        (listed, read_begun): (&[ListedReplica], Tick),
         health: &BTreeMap<ReplicaId, ReplicaHealth>,
     ) -> ReplicaReport {
         let unknown = ReplicaHealth::default();
-        let row = |replica: &ListedReplica| health.get(&replica.id).unwrap_or(&unknown).row(replica, FAILS);
+        let row = |replica: &ListedReplica| {
+            let health = health.get(&replica.id).unwrap_or(&unknown);
+            let row = health.row(replica, FAILS);
+            let unlisted = self.unlisted_cold_ms(replica, health, read_begun);
+            ReplicaRow { cold_left_ms: row.cold_left_ms.max(unlisted), ..row }
+        };
         let rows: Vec<_> = listed.iter().map(row).collect();
         let state = self.router.cluster_state();
         let region = self.site.zones.get(zone);
--- a/crates/data-plane/src/serving/replica_list.rs
+++ b/crates/data-plane/src/serving/replica_list.rs
@@ -108,11 +108,13 @@
     zone: Zone,
     known: KnownReplicas,
     pending: Option<oneshot::Receiver<(Tick, Result<ListRead, ListError>)>>,
+    /// When the reading under way, and the one that is known, were begun.
+    begun: (Tick, Tick),
 }
 
 impl ListReader {
     pub fn new(zone: Zone) -> Self {
-        Self { zone, known: KnownReplicas::default(), pending: None }
+        Self { zone, known: KnownReplicas::default(), pending: None, begun: Default::default() }
     }
 
     /// Forgets the list: the home's singleton role has ended.
@@ -120,10 +122,16 @@
         *self = Self::new(self.zone.clone());
     }
 
+    /// When the reading that is known was begun: what changed later is not in it.
+    pub fn read_begun(&self) -> Tick {
+        self.begun.1
+    }
+
     /// The newest list, for which a reading is waited for at most so long.
     pub async fn refreshed(&mut self, serving: &Arc<Serving>, wait_ms: u64) -> Option<Vec<ListedReplica>> {
         let each_ms = serving.list_ms();
         if self.pending.is_none() && self.known.due(serving.now()) {
+            self.begun.0 = serving.now();
             let (answer, answered) = oneshot::channel();
             let (me, zone) = (serving.clone(), self.zone.clone());
             spawn(async move {
@@ -139,7 +147,10 @@
             if let Ok(result) = tokio::time::timeout(wait, answered).await {
                 self.pending = None;
                 match result {
-                    Ok((came, Ok(read))) => self.known.read(read, came, each_ms),
+                    Ok((came, Ok(read))) => {
+                        self.begun.1 = self.begun.0;
+                        self.known.read(read, came, each_ms);
+                    }
                     Ok((_, Err(e))) => self.failed(e, serving.now(), each_ms),
                     Err(_) => {}
                 }
--- a/crates/data-plane/src/serving/replica_report.rs
+++ b/crates/data-plane/src/serving/replica_report.rs
@@ -53,6 +53,9 @@
     pub fails: u32,
     pub gone: bool,
     pub report: EngineReport,
+    /// When it was well again after it had not been. It may have turned cold while it was away, and the list says so
+    /// only later.
+    pub returned: Option<Tick>,
 }
 
 /// What came of one probe.
@@ -70,7 +73,7 @@
     /// Folds one probe in: a refusal counts at once, silence after `fails` looks.
     pub fn fold(&mut self, p: ProbeResult, fails: u32) {
         match p {
-            ProbeResult::Told(r) => *self = ReplicaHealth { report: r, ..ReplicaHealth::default() },
+            ProbeResult::Told(r) => (self.fails, self.gone, self.report) = (0, false, r),
             ProbeResult::Unwell => (self.fails, self.gone) = (fails, false),
             ProbeResult::Refused => (self.fails, self.gone) = (fails, true),
             ProbeResult::Silent => self.fails = (self.fails + 1).min(fails),
@@ -81,6 +84,13 @@
         self.fails < fails
     }
 
+    /// For how much longer it may be cold although the list does not say so: `listed` is when the reading was begun
+    /// that is known, and lists show what was so `lag_ms` before.
+    pub fn unlisted_cold_ms(&self, slow_start_ms: u64, listed: Tick, lag_ms: u64, now: Tick) -> u64 {
+        let returned = self.returned.filter(|returned| listed < *returned + lag_ms);
+        returned.map_or(0, |returned| slow_start_ms.saturating_sub(now.since(returned)))
+    }
+
     pub fn row(&self, l: &ListedReplica, fails: u32) -> ReplicaRow {
         ReplicaRow {
             id: l.id.clone(),
--- a/crates/data-plane/src/serving/replica_view.rs
+++ b/crates/data-plane/src/serving/replica_view.rs
@@ -1,7 +1,10 @@
 //! The replicas as this router sees them (design 9.3): the homes' load reports, and what it has open
 //! itself. Read by read-copy-update on a request's way; knows no request.
 
-use super::{replica_report::ReplicaReport, slow_start::Bucket};
+use super::{
+    replica_report::{ReplicaReport, ReplicaRow},
+    slow_start::Bucket,
+};
 use crate::load::RegionLoad;
 use common::{Region, ReplicaId, Service, Tick, Zone};
 use std::{
@@ -74,7 +77,18 @@
 #[derive(Clone, Debug)]
 pub struct ReceivedReport {
     pub board: ReplicaReport,
+    /// When its load reports were fresh, at the latest: from then on they age.
     pub at: Tick,
+    /// When it came. What is left of a warm-up counts from here: counted from `at` it would end too soon by the
+    /// time that the question took on its way, and all routers would flood a replica that is still cold.
+    pub received: Tick,
+}
+
+impl ReceivedReport {
+    /// How much longer a replica was cold when the report came, at the most.
+    fn cold_left_ms(&self, row: &ReplicaRow) -> u64 {
+        row.cold_left_ms.saturating_sub(self.board.age_ms)
+    }
 }
 
 /// All that may be chosen, by service; made anew with each report.
@@ -93,14 +107,19 @@
 }
 
 impl ReportStore {
-    /// Takes a report unless it is older than what is held.
+    /// Takes a report that was fresh when it came, unless it is older than what is held.
     pub fn take(&mut self, board: ReplicaReport, at: Tick) -> bool {
-        let older = self
-            .by_zone
-            .get(&board.zone)
-            .is_some_and(|h| h.at > at || (h.board.publisher == board.publisher && h.board.seq >= board.seq));
+        self.take_received(ReceivedReport { board, at, received: at })
+    }
+
+    /// Takes a report unless it is older than what is held.
+    pub fn take_received(&mut self, report: ReceivedReport) -> bool {
+        let ReceivedReport { board, at, .. } = &report;
+        let older = self.by_zone.get(&board.zone).is_some_and(|h| {
+            h.at > *at || (h.board.publisher == board.publisher && h.board.seq >= board.seq)
+        });
         if !older {
-            self.by_zone.insert(board.zone.clone(), ReceivedReport { board, at });
+            self.by_zone.insert(board.zone.clone(), report);
         }
         !older
     }
@@ -123,7 +142,7 @@
                     slots: r.slots.max(1),
                     draining: r.draining,
                     well: r.well,
-                    cold_until: h.at + r.cold_left_ms,
+                    cold_until: h.received + h.cold_left_ms(r),
                     all: all.max(mine),
                     mine,
                     waiting: r.waiting,
--- a/crates/data-plane/src/serving/report_publication.rs
+++ b/crates/data-plane/src/serving/report_publication.rs
@@ -1,7 +1,10 @@
 //! What a publisher tells those that subscribe (design 9.3), and what a router passes on inside its zone; being asked
 //! makes a router a publisher.
 
-use super::replica_report::ReplicaReport;
+use super::{
+    replica_report::{ReplicaReport, ReplicaRow},
+    replica_view::ReceivedReport,
+};
 use crate::router::{Publication, Router, lock};
 use common::{NodeId, Tick, Zone};
 use std::{sync::Arc, time::Duration};
@@ -12,8 +15,22 @@
 /// A publisher that counts from the start again has fallen behind what was seen of it by more than this.
 const RESTARTED: u64 = 1_000;
 
-/// The newest report of a zone, and when it was fresh.
-pub type HeldReport = Option<(Arc<ReplicaReport>, Tick)>;
+/// The newest report of a zone.
+pub type HeldReport = Option<Arc<ReceivedReport>>;
+
+/// The report as it goes out now: its load reports age from when they were fresh, what is left of a warm-up from when
+/// the report came here (`ReceivedReport::received`), and the receiver subtracts the age from it.
+pub fn sent_now(held: &ReceivedReport, now: Tick, waited_ms: u64) -> ReplicaReport {
+    let age_ms = now.since(held.at);
+    let held_ms = now.since(held.received);
+    let cold_left_ms = |left: u64| match left.saturating_sub(held.board.age_ms).saturating_sub(held_ms) {
+        0 => 0,
+        left => left + age_ms,
+    };
+    let row = |row: &ReplicaRow| ReplicaRow { cold_left_ms: cold_left_ms(row.cold_left_ms), ..row.clone() };
+    let rows = held.board.rows.iter().map(row).collect();
+    ReplicaReport { age_ms, waited_ms, rows, ..held.board.clone() }
+}
 
 impl Router {
     /// What this node publishes of a zone, newer than `seq`; being asked makes it publish.
@@ -46,10 +63,10 @@
     }
 
     /// Keeps a report for those that ask this node for it.
-    pub fn pass_report_on(&self, report: Arc<ReplicaReport>, fresh: Tick) {
+    pub fn pass_report_on(&self, report: ReceivedReport) {
         let mut relayed = lock(&self.relayed);
-        let held = relayed.entry(report.zone.clone()).or_insert_with(|| watch::channel(None).0);
-        held.send_replace(Some((report, fresh)));
+        let held = relayed.entry(report.board.zone.clone()).or_insert_with(|| watch::channel(None).0);
+        held.send_replace(Some(Arc::new(report)));
     }
 
     /// Waits for a report that is newer; the one that is held then, unless it is too old.
@@ -61,12 +78,11 @@
         wait_ms: u64,
     ) -> Option<ReplicaReport> {
         let wait = Duration::from_millis(wait_ms.min(MAX_WAIT_MS));
-        let is_newer = |held: &HeldReport| held.as_ref().is_some_and(|(report, _)| newer(report));
+        let is_newer = |held: &HeldReport| held.as_ref().is_some_and(|held| newer(&held.board));
         let _ = tokio::time::timeout(wait, held.wait_for(is_newer)).await;
-        let (report, fresh) = held.borrow().clone()?;
+        let held = held.borrow().clone()?;
         let now = self.now();
-        let (age_ms, waited_ms) = (now.since(fresh), now.since(asked));
-        let valid = age_ms <= self.set.timing.report_max_age_ms();
-        valid.then(|| ReplicaReport { age_ms, waited_ms, ..ReplicaReport::clone(&report) })
+        let valid = now.since(held.at) <= self.set.timing.report_max_age_ms();
+        valid.then(|| sent_now(&held, now, now.since(asked)))
     }
 }
--- a/crates/data-plane/src/serving/report_subscription.rs
+++ b/crates/data-plane/src/serving/report_subscription.rs
@@ -2,7 +2,7 @@
 //! zones it has from one router of its own zone, which asks the publisher there: so a report crosses between two zones
 //! once, however many routers they have.
 
-use super::{replica_report::ReplicaReport, state::Serving};
+use super::{replica_report::ReplicaReport, replica_view::ReceivedReport, state::Serving};
 use crate::{
     router::lock,
     rpc::{RouterRequest, RouterResponse},
@@ -141,11 +141,11 @@
     /// Takes a report up unless it is older than what is held, and passes it on to those that ask.
     fn take_report(&self, report: ReplicaReport, at: Tick) {
         let mut reports = lock(&self.reports);
-        let passed_on = Arc::new(report.clone());
-        if !reports.take(report, at) {
+        let report = ReceivedReport { board: report, at, received: self.now() };
+        if !reports.take_received(report.clone()) {
             return;
         }
-        self.router.pass_report_on(passed_on, at);
+        self.router.pass_report_on(report);
         let valid = self.router.set.timing.report_max_age_ms();
         let fleet = reports.fleet(&self.site.zones, valid);
         let listed = |id: &ReplicaId| fleet.by_service.values().flatten().any(|c| c.id == *id);
--- a/crates/data-plane/tests/serving/replica_report.rs
+++ b/crates/data-plane/tests/serving/replica_report.rs
@@ -106,3 +106,21 @@
     let want = want.map(|(running, waiting)| EngineReport { running, waiting, ..Default::default() });
     assert_eq!(load_of(&h, &name), want);
 }
+
+/// A replica that was away may have turned cold: it counts as cold until a list can say whether it has. Seen on the
+/// users' bench: it was well with the first probe, and all routers sent to it as to a warm one.
+#[rstest]
+#[case::never_away(None, 0, 1_000, 0)]
+#[case::the_list_is_older(Some(1_000), 900, 1_500, 2_500)]
+#[case::the_list_was_begun_too_soon(Some(1_000), 1_799, 1_900, 2_100)]
+#[case::the_list_can_tell(Some(1_000), 1_800, 1_900, 0)]
+#[case::no_list_for_long(Some(1_000), 900, 4_500, 0)]
+fn what_comes_back_may_be_cold(
+    #[case] returned: Option<u64>,
+    #[case] listed: u64,
+    #[case] now: u64,
+    #[case] want: u64,
+) {
+    let health = ReplicaHealth { returned: returned.map(Tick), ..ReplicaHealth::default() };
+    assert_eq!(health.unlisted_cold_ms(3_000, Tick(listed), 800, Tick(now)), want);
+}
--- a/crates/data-plane/tests/serving/report_subscription.rs
+++ b/crates/data-plane/tests/serving/report_subscription.rs
@@ -2,11 +2,11 @@
 //! (design 3.5, 9.3).
 
 use crate::{
-    kit::{names, zones},
+    kit::{board, names, row, zones},
     stage::{Unread, Wire},
 };
 use common::{
-    Clock, Epoch, Incarnation, NodeId, Region,
+    Clock, Epoch, Incarnation, NodeId, Region, Tick,
     http::{self, text},
     runtime::{Simulation, bind, spawn},
     settings::{Settings, Timing},
@@ -16,9 +16,15 @@
 };
 use data_plane::{
     router::{Router, lock},
-    serving::{Bounds, Serving, Site},
+    serving::{
+        Bounds, Serving, Site,
+        replica_report::ReplicaRow,
+        replica_view::{ReceivedReport, ReportStore},
+        report_publication::sent_now,
+    },
 };
 use hyper::StatusCode;
+use rstest::rstest;
 use std::{
     net::{IpAddr, SocketAddr},
     sync::{
@@ -261,3 +267,37 @@
         }
     });
 }
+
+/// What is cold where the report is made counts as cold no shorter anywhere, whatever the report and the questions
+/// for it take on their way, through a relay too. Seen to fail: it was counted from when it was asked for.
+#[rstest]
+fn a_warm_up_never_ends_early_on_the_way(
+    #[values(1, 60, 250)] way_ms: u64,
+    #[values(false, true)] relay: bool,
+) {
+    // Each hop: the question travels, the answer travels; both sides count by a clock of their own.
+    const LEFT_MS: u64 = 2_000;
+    let made = 10_000;
+    let mut report = board("n1", 1, vec![ReplicaRow { cold_left_ms: LEFT_MS, ..row(1, 0) }]);
+    let mut arrived = made;
+    for hop in 0..=u64::from(relay) {
+        // The report lies with its sender for a while before it is asked for.
+        let (asked, sent) = (arrived + 30 - 10, arrived + 30 + way_ms);
+        if hop > 0 {
+            let at = report.fresh_at(Tick(asked - 30), Tick(arrived));
+            let held = ReceivedReport { board: report.clone(), at, received: Tick(arrived) };
+            report = sent_now(&held, Tick(sent), way_ms);
+        } else {
+            let held = ReceivedReport { board: report.clone(), at: Tick(made), received: Tick(made) };
+            report = sent_now(&held, Tick(sent), way_ms);
+        }
+        arrived = sent + way_ms;
+    }
+    let mut store = ReportStore::default();
+    let at = report.fresh_at(Tick(made + 20), Tick(arrived));
+    assert!(store.take_received(ReceivedReport { board: report, at, received: Tick(arrived) }));
+    let cold_until = store.fleet(&zones(), 3_000).of(&"chat".into())[0].cold_until;
+    assert!(cold_until >= Tick(made + LEFT_MS), "{cold_until:?} of {}", made + LEFT_MS);
+    let hops = 1 + u64::from(relay);
+    assert!(cold_until <= Tick(made + LEFT_MS + 2 * hops * way_ms), "{cold_until:?}");
+}
