--- a/crates/data-plane/tests/serving/kit.rs
+++ b/crates/data-plane/tests/serving/kit.rs
@@ -3,7 +3,7 @@
 use common::{FencingToken, NodeId, Region, Tick, Zone};
 use configuration::{Route, RouteKind};
 use data_plane::serving::{
-    HeaderNames, Prompt,
+    Bounds, HeaderNames, Prompt,
     prefill::Reading,
     replica_choice::{ChoiceContext, READS_PER_MS},
     replica_report::{ReplicaReport, ReplicaRow},
@@ -67,6 +67,19 @@
     }
 }
 
+/// Bounds that allow much, but for a replica that warms up.
+pub fn bounds() -> Bounds {
+    Bounds {
+        cold_overrun: 1.0,
+        cold_slack: 0.0,
+        retry_ratio: 0.1,
+        extra_tries: 64.0,
+        retry_window_ms: 10_000,
+        keep_ms: 1_000,
+        grace_ms: 10_000,
+    }
+}
+
 /// Two zones in the north, one in the south.
 pub fn zones() -> BTreeMap<Zone, Region> {
     [("n1", "north"), ("n2", "north"), ("s1", "south")].map(|(a, r)| (a.into(), r.into())).into()
--- a/crates/data-plane/tests/serving/report_subscription.rs
+++ b/crates/data-plane/tests/serving/report_subscription.rs
@@ -2,7 +2,7 @@
 //! (design 3.5, 9.3).
 
 use crate::{
-    kit::{board, names, row, zones},
+    kit::{board, bounds, names, row, zones},
     stage::{Unread, Wire},
 };
 use common::{
@@ -17,7 +17,7 @@
 use data_plane::{
     router::{Router, lock},
     serving::{
-        Bounds, Serving, Site,
+        Serving, Site,
         replica_report::ReplicaRow,
         replica_view::{ReceivedReport, ReportStore},
         report_publication::sent_now,
@@ -81,15 +81,7 @@
         list: LIST.into(),
         list_per_s: 100.0,
         list_lag_ms: 0,
-        bounds: Bounds {
-            cold_overrun: 1.0,
-            cold_slack: 0.0,
-            retry_ratio: 0.1,
-            extra_tries: 64.0,
-            retry_window_ms: 10_000,
-            keep_ms: 1_000,
-            grace_ms: 10_000,
-        },
+        bounds: bounds(),
     }
 }
 
--- a/crates/data-plane/tests/serving/stage.rs
+++ b/crates/data-plane/tests/serving/stage.rs
@@ -2,7 +2,7 @@
 //! tells, in the order in which requests reach them, whichever replica that is.
 
 use crate::{
-    kit::{board, names, prompt, row, zones},
+    kit::{board, bounds, names, prompt, row, zones},
     replica_list,
 };
 use common::{
@@ -18,7 +18,7 @@
 use data_plane::{
     router::{Router, lock},
     serving::{
-        Bounds, EngineReport, HeaderNames, ListPage, Lookup, Prompt, ProtocolAdapter, Serving, Site,
+        EngineReport, HeaderNames, ListPage, Lookup, Prompt, ProtocolAdapter, Serving, Site,
         replica_report::ReplicaRow, retry_budget::BudgetShare,
     },
 };
@@ -370,15 +370,7 @@
             list: (ROUTER, 9).into(),
             list_per_s: 10.0,
             list_lag_ms: 0,
-            bounds: Bounds {
-                cold_overrun: 1.0,
-                cold_slack: 0.0,
-                retry_ratio: 0.1,
-                extra_tries: 64.0,
-                retry_window_ms: 10_000,
-                keep_ms: 1_000,
-                grace_ms: 10_000,
-            },
+            bounds: bounds(),
         };
         let (router, wire) = (Router::new(set, member, clock), Arc::new(Wire(names())));
         let s = Serving::new(router, wire, Arc::new(Unread), site);
