A replica is sent to only while the list that names it is younger than 3/4 of drain-ms

By reading, three ways in which one router stood still while the others went on: - a source that timed out counted as failed from when the call was begun; a call may last longer (wait + rpc time-out, half of config-apply-ms) than a source is passed over (a lease, 0.4 of it), so a silent source was asked again at once, for as long as it stayed a member; - a publisher that restarted counted its reports from 1 again: whoever had not missed it meanwhile took them for older ones until as many were published again; - a former publisher, or a relay, handed out what it held up to 4 s after it was made. Change: a report is as old as the oldest part of it, the list included; a replica may be used only while that is at most 3/4 of drain-ms, looked at again before the first byte; reports are numbered by the epoch of their publisher; a source that fails is passed over from then on, twice as long each time (source_backoff), also where it passes on a list that is too old; a publisher that can't reach the platform is replaced, and goes on with the list of the former one where the platform is out for both. The age by zone is a metric (foldshunt_replica_list_age_ms).

--- a/crates/data-plane/src/counters.rs
+++ b/crates/data-plane/src/counters.rs
@@ -49,6 +49,8 @@
     pub placements: IntCounterVec,
     /// Capacity grants by what became of them.
     pub grants: RenamedCounter,
+    /// Age of what is known of a zone's list of replicas, in milliseconds.
+    pub replica_list_age: IntGaugeVec,
     /// Named states of the router.
     pub state: IntGaugeVec,
 }
@@ -75,6 +77,11 @@
                 "Capacity grants by what became of them",
                 &["what"],
             ),
+            replica_list_age: metrics.gauge(
+                "replica_list_age_ms",
+                "Milliseconds since the list of a zone's replicas was read that this router goes by",
+                &["zone"],
+            ),
             state: metrics.gauge("state", "1 or a count for each named state", &["what"]),
             metrics,
         }
--- a/crates/data-plane/src/serving/directory.rs
+++ b/crates/data-plane/src/serving/directory.rs
@@ -85,7 +85,7 @@
             return Ok(r);
         }
         if path == "/metrics" {
-            return Ok(text(StatusCode::OK, self.router.metrics()));
+            return Ok(text(StatusCode::OK, self.metrics()));
         }
         Ok(text(StatusCode::NOT_FOUND, "no such call\n"))
     }
--- a/crates/data-plane/src/serving/health_prober.rs
+++ b/crates/data-plane/src/serving/health_prober.rs
@@ -5,7 +5,7 @@
 use super::{
     protocol::ListedReplica,
     replica_list::ListReader,
-    replica_report::{ProbeResult, ReplicaHealth, ReplicaReport, ReplicaRow, lends},
+    replica_report::{ProbeResult, ReplicaHealth, ReplicaReport, ReplicaRow, lends, report_number},
     replica_view::ReceivedReport,
     state::Serving,
 };
@@ -34,22 +34,25 @@
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut health: BTreeMap<ReplicaId, ReplicaHealth> = BTreeMap::new();
         let mut list = ListReader::new(zone.clone());
-        let (mut seq, mut probe_all) = (0u64, false);
+        let (mut count, mut probe_all) = (0u32, false);
         loop {
             ticks.tick().await;
             if !self.is_asked_for(&zone) {
                 list.reset();
                 continue;
             }
+            let epoch = self.router.member.lease().epoch;
             let Some(listed) = list.refreshed(&self, self.report_interval_ms() / 2).await else {
                 continue;
             };
             probe_all = !probe_all;
             let asked = self.now();
             self.probe_listed(&listed, &mut health, probe_all).await;
-            seq += 1;
+            count += 1;
+            let seq = report_number(epoch, count);
             let board = self.report(&zone, seq, (&listed, list.read_begun()), &health);
-            let report = ReceivedReport { board, at: asked, received: asked };
+            let at = list.current_at().min(asked);
+            let report = ReceivedReport { board, at, received: asked };
             if let Some(publication) = lock(&self.router.publications).get(&zone) {
                 publication.tx.send_replace(Some(Arc::new(report)));
             }
--- a/crates/data-plane/src/serving/replica_list.rs
+++ b/crates/data-plane/src/serving/replica_list.rs
@@ -5,6 +5,7 @@
     protocol::{ListPage, ListedReplica},
     state::Serving,
 };
+use crate::router::lock;
 use common::{ReplicaId, Tick, Zone, error::PeerError, http::ask, log_event, runtime::spawn};
 use hyper::{Method, StatusCode};
 use std::{
@@ -57,7 +58,14 @@
     rows: Option<BTreeMap<ReplicaId, ListedReplica>>,
     /// Lacking in the last reading, which had several pages.
     absent: BTreeSet<ReplicaId>,
+    /// When the reading was begun that is known: what changed later is not in it.
+    begun: Tick,
+    /// When its answer came.
     read_at: Tick,
+    /// When it was the newest list that could be had.
+    current_at: Tick,
+    /// It was taken from another publisher's report, since the platform answered neither of the two.
+    adopted: bool,
     due: Tick,
     backoff: u64,
 }
@@ -67,9 +75,9 @@
         now >= self.due
     }
 
-    /// Takes a reading whose answer came at `came`. A replica that moves to an earlier page while the later ones
+    /// Takes a reading that was begun at `begun` and whose answer came at `came`. A replica that moves to an earlier page while the later ones
     /// are read stands on none of them: it is gone only once a second reading lacks it too.
-    pub fn read(&mut self, read: ListRead, came: Tick, each_ms: u64) {
+    pub fn read(&mut self, read: ListRead, begun: Tick, came: Tick, each_ms: u64) {
         let mut rows = read.rows;
         let lacking = |(id, _): &(&ReplicaId, &ListedReplica)| !rows.contains_key(*id);
         let held: Vec<ListedReplica> = if read.pages > 1 {
@@ -81,6 +89,7 @@
         self.absent = held.iter().map(|r| r.id.clone()).collect();
         rows.extend(held.into_iter().map(|r| (r.id.clone(), r)));
         (self.rows, self.read_at, self.backoff) = (Some(rows), came, 1);
+        (self.begun, self.current_at, self.adopted) = (begun, begun, false);
         self.due = came + each_ms * u64::from(read.pages);
     }
 
@@ -90,6 +99,16 @@
             ListError::Failed(_) => 1,
         };
         self.due = now + each_ms * self.backoff;
+        if self.adopted && matches!(error, ListError::Failed(_)) {
+            self.current_at = now;
+        }
+    }
+
+    /// Goes on with what another publisher told last: it reaches the platform no more, and neither does this node, so
+    /// the platform is out of service for all, and its last list is the newest that there is.
+    pub fn adopt(&mut self, rows: Vec<ListedReplica>, now: Tick) {
+        self.rows = Some(rows.into_iter().map(|row| (row.id.clone(), row)).collect());
+        (self.begun, self.read_at, self.current_at, self.adopted) = (Tick(0), now, now, true);
     }
 
     /// The replicas by the newest reading; nothing before the first.
@@ -107,14 +126,19 @@
 pub struct ListReader {
     zone: Zone,
     known: KnownReplicas,
-    pending: Option<oneshot::Receiver<(Tick, Result<ListRead, ListError>)>>,
-    /// When the reading under way, and the one that is known, were begun.
-    begun: (Tick, Tick),
+    pending: Option<oneshot::Receiver<Reading>>,
+}
+
+/// A reading that has ended.
+struct Reading {
+    begun: Tick,
+    came: Tick,
+    result: Result<ListRead, ListError>,
 }
 
 impl ListReader {
     pub fn new(zone: Zone) -> Self {
-        Self { zone, known: KnownReplicas::default(), pending: None, begun: Default::default() }
+        Self { zone, known: KnownReplicas::default(), pending: None }
     }
 
     /// Forgets the list: the home's singleton role has ended.
@@ -124,21 +148,26 @@
 
     /// When the reading that is known was begun: what changed later is not in it.
     pub fn read_begun(&self) -> Tick {
-        self.begun.1
+        self.known.begun
+    }
+
+    /// When the list that is known was the newest that could be had.
+    pub fn current_at(&self) -> Tick {
+        self.known.current_at
     }
 
     /// The newest list, for which a reading is waited for at most so long.
     pub async fn refreshed(&mut self, serving: &Arc<Serving>, wait_ms: u64) -> Option<Vec<ListedReplica>> {
         let each_ms = serving.list_ms();
         if self.pending.is_none() && self.known.due(serving.now()) {
-            self.begun.0 = serving.now();
             let (answer, answered) = oneshot::channel();
             let (me, zone) = (serving.clone(), self.zone.clone());
             spawn(async move {
-                let read = me.read_list(&zone).await;
+                let begun = me.now();
+                let result = me.read_list(&zone).await;
                 // Spans are counted from when the answer had come: it was made before that, so what is
                 // cold counts as cold no shorter than the list says.
-                let _ = answer.send((me.now(), read));
+                let _ = answer.send(Reading { begun, came: me.now(), result });
             });
             self.pending = Some(answered);
         }
@@ -146,27 +175,39 @@
             let wait = Duration::from_millis(wait_ms);
             if let Ok(result) = tokio::time::timeout(wait, answered).await {
                 self.pending = None;
-                match result {
-                    Ok((came, Ok(read))) => {
-                        self.begun.1 = self.begun.0;
-                        self.known.read(read, came, each_ms);
+                if let Ok(Reading { begun, came, result }) = result {
+                    match result {
+                        Ok(read) => self.known.read(read, begun, came, each_ms),
+                        Err(error) => self.failed(error, serving, each_ms),
                     }
-                    Ok((_, Err(e))) => self.failed(e, serving.now(), each_ms),
-                    Err(_) => {}
                 }
             }
         }
         self.known.rows(serving.now())
     }
 
-    fn failed(&mut self, error: ListError, now: Tick, each_ms: u64) {
+    fn failed(&mut self, error: ListError, serving: &Serving, each_ms: u64) {
+        let now = serving.now();
         self.known.failed(&error, now, each_ms);
+        if matches!(error, ListError::Failed(_)) {
+            let outdated = serving.outdated_replicas(&self.zone);
+            outdated.into_iter().for_each(|rows| self.known.adopt(rows, now));
+        }
         let (ListError::OverRate(error) | ListError::Failed(error)) = error;
         log_event!(Info, error.step, "peer" => error.peer, "cause" => error.cause());
     }
 }
 
 impl Serving {
+    /// A zone's replicas by the last report, where its publisher has failed to renew the list in it. The own report
+    /// counts only where nobody else could publish.
+    fn outdated_replicas(&self, zone: &Zone) -> Option<Vec<ListedReplica>> {
+        let reports = lock(&self.reports);
+        let held = reports.by_zone.get(zone).filter(|held| !self.is_list_current(held.at))?;
+        let by_another = held.board.publisher != *self.router.node();
+        (by_another || self.publishers(zone).len() <= 1).then(|| held.listed(self.now()))
+    }
+
     /// Time between two calls for a zone's list, so that all zones together stay far below the rate.
     fn list_ms(&self) -> u64 {
         let zones = self.site.zones.len().max(1) as f64;
--- a/crates/data-plane/src/serving/replica_report.rs
+++ b/crates/data-plane/src/serving/replica_report.rs
@@ -1,7 +1,7 @@
 //! Figures of the replicas of one zone, as its home publishes them (design 9.3). Pure data.
 
 use super::protocol::{EngineReport, ListedReplica};
-use common::{FencingToken, Service, Tick, Zone};
+use common::{Epoch, FencingToken, Service, Tick, Zone};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -30,8 +30,10 @@
     pub publisher: common::NodeId,
     #[serde(rename = "fence")]
     pub fencing_token: FencingToken,
+    /// Rises with each report of a publisher, over restarts too ([`report_number`]).
     pub seq: u64,
-    /// How old the load reports were when they were sent, and how long the question lay before that.
+    /// How old the oldest part of it was when it was sent (the list or the load reports), and how long the request lay
+    /// before that.
     pub age_ms: u64,
     pub waited_ms: u64,
     pub rows: Vec<ReplicaRow>,
@@ -40,8 +42,17 @@
     pub lends: BTreeMap<Service, u32>,
 }
 
+/// Bits of a report's number that count within one membership of its publisher.
+const COUNT_BITS: u32 = 32;
+
+/// The number of a publisher's report: by the epoch of its membership, so that one that has restarted goes on above all
+/// that it published before.
+pub fn report_number(epoch: Epoch, count: u32) -> u64 {
+    epoch.0 << COUNT_BITS | u64::from(count)
+}
+
 impl ReplicaReport {
-    /// When the load reports were fresh on the clock of whoever asked at `asked`, at the latest.
+    /// When all of it was fresh on the clock of whoever asked at `asked`, at the latest.
     pub fn fresh_at(&self, asked: Tick, now: Tick) -> Tick {
         (asked + self.waited_ms).min(now) - self.age_ms
     }
--- a/crates/data-plane/src/serving/replica_view.rs
+++ b/crates/data-plane/src/serving/replica_view.rs
@@ -2,6 +2,7 @@
 //! itself. Read by read-copy-update on a request's way; knows no request.
 
 use super::{
+    protocol::ListedReplica,
     replica_report::{ReplicaReport, ReplicaRow},
     slow_start::Bucket,
 };
@@ -54,6 +55,8 @@
     pub draining: bool,
     pub well: bool,
     pub cold_until: Tick,
+    /// When the list that names it was read, at the latest.
+    pub listed_at: Tick,
     /// What all had there when the load reports were fresh, and this router among them.
     pub all: i64,
     pub mine: i64,
@@ -77,7 +80,7 @@
 #[derive(Clone, Debug)]
 pub struct ReceivedReport {
     pub board: ReplicaReport,
-    /// When its load reports were fresh, at the latest: from then on they age.
+    /// When all of it was fresh, the list and the load reports, at the latest: from then on it ages.
     pub at: Tick,
     /// When it came. What is left of a warm-up counts from here: counted from `at` it would end too soon by the
     /// time that the question took on its way, and all routers would flood a replica that is still cold.
@@ -85,6 +88,31 @@
 }
 
 impl ReceivedReport {
+    /// Whether this report is to replace the one that is held. Reports of one publisher are ordered by their numbers:
+    /// when they were fresh is known only up to the time that they took on their way.
+    fn supersedes(&self, held: &Self) -> bool {
+        if self.board.publisher == held.board.publisher {
+            return self.board.seq > held.board.seq;
+        }
+        self.at >= held.at
+    }
+
+    /// The replicas as the list named them, as far as the report tells.
+    pub fn listed(&self, now: Tick) -> Vec<ListedReplica> {
+        let cold_left_ms = |row: &ReplicaRow| self.cold_left_ms(row).saturating_sub(now.since(self.received));
+        let listed = |row: &ReplicaRow| ListedReplica {
+            id: row.id.clone(),
+            service: row.service.clone(),
+            addr: row.addr,
+            zone: self.board.zone.clone(),
+            slots: row.slots,
+            draining: row.draining,
+            cold_left_ms: cold_left_ms(row),
+            time_left_ms: None,
+        };
+        self.board.rows.iter().map(listed).collect()
+    }
+
     /// How much longer a replica was cold when the report came, at the most.
     fn cold_left_ms(&self, row: &ReplicaRow) -> u64 {
         row.cold_left_ms.saturating_sub(self.board.age_ms)
@@ -113,15 +141,16 @@
     }
 
     /// Takes a report unless it is older than what is held.
-    pub fn take_received(&mut self, report: ReceivedReport) -> bool {
-        let ReceivedReport { board, at, .. } = &report;
-        let older = self.by_zone.get(&board.zone).is_some_and(|h| {
-            h.at > *at || (h.board.publisher == board.publisher && h.board.seq >= board.seq)
-        });
-        if !older {
-            self.by_zone.insert(board.zone.clone(), report);
+    pub fn take_received(&mut self, mut report: ReceivedReport) -> bool {
+        let held = self.by_zone.get(&report.board.zone);
+        if held.is_some_and(|held| !report.supersedes(held)) {
+            return false;
         }
-        !older
+        // A later report of the same publisher is no older, however long it took on its way.
+        let same = held.filter(|held| held.board.publisher == report.board.publisher);
+        report.at = same.map_or(report.at, |held| held.at.max(report.at));
+        self.by_zone.insert(report.board.zone.clone(), report);
+        true
     }
 
     /// Folds all reports into what may be chosen. `valid_ms` is how long load reports lend.
@@ -143,6 +172,7 @@
                     draining: r.draining,
                     well: r.well,
                     cold_until: h.received + h.cold_left_ms(r),
+                    listed_at: h.at,
                     all: all.max(mine),
                     mine,
                     waiting: r.waiting,
--- a/crates/data-plane/src/serving/report_publication.rs
+++ b/crates/data-plane/src/serving/report_publication.rs
@@ -82,7 +82,8 @@
         let _ = tokio::time::timeout(wait, held.wait_for(is_newer)).await;
         let held = held.borrow().clone()?;
         let now = self.now();
-        let valid = now.since(held.at) <= self.set.timing.report_max_age_ms();
+        // Whether the list in it is too old is up to the asker, who may then ask somebody else for it.
+        let valid = now.since(held.received) <= self.set.timing.report_max_age_ms();
         valid.then(|| sent_now(&held, now, now.since(asked)))
     }
 }
--- a/crates/data-plane/src/serving/report_subscription.rs
+++ b/crates/data-plane/src/serving/report_subscription.rs
@@ -2,14 +2,17 @@
 //! zones it has from one router of its own zone, which asks the publisher there: so a report crosses between two zones
 //! once, however many routers they have.
 
-use super::{replica_report::ReplicaReport, replica_view::ReceivedReport, state::Serving};
+use super::{
+    replica_report::ReplicaReport, replica_view::ReceivedReport, source_backoff::SourceBackoff,
+    state::Serving,
+};
 use crate::{
     router::lock,
     rpc::{RouterRequest, RouterResponse},
 };
 use common::{NodeId, ReplicaId, Tick, Zone, error::PeerError, log_event};
 use control_plane::{Member, state_machine::singleton};
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 /// Report intervals for which a request for a report waits.
 const WAIT_INTERVALS: u64 = 2;
@@ -22,10 +25,10 @@
     Relay(Member),
 }
 
-/// Where a subscription stands: sources that failed lately, and the report that was taken last.
+/// Where a subscription stands: sources that failed, and the report that was taken last.
 #[derive(Default)]
 struct Subscription {
-    failed: HashMap<NodeId, Tick>,
+    backoff: SourceBackoff,
     last: Option<(NodeId, u64)>,
 }
 
@@ -46,7 +49,7 @@
     }
 
     /// Claimants to the publication of a zone: its own routers first, then the others.
-    fn publishers(&self, zone: &Zone) -> Vec<Member> {
+    pub(super) fn publishers(&self, zone: &Zone) -> Vec<Member> {
         let l = self.router.cluster_state();
         let key = format!("board/{zone}");
         let near = singleton::ranked_holders(&l, &key, Some(zone));
@@ -66,8 +69,9 @@
         ranked.into_iter().take_while(|member| member.info.node != *self.router.node()).collect()
     }
 
-    fn source(&self, zone: &Zone, failed: &HashMap<NodeId, Tick>) -> Option<Source> {
-        let available = |member: &Member| !failed.contains_key(&member.info.node);
+    fn source(&self, zone: &Zone, backoff: &SourceBackoff) -> Option<Source> {
+        let now = self.now();
+        let available = |member: &Member| backoff.is_available(&member.info.node, now);
         let relay = self.relays(zone).into_iter().find(&available);
         relay.map(Source::Relay).or_else(|| {
             let publisher = self.publishers(zone).into_iter().find(&available);
@@ -77,11 +81,11 @@
 
     async fn subscribe(self: Arc<Self>, zone: Zone) {
         let mut subscription = Subscription::default();
-        let pause = Duration::from_millis(self.router.set.timing.heartbeat_ms());
+        let pause_ms = self.router.set.timing.heartbeat_ms().min(self.report_interval_ms());
+        let pause = Duration::from_millis(pause_ms);
         loop {
             let now = self.now();
-            subscription.failed.retain(|_, t| now.since(*t) < self.router.set.timing.lease_ms);
-            let Some(source) = self.source(&zone, &subscription.failed) else {
+            let Some(source) = self.source(&zone, &subscription.backoff) else {
                 tokio::time::sleep(pause).await;
                 continue;
             };
@@ -92,22 +96,43 @@
                     subscription.last = Some((report.publisher.clone(), report.seq));
                     let at = report.fresh_at(now, self.now());
                     self.take_report(report, at);
+                    // The source passes on what nobody may go by: another one may reach the platform.
+                    if self.is_list_current(at) {
+                        subscription.backoff.succeed(&node);
+                    } else {
+                        self.pass_over(&zone, node, &mut subscription);
+                    }
                 }
                 Ok(None) => {
-                    // A relay that has nothing to pass on may be cut off from there: another one, or this node, asks.
-                    if matches!(source, Source::Relay(_)) {
-                        subscription.failed.insert(node, now);
+                    // A relay that has nothing to pass on may be cut off from there, a publisher from the platform:
+                    // another one, or this node, takes over.
+                    if matches!(source, Source::Relay(_)) || !self.has_current_report(&zone) {
+                        self.pass_over(&zone, node, &mut subscription);
                     }
                     tokio::time::sleep(pause).await;
                 }
                 Err(e) => {
                     log_event!(Debug, e.step, "peer" => e.peer, "cause" => e.cause());
-                    subscription.failed.insert(node, now);
+                    // From now on: the call may have taken longer than the backoff.
+                    subscription.backoff.fail(node, self.now(), self.router.set.timing.lease_ms);
                 }
             }
         }
     }
 
+    /// Asks another source than this one for a while, where there is one.
+    fn pass_over(&self, zone: &Zone, node: NodeId, subscription: &mut Subscription) {
+        subscription.backoff.fail(node.clone(), self.now(), self.router.set.timing.lease_ms);
+        if self.source(zone, &subscription.backoff).is_none() {
+            subscription.backoff.succeed(&node);
+        }
+    }
+
+    fn has_current_report(&self, zone: &Zone) -> bool {
+        let held_at = lock(&self.reports).by_zone.get(zone).map(|held| held.at);
+        held_at.is_some_and(|at| self.is_list_current(at))
+    }
+
     /// The next report of a zone; `None` where the source has none that is newer.
     async fn request_report(
         &self,
--- /dev/null
+++ b/crates/data-plane/src/serving/source_backoff.rs
@@ -0,0 +1,45 @@
+//! Backoff from sources of reports that do not answer (design 9.3). Pure.
+
+use common::{NodeId, Tick};
+use std::collections::HashMap;
+
+/// The longest backoff is the shortest one doubled so many times.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// Sources that have failed since they last answered.
+#[derive(Debug, Default)]
+pub struct SourceBackoff {
+    failed: HashMap<NodeId, FailedSource>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct FailedSource {
+    /// Failures in a row.
+    failures: u32,
+    /// Until then it is not asked.
+    until: Tick,
+}
+
+impl SourceBackoff {
+    /// Whether a source may be asked now.
+    pub fn is_available(&self, source: &NodeId, now: Tick) -> bool {
+        self.failed.get(source).is_none_or(|failed| failed.until <= now)
+    }
+
+    /// A source failed: it is asked again after `base_ms`, and after each further failure in a row after twice as long.
+    /// Others that were due to be asked again wait for another `base_ms`: a call to a silent source lasts long, and
+    /// several of them in a row would outlast the view that they are to renew.
+    pub fn fail(&mut self, source: NodeId, now: Tick, base_ms: u64) {
+        let failures = self.failed.get(&source).map_or(0, |failed| failed.failures);
+        let until = now + (base_ms << failures.min(MAX_DOUBLINGS));
+        for other in self.failed.values_mut() {
+            other.until = other.until.max(now + base_ms);
+        }
+        self.failed.insert(source, FailedSource { failures: failures + 1, until });
+    }
+
+    /// A source answered: it counts as one that never failed.
+    pub fn succeed(&mut self, source: &NodeId) {
+        self.failed.remove(source);
+    }
+}
--- a/crates/data-plane/src/serving/state.rs
+++ b/crates/data-plane/src/serving/state.rs
@@ -18,6 +18,10 @@
     sync::{Arc, Mutex, atomic::Ordering},
 };
 
+/// Part of the drain bound for which a reading of the list of replicas may be gone by: three quarters. The rest is for
+/// the way of a request that was sent at the last moment.
+const LIST_MAX_AGE: (u64, u64) = (3, 4);
+
 /// The bounds that all routers keep together, as the platform tells them.
 #[derive(Clone, Debug)]
 pub struct Bounds {
@@ -31,6 +35,8 @@
     pub keep_ms: u64,
     /// From SIGTERM to the end.
     pub grace_ms: u64,
+    /// Longest time from when a replica is listed as draining until nothing reaches it any more.
+    pub drain_ms: u64,
 }
 
 /// What a node is told of its place, beside its settings.
@@ -137,9 +143,31 @@
         b.slow_start_per_s > 0.0 && (back || c.cold_until > now)
     }
 
-    /// Listed, not leaving, in a zone that is not evacuated.
+    /// Age at which a reading of the list counts no more, in milliseconds (design 9.3).
+    pub fn list_max_age_ms(&self) -> u64 {
+        self.site.bounds.drain_ms * LIST_MAX_AGE.0 / LIST_MAX_AGE.1
+    }
+
+    /// All metrics of the router, as text.
+    pub fn metrics(&self) -> String {
+        let now = self.now();
+        for (zone, held) in &lock(&self.reports).by_zone {
+            let age = self.router.counters.replica_list_age.with_label_values(&[zone.as_str()]);
+            age.set(now.since(held.at) as i64);
+        }
+        self.router.metrics()
+    }
+
+    /// Whether a reading of the list that was current then may still be gone by.
+    pub fn is_list_current(&self, listed_at: Tick) -> bool {
+        self.now().since(listed_at) <= self.list_max_age_ms()
+    }
+
+    /// Listed a short while ago, not leaving, in a zone that is not evacuated.
     pub fn usable(&self, c: &Candidate) -> bool {
-        !c.draining && !self.router.cluster_state().evacuated.contains(&c.zone)
+        !c.draining
+            && self.is_list_current(c.listed_at)
+            && !self.router.cluster_state().evacuated.contains(&c.zone)
     }
 
     /// How long a request of this service occupies a replica.
--- a/crates/data-plane/tests/serving/kit.rs
+++ b/crates/data-plane/tests/serving/kit.rs
@@ -77,6 +77,7 @@
         retry_window_ms: 10_000,
         keep_ms: 1_000,
         grace_ms: 10_000,
+        drain_ms: 4_000,
     }
 }
 
--- a/crates/data-plane/tests/serving/main.rs
+++ b/crates/data-plane/tests/serving/main.rs
@@ -18,5 +18,6 @@
 mod report_subscription;
 mod retry_budget;
 mod slow_start;
+mod source_backoff;
 mod stage;
 mod stream_relay;
--- /dev/null
+++ b/crates/data-plane/tests/serving/source_backoff.rs
@@ -0,0 +1,41 @@
+//! Backoff from sources of reports (design 9.3).
+
+use common::{NodeId, Tick};
+use data_plane::serving::source_backoff::SourceBackoff;
+
+const BASE_MS: u64 = 1_000;
+
+fn node(name: &str) -> NodeId {
+    NodeId::new(name)
+}
+
+/// From a failure until the source may be asked again.
+fn pause(backoff: &SourceBackoff, source: &NodeId, failed: Tick) -> u64 {
+    (0..).find(|ms| backoff.is_available(source, failed + *ms)).expect("again at last")
+}
+
+#[test]
+fn pauses_double_up_to_eight_times_and_end_with_an_answer() {
+    let (mut backoff, a, mut now) = (SourceBackoff::default(), node("a"), Tick(0));
+    assert!(backoff.is_available(&a, now));
+    for expected in [1, 2, 4, 8, 8, 8] {
+        backoff.fail(a.clone(), now, BASE_MS);
+        assert_eq!(pause(&backoff, &a, now), expected * BASE_MS);
+        now = now + expected * BASE_MS;
+    }
+    backoff.succeed(&a);
+    backoff.fail(a.clone(), now, BASE_MS);
+    assert_eq!(pause(&backoff, &a, now), BASE_MS);
+}
+
+/// Of several that failed only one is tried at a time, so that a whole one is asked between.
+#[test]
+fn one_that_fails_again_holds_the_others_back() {
+    let (mut backoff, a, b, now) = (SourceBackoff::default(), node("a"), node("b"), Tick(0));
+    backoff.fail(a.clone(), now, BASE_MS);
+    backoff.fail(b.clone(), now, BASE_MS);
+    let due = now + 1_500;
+    assert!(backoff.is_available(&a, due) && backoff.is_available(&b, due));
+    backoff.fail(a.clone(), due, BASE_MS);
+    assert_eq!((pause(&backoff, &a, due), pause(&backoff, &b, due)), (2 * BASE_MS, BASE_MS));
+}
