Replacements that overlap a loss: one that can't commit is withdrawn, an admitted blank voter votes

Change (consensus/admission.rs): who led a term, and has taken part in none since, knows that its own entries are not committed, so it drops its replacement before it stands again; a blank voter that a committed voter set names grants pre-votes and votes, durably, with an empty log. Ruled out: counting the barred voter until the change commits (two disjoint majorities); dropping whatever was not committed here (the model finds a leader elected by one voter of three). Checks changed: "a blank voter never votes" (model, simulator) is now "only once a committed voter set names its incarnation, with nothing, its promise on its disk".

--- a/crates/control-plane/src/consensus/bootstrap.rs
+++ b/crates/control-plane/src/consensus/bootstrap.rs
@@ -149,7 +149,10 @@
         match (self.initialized, initialized) {
             (false, false) => self.note_blank_voter(voter, now),
             (true, false) => self.answer_blank_voter(from, &voter, effects),
-            (false, true) => self.ask_to_join(&voter, &voters, effects),
+            (false, true) => {
+                self.note_admission(&voters, index);
+                self.ask_to_join(&voter, &voters, effects);
+            }
             (true, true) => self.check_own_membership(&voters, index, effects),
         }
     }
--- a/crates/control-plane/src/consensus/election.rs
+++ b/crates/control-plane/src/consensus/election.rs
@@ -69,6 +69,13 @@
     }
 
     fn become_pre_candidate(&mut self, now: Tick, effects: &mut Vec<Effect>) {
+        self.withdraw_replacement();
+        let again = matches!(self.role, VoterRole::PreCandidate { .. } | VoterRole::Candidate { .. });
+        if again {
+            // One that was admitted may be blank still, and not know that it may vote.
+            let voters = self.other_voters();
+            voters.iter().for_each(|voter| self.send_membership(voter.rpc_addr, effects));
+        }
         let term = self.next_term();
         self.role = VoterRole::PreCandidate { term, granted: Vec::new(), since: now };
         self.broadcast(Message::PreVote { by: self.id(), term }, effects);
@@ -104,7 +111,7 @@
         effects: &mut Vec<Effect>,
     ) {
         if self.would_vote_for(&by, term, now) {
-            let msg = Message::PreVoteGranted { by: self.id(), term };
+            let msg = Message::PreVoteGranted { by: self.elector_id(), term };
             effects.push(Effect::Send { to: from, msg });
         } else if self.initialized && !self.is_voter(&by) {
             self.send_membership(from, effects);
@@ -112,9 +119,8 @@
     }
 
     fn would_vote_for(&self, candidate: &VoterId, term: Term, now: Tick) -> bool {
-        self.initialized
+        self.may_elect(candidate)
             && !self.removed
-            && self.is_voter(candidate)
             && term > self.current_term
             && !self.hears_leader(now)
             && self.may_vote(now)
@@ -163,8 +169,8 @@
         }
         self.current_term = term;
         self.role = VoterRole::Follower { leader: None, last_contact: now };
-        let tail = self.log_tail_after(commit_index);
-        let vote = Message::Vote { by: self.id(), term, tail };
+        let tail = self.voted_tail(commit_index);
+        let vote = Message::Vote { by: self.elector_id(), term, tail };
         self.persist(Record::Promise(term), now, vec![Effect::Send { to: from, msg: vote }], effects);
     }
 
@@ -224,6 +230,7 @@
         self.join_requests.clear();
         let term_start = self.last_index();
         self.role = VoterRole::Leader { peers: BTreeMap::new(), since: now, term_start };
+        self.led = Some(LedTerm { term, term_start });
         // Reported at once: the count of leases must begin anew before any of them is looked at.
         effects.push(Effect::BecameLeader { term });
         if from_snapshot {
--- a/crates/control-plane/src/consensus/join.rs
+++ b/crates/control-plane/src/consensus/join.rs
@@ -93,7 +93,13 @@
                 let reply = Effect::Send { to: from, msg: self.append_reply(sent_at) };
                 self.write_snapshot(now, vec![reply], effects);
             }
-            _ => effects.push(Effect::Send { to: from, msg: self.holds_nothing(to, term, sent_at) }),
+            _ => {
+                // While a leader makes contact, no other one is wanted.
+                if term >= self.current_term {
+                    self.role = VoterRole::Follower { leader: None, last_contact: now };
+                }
+                effects.push(Effect::Send { to: from, msg: self.holds_nothing(to, term, sent_at) });
+            }
         }
     }
 
--- a/crates/control-plane/src/consensus/mod.rs
+++ b/crates/control-plane/src/consensus/mod.rs
@@ -4,6 +4,7 @@
 //! returns effects, which the caller carries out in their order. The daemon and the simulators drive the
 //! same code.
 
+mod admission;
 mod bootstrap;
 mod durability;
 mod durable;
@@ -33,6 +34,7 @@
     state_machine::{ClusterState, cluster_state::replace_voter},
     types::{Change, LogEntry, MAX_VOTERS, SizeLimits, VoterInfo},
 };
+use admission::{Admission, LedTerm};
 use common::{Incarnation, Index, Term, Tick, Zone, settings::Timing};
 use durability::PendingWrites;
 use join::JoinRequest;
@@ -101,6 +103,10 @@
     saw_other_cluster: bool,
     /// Since when all seeds are known to be blank.
     seeds_complete_since: Option<Tick>,
+    /// The newest term that it led, for as long as this process runs.
+    led: Option<LedTerm>,
+    /// While it is blank: the committed voter set that names it.
+    admission: Option<Admission>,
     /// Blank voters that ask to be admitted.
     join_requests: BTreeMap<Incarnation, JoinRequest>,
     /// When it last sent what is sent with each heartbeat.
@@ -155,6 +161,8 @@
             proposed_bootstrap: None,
             saw_other_cluster: false,
             seeds_complete_since: None,
+            led: None,
+            admission: None,
             join_requests: BTreeMap::new(),
             last_heartbeat: Tick(0),
         }
--- a/crates/control-plane/tests/model/scenario.rs
+++ b/crates/control-plane/tests/model/scenario.rs
@@ -41,6 +41,11 @@
     ReplacedVoterStands,
     /// The wiped voter is a voter again; the next loss comes right then.
     SecondLoss,
+    /// A replacement is logged by the leader alone; then the third voter's disk is lost, and the silent voter is back.
+    LossDuringReplacement,
+    /// A replacement is committed, the newcomer has not taken a state; then the third voter's disk is lost, and the
+    /// leader has lost contact with all.
+    LossAfterAdmission,
     /// A follower heard no leader for longer than its election time-out and stands, while the others go on.
     FollowerOutOfTouch,
     /// The votes for a new leader are given; what the old leader sent before is still in flight.
@@ -64,6 +69,8 @@
             Self::ReplacementLogged => Budget { deadlines: 4, crashes: 1, slow_writes: 1, ..none },
             Self::SpareTakesPlace => Budget { deadlines: 4, crashes: 1, beats: 1, ..none },
             Self::ReplacedVoterReturns => Budget { deadlines: 1, beats: 1, ..none },
+            Self::LossDuringReplacement => Budget { deadlines: 4, duplicates: 1, ..none },
+            Self::LossAfterAdmission => Budget { deadlines: 4, duplicates: 1, slow_writes: 1, ..none },
             Self::FollowerOutOfTouch => Budget { deadlines: 1, crashes: 1, ..none },
             Self::OldTermMessages => Budget { deadlines: 1, crashes: 1, duplicates: 1, ..none },
             Self::ReplacedVoterStands => Budget { deadlines: 2, ..none },
@@ -71,6 +78,20 @@
         }
     }
 
+    /// What may be deviated from in a scheduled run. Where two losses are there from the start, none is added.
+    pub fn budget_of_deviations(self) -> Budget {
+        let twice_lost = matches!(self, Self::LossDuringReplacement | Self::LossAfterAdmission);
+        Budget {
+            crashes: if twice_lost { 0 } else { 2 },
+            wipes: u8::from(!twice_lost),
+            slow_writes: 1,
+            duplicates: 1,
+            yields: 1,
+            proposals: 2,
+            ..Budget::default()
+        }
+    }
+
     /// The start, with its budget.
     pub fn start(self, variant: Option<Variant>) -> Result<World, Broken> {
         let mut world = match self {
@@ -156,6 +177,35 @@
                 world.restart(follower);
                 world.stands(follower)?;
             }
+            Self::LossDuringReplacement => {
+                let third = (leader + 2) % VOTERS;
+                world.crash(follower, 0);
+                world.restart(SPARE);
+                world.quiet_until_join_of_spare(follower)?;
+                let logged = |w: &World| w.voter(leader).is_some_and(|s| s.last_index() > s.commit_index());
+                world.quiet_to(&[follower], logged)?;
+                world.packets.clear();
+                world.wipe(third);
+                world.restart(third);
+                world.restart(follower);
+            }
+            Self::LossAfterAdmission => {
+                let third = (leader + 2) % VOTERS;
+                world.crash(follower, 0);
+                world.restart(SPARE);
+                world.quiet_until_join_of_spare(follower)?;
+                let admitted = |w: &World| {
+                    let spare = w.machine(SPARE).disk.synced.me.incarnation;
+                    w.history.value.voters.iter().any(|voter| voter.incarnation == spare)
+                };
+                world.quiet_to(&[follower], admitted)?;
+                world.packets.clear();
+                world.wipe(third);
+                world.restart(third);
+                world.now = world.now + 2 * election_timeout;
+                *world = world.after(Action::Wakeup { machine: leader, slow: false })?;
+                world.packets.clear();
+            }
             Self::FollowerOutOfTouch => {
                 world.stands((leader + 2) % VOTERS)?;
             }
--- a/crates/simulator/src/sim/acts.rs
+++ b/crates/simulator/src/sim/acts.rs
@@ -3,7 +3,7 @@
 use super::{
     Broken,
     nodes::{WIRE, fits, timing},
-    world::{What, World},
+    world::{END_AT, KNOWN_MS, What, World},
 };
 use common::{Epoch, FencingToken, Index, NodeId, Revision, Tick};
 use control_plane::{
@@ -24,6 +24,9 @@
         self.order_decided(n, e, v)?;
         if first {
             self.stats.accepted += 1;
+            if self.t + KNOWN_MS <= END_AT {
+                self.due_revision = self.book.newest.0;
+            }
             match &e.change {
                 Change::ReplaceVoter(h) => {
                     self.book.voters = self.voters[n].voter.as_ref().map(|s| s.cluster_state.voters.clone());
--- a/crates/simulator/src/sim/check.rs
+++ b/crates/simulator/src/sim/check.rs
@@ -2,7 +2,7 @@
 
 use common::{FencingToken, Index, NodeId, OpId, Revision};
 use control_plane::{
-    ApplyOutcome, Change,
+    ApplyOutcome, Change, ClusterState,
     consensus::{DurableState, Message},
     types::{LogEntry, VoterInfo},
 };
@@ -83,6 +83,31 @@
     }
 }
 
+/// A voter without a state votes only once a committed voter set names it, with nothing, and with its promise on its
+/// disk (design 2.5).
+pub fn blank_votes_by_right<'a>(
+    msg: &Message,
+    kept: Option<&DurableState>,
+    mut committed: impl Iterator<Item = &'a ClusterState>,
+) -> Result<(), String> {
+    let (by, promised, holds_nothing) = match msg {
+        Message::PreVoteGranted { by, .. } => (by, None, true),
+        Message::Vote { by, term, tail } => {
+            let empty = tail.last == Index(0) && tail.snapshot.is_none() && tail.entries.is_empty();
+            (by, Some(*term), empty)
+        }
+        _ => return Ok(()),
+    };
+    let named = committed.any(|state| {
+        state.voters.iter().any(|voter| voter.incarnation == by.incarnation && voter.number == by.number)
+    });
+    let durable = promised.is_none_or(|term| kept.is_some_and(|kept| kept.current_term >= term));
+    if named && holds_nothing && durable {
+        return Ok(());
+    }
+    Err(format!("votes and holds nothing: {msg:?}, named by a committed voter set: {named}"))
+}
+
 /// What a voter says that it holds or has promised is on its disk at that moment (design 2.4).
 pub fn backed(msg: &Message, kept: Option<&DurableState>) -> Result<(), String> {
     let Some(kept) = kept.filter(|k| k.initialized) else { return Ok(()) };
--- a/crates/simulator/src/sim/world.rs
+++ b/crates/simulator/src/sim/world.rs
@@ -5,12 +5,11 @@
     check::Book,
     nodes::{ROUTERS, SimClock, SimRouter, SimVoter},
 };
-use common::{Epoch, FencingToken, Index, OpId, Tick};
+use common::{Epoch, FencingToken, Index, OpId, Revision, Tick};
 use control_plane::{
     Change,
     consensus::{Event, Message},
-    state_machine::singleton::FencingTokens,
-    state_machine::state_update::StateUpdate,
+    state_machine::{singleton::FencingTokens, state_update::StateUpdate},
     types::NodeInfo,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -26,6 +25,8 @@
 /// The last operator's call; what it brings has until the end to reach everyone.
 pub const QUIET_AT: u64 = 80_000;
 pub const END_AT: u64 = 85_000;
+/// Longest time in calm until all routers have an accepted change.
+pub const KNOWN_MS: u64 = 1_000;
 /// The brief's bound on the return of service.
 pub const BACK_MS: u64 = 12_000;
 const WAKEUP: u64 = 50;
@@ -75,6 +76,9 @@
     trace: VecDeque<String>,
     pub calm_since: Option<u64>,
     pub readers: Option<super::orders::Readers>,
+    /// The newest revision that all routers must know at the end. Orders that are late on their way may be accepted up
+    /// to the last moment.
+    pub due_revision: Revision,
 }
 
 impl World {
@@ -109,6 +113,7 @@
             trace: VecDeque::new(),
             calm_since: None,
             readers: None,
+            due_revision: Revision(0),
         };
         w.voters.iter_mut().for_each(|s| s.boundless = broken == Some(Broken::Boundless));
         for n in 0..core {
@@ -197,11 +202,12 @@
                 return Err(format!("{op}, told as accepted at {index}, is gone"));
             }
         }
-        let behind = self.routers.iter().find(|r| r.cluster_state.revision != l.revision);
+        let known = self.due_revision..=l.revision;
+        let behind = self.routers.iter().find(|r| !known.contains(&r.cluster_state.revision));
         match behind {
             Some(r) => Err(format!(
-                "{} still has revision {} of {}",
-                r.info.node, r.cluster_state.revision, l.revision
+                "{} still has revision {}, neither {} nor newer up to {}",
+                r.info.node, r.cluster_state.revision, self.due_revision, l.revision
             )),
             None => Ok(()),
         }
