Founding by questions that the blank process asks; a replaced voter becomes a spare by itself

Causes (open in control/consensus.md): - founding trusted that an introduction is no older than the transport's bound on a call; - a voter that was replaced while it was away stayed out until somebody emptied its folder. Change: an introduction only makes the founder ask (`BlankQuery`, by incarnation and send time), and only the answer (`Blank`) counts, from when it was asked for, for half an election time-out and a call's time; the wait of a blank process for a call's time is gone. A voter that is told of its committed replacement takes up a new identity, blank and synced before it says a word (consensus/spare.rs), and asks to be admitted like any spare. Tests: what_was_said_before_a_process_started_founds_nothing (now introductions, answers to another incarnation, old answers, answers to what was not asked; it held a bound on the process's age before), only_a_blank_voter_says_that_it_is, a_replaced_voter_becomes_a_spare. Where tests introduced blank voters by hand they now also answer the question (samples::introduce_blank).

--- a/crates/control-plane/src/consensus/bootstrap.rs
+++ b/crates/control-plane/src/consensus/bootstrap.rs
@@ -16,7 +16,8 @@
         }
         // What was blank a while ago may hold a whole cluster by now.
         let fresh_ms = self.timing.election_timeout_ms() / 2;
-        self.discovered_voters.retain(|_, (_, discovered)| now.since(*discovered) <= fresh_ms);
+        let answered_ms = fresh_ms + self.timing.rpc_timeout_ms;
+        self.discovered_voters.retain(|_, (_, asked)| now.since(*asked) <= answered_ms);
         self.discovered_learners.retain(|_, discovered| now.since(*discovered) <= fresh_ms);
         if let Some(voters) = self.bootstrap_voters(now) {
             let initial = ClusterState::bootstrapped(&self.cluster, voters);
@@ -53,7 +54,8 @@
         let proven = learner_seeds == 0 || self.first_start;
         let blank = |seed: &SocketAddr| *seed == own || self.discovered_voters.contains_key(seed);
         let all_blank = self.seeds.iter().all(|seed| blank(seed) || self.is_learner(seed));
-        if !(self.may_bootstrap && !self.saw_other_cluster && lowest && all_blank && proven) {
+        let allowed = self.may_bootstrap && !self.saw_other_cluster && !self.is_spare();
+        if !(allowed && lowest && all_blank && proven) {
             self.seeds_complete_since = None;
             return None;
         }
@@ -121,7 +123,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let own_cluster = cluster_state.cluster == self.cluster;
-        if !self.initialized && !self.saw_other_cluster && own_cluster {
+        if !self.initialized && !self.saw_other_cluster && !self.is_spare() && own_cluster {
             self.initialize(cluster_state, now, Vec::new(), effects);
         }
     }
@@ -147,7 +149,7 @@
         effects: &mut Vec<Effect>,
     ) {
         match (self.initialized, initialized) {
-            (false, false) => self.note_blank_voter(voter, now),
+            (false, false) => self.query_blank_voter(from, now, effects),
             (true, false) => self.answer_blank_voter(from, &voter, effects),
             (false, true) => {
                 self.note_admission(&voters, index);
@@ -157,11 +159,32 @@
         }
     }
 
-    /// An RPC lives no longer than its time-out: what arrives sooner than that after the start of this process
-    /// may have been sent before it, by a machine that is blank no more.
-    pub(super) fn note_blank_voter(&mut self, voter: VoterInfo, now: Tick) {
-        if now.since(self.started) > self.timing.rpc_timeout_ms {
-            self.discovered_voters.insert(voter.rpc_addr, (voter, now));
+    /// An introduction may be of any age, and its sender blank no more: it is asked, and only its answer counts.
+    pub(super) fn query_blank_voter(&self, to: SocketAddr, now: Tick, effects: &mut Vec<Effect>) {
+        if !self.saw_other_cluster {
+            let msg = Message::BlankQuery { asker: self.me.incarnation, sent_at: now };
+            effects.push(Effect::Send { to, msg });
+        }
+    }
+
+    pub(super) fn handle_blank_query(
+        &self,
+        from: SocketAddr,
+        asker: Incarnation,
+        sent_at: Tick,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !self.initialized && !self.saw_other_cluster && !self.is_spare() {
+            let msg = Message::Blank { voter: self.me.clone(), asker, sent_at };
+            effects.push(Effect::Send { to: from, msg });
+        }
+    }
+
+    /// Only an answer to this incarnation counts, from when it was asked for: a machine that has lost its disk since,
+    /// and with it a cluster that it began, has another one.
+    pub(super) fn note_blank_voter(&mut self, voter: VoterInfo, asker: Incarnation, sent_at: Tick) {
+        if asker == self.me.incarnation && !self.initialized {
+            self.discovered_voters.insert(voter.rpc_addr, (voter, sent_at));
         }
     }
 
@@ -188,10 +211,10 @@
         }
     }
 
-    /// Another holder was committed in this voter's place: it takes part no more.
+    /// Another holder was committed in this voter's place: it takes part no more under this identity.
     fn check_own_membership(&mut self, voters: &[VoterInfo], index: Index, effects: &mut Vec<Effect>) {
-        if !self.is_among(voters) && index > self.commit_index() && !self.removed {
-            self.removed = true;
+        if !self.is_among(voters) && index > self.commit_index() && !self.replaced {
+            (self.removed, self.replaced) = (true, true);
             self.role = VoterRole::Follower { leader: None, last_contact: Tick(0) };
             effects.push(Effect::Removed);
         }
--- a/crates/control-plane/src/consensus/durability.rs
+++ b/crates/control-plane/src/consensus/durability.rs
@@ -31,6 +31,15 @@
         self.queue.back_mut()
     }
 
+    /// No writes, counted on: a late acknowledgement of an earlier one counts for nothing.
+    pub(super) fn restarted(&self) -> Self {
+        Self { last_token: self.last_token, ..Self::default() }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
     fn push(&mut self, record: &Record, since: Tick, last_index: Index, then: Vec<Effect>) -> u64 {
         self.last_token += 1;
         if matches!(record, Record::DurableState(_)) {
@@ -127,7 +136,7 @@
             first_start: self.first_start,
             secret: self.secret,
             size_limits: self.size_limits,
-            writes: PendingWrites { last_token: self.writes.last_token, ..PendingWrites::default() },
+            writes: self.writes.restarted(),
             ..restarted
         };
         effects.push(Effect::Interrupted);
--- a/crates/control-plane/src/consensus/election.rs
+++ b/crates/control-plane/src/consensus/election.rs
@@ -39,6 +39,8 @@
 
     pub(super) fn election_timer(&mut self, now: Tick, effects: &mut Vec<Effect>) {
         if !self.is_voter(&self.id()) {
+            let own = |voter: &VoterInfo| voter.incarnation == self.me.incarnation;
+            self.replaced = !self.cluster_state.voters.iter().any(own);
             self.removed = true;
             effects.push(Effect::Removed);
             return;
--- a/crates/control-plane/src/consensus/event.rs
+++ b/crates/control-plane/src/consensus/event.rs
@@ -19,6 +19,8 @@
     Propose(Change),
     /// The process is about to stop.
     StepDown,
+    /// The voter that was told [`Effect::Removed`] takes up this new identity, of a blank voter.
+    BecomeSpare(Box<VoterInfo>),
     /// A learner's own membership holds this committed state.
     Followed {
         /// The state.
@@ -81,7 +83,7 @@
         /// In this term.
         term: Term,
     },
-    /// Another holder was committed in this voter's place.
+    /// Another holder has this voter's place. The caller offers it a new identity.
     Removed,
     /// A learner was told who the voters are: its membership may ask them.
     VotersDiscovered(Vec<VoterInfo>),
--- a/crates/control-plane/src/consensus/learner.rs
+++ b/crates/control-plane/src/consensus/learner.rs
@@ -17,7 +17,12 @@
             }
             Event::Timer if !self.initialized => self.bootstrap_timer(now, &mut effects),
             Event::Msg(from, message) => self.handle_as_learner(from, message, now, &mut effects),
-            Event::Timer | Event::StepDown | Event::Synced(_) | Event::SyncFailed | Event::Recovered(_) => {}
+            Event::Timer
+            | Event::StepDown
+            | Event::BecomeSpare(_)
+            | Event::Synced(_)
+            | Event::SyncFailed
+            | Event::Recovered(_) => {}
         }
         effects
     }
@@ -59,7 +64,8 @@
             Message::Discover { voter, initialized: false, .. } if self.initialized => {
                 self.answer_blank_voter(from, &voter, effects);
             }
-            Message::Discover { voter, initialized: false, .. } => self.note_blank_voter(voter, now),
+            Message::Discover { initialized: false, .. } => self.query_blank_voter(from, now, effects),
+            Message::Blank { voter, asker, sent_at } => self.note_blank_voter(voter, asker, sent_at),
             Message::Learner => self.handle_learner(from, now, effects),
             _ => {}
         }
--- a/crates/control-plane/src/consensus/message.rs
+++ b/crates/control-plane/src/consensus/message.rs
@@ -167,6 +167,22 @@
         #[serde(rename = "stamp")]
         sent_at: Tick,
     },
+    /// Asks whether the receiver is a blank voter.
+    BlankQuery {
+        /// Incarnation of the asker.
+        asker: Incarnation,
+        /// When it was sent, on the asker's clock.
+        sent_at: Tick,
+    },
+    /// It is, and knows of no cluster.
+    Blank {
+        /// The sender.
+        voter: VoterInfo,
+        /// Who asked.
+        asker: Incarnation,
+        /// The time in the question that it answers.
+        sent_at: Tick,
+    },
 }
 
 impl Body {
--- a/crates/control-plane/src/consensus/mod.rs
+++ b/crates/control-plane/src/consensus/mod.rs
@@ -18,6 +18,7 @@
 mod message;
 mod replication;
 mod role;
+mod spare;
 mod startup;
 mod step;
 mod validation;
@@ -84,6 +85,8 @@
     pub disk_failed: bool,
     /// Another holder replaced it (design 2.5).
     pub removed: bool,
+    /// The replacement is known to be committed.
+    replaced: bool,
     /// What fits on disk and on the wire (design 2.8).
     pub size_limits: SizeLimits,
     /// From when it waits before it votes; moved back once no wait is needed.
@@ -93,7 +96,7 @@
     /// Addresses of voters that answered this run of the process that they do not lead.
     not_leading: BTreeSet<SocketAddr>,
     writes: PendingWrites,
-    /// Blank voters that introduced themselves, and when.
+    /// Voters that were blank, and when they were asked.
     discovered_voters: BTreeMap<SocketAddr, (VoterInfo, Tick)>,
     /// Learners that introduced themselves, and when.
     discovered_learners: BTreeMap<SocketAddr, Tick>,
@@ -151,6 +154,7 @@
             role: VoterRole::Follower { leader: None, last_contact: now },
             disk_failed: false,
             removed: false,
+            replaced: false,
             size_limits: SizeLimits::default(),
             started: now,
             process_started: now,
--- a/crates/control-plane/src/consensus/step.rs
+++ b/crates/control-plane/src/consensus/step.rs
@@ -17,9 +17,12 @@
                 effects.push(Effect::NotLogged { change, why: NotLogged::DiskFailed });
             }
             _ if self.disk_failed => {}
+            // Nothing is said by what is not synced.
+            Event::Timer | Event::Msg(..) if self.is_silent() => {}
             Event::Timer => self.tick(now, &mut effects),
             Event::Propose(change) => self.handle_propose(change, now, &mut effects),
             Event::StepDown => self.step_down(now, &mut effects),
+            Event::BecomeSpare(identity) => self.become_spare(*identity, now, &mut effects),
             // A voter takes the state from the log only.
             Event::Followed { .. } => {}
             Event::Msg(from, message) => self.handle_message(from, message, now, &mut effects),
@@ -51,6 +54,8 @@
                 self.handle_discover(from, voter, initialized, (voters, index), now, effects);
             }
             Message::Learner => self.handle_learner(from, now, effects),
+            Message::BlankQuery { asker, sent_at } => self.handle_blank_query(from, asker, sent_at, effects),
+            Message::Blank { voter, asker, sent_at } => self.note_blank_voter(voter, asker, sent_at),
             Message::Bootstrap { cluster_state } => self.handle_bootstrap(cluster_state, now, effects),
             Message::LeaderQuery(process_started) => {
                 self.handle_leader_query(from, process_started, effects);
--- a/crates/control-plane/src/consensus/validation.rs
+++ b/crates/control-plane/src/consensus/validation.rs
@@ -121,8 +121,10 @@
                 let own_term = *term == self.current_term && self.is_leader();
                 ensure(!(own_term && *installed && *last > self.last_index()), InvalidMessage::BeyondLog)
             }
+            Message::Blank { sent_at, .. } => ensure(*sent_at <= now, InvalidMessage::ReplyFromFuture),
             Message::Discover { initialized: false, .. }
             | Message::Learner
+            | Message::BlankQuery { .. }
             | Message::JoinRequest { .. }
             | Message::LeaderQuery(_)
             | Message::NotLeading(_) => Ok(()),
--- a/crates/control-plane/src/control_node/mod.rs
+++ b/crates/control-plane/src/control_node/mod.rs
@@ -20,6 +20,7 @@
     membership::Leases,
     rpc::{ControlClient, ControlRequest, ProposalOutcome, SERVICE},
     state_machine::ClusterState,
+    storage::blank_voter,
     types::{ApplyOutcome, Change, LogEntry, VoterInfo},
 };
 use common::{Clock, Index, NodeId, Revision, Tick, lock, log_event, runtime::spawn, settings::Settings};
@@ -198,6 +199,9 @@
                 }
                 Effect::Removed => {
                     log_event!(Error, "removed", "cause" => "another holder was committed in this voter's place");
+                    let identity = Box::new(blank_voter(&self.settings));
+                    let effects = inner.voter.step(Event::BecomeSpare(identity), self.clock.now());
+                    self.carry_out(inner, effects);
                 }
                 Effect::VotersDiscovered(voters) => {
                     log_event!(Info, "voters discovered", "voters" => voters.len());
--- a/crates/control-plane/tests/compatibility/samples.rs
+++ b/crates/control-plane/tests/compatibility/samples.rs
@@ -158,6 +158,8 @@
                 index: Index(4),
             },
         ),
+        ("blank-query", Message::BlankQuery { asker: Incarnation(7), sent_at: Tick(86_400_123) }),
+        ("blank", Message::Blank { voter: voter(2), asker: Incarnation(7), sent_at: Tick(86_400_123) }),
         (
             "bootstrap",
             Message::Bootstrap { cluster_state: ClusterState::bootstrapped("bitacora", vec![voter(0)]) },
--- a/crates/control-plane/tests/model/describe.rs
+++ b/crates/control-plane/tests/model/describe.rs
@@ -98,6 +98,8 @@
         Message::NotLeading(_) => "answer that it does not lead".into(),
         Message::StepDown { term, .. } => format!("hand-over of term {term}"),
         Message::JoinRequest { voter } => format!("join request of {}", voter.incarnation),
+        Message::BlankQuery { .. } => "question whether it is blank".into(),
+        Message::Blank { .. } => "blank".into(),
         Message::Discover { initialized, .. } => format!("discovery, formed {initialized}"),
         Message::Bootstrap { .. } => "founding".into(),
         Message::Learner => "learner".into(),
