--- a/crates/control-plane/tests/store.rs
+++ b/crates/control-plane/tests/store.rs
@@ -6,11 +6,18 @@
 use control_plane::{
     consensus::Record,
     storage::FileStore,
-    storage::{LoadResult, RecordWriter},
+    storage::{LoadResult, Medium, RecordWriter, SystemMedium},
+    types::SHORT_LOG_BYTES,
 };
 use rstest::rstest;
 use samples::{entry, one_voter};
-use std::{fs, path::Path};
+use std::{
+    fs::{self, File},
+    io,
+    os::unix::fs::MetadataExt,
+    path::Path,
+    sync::{Arc, Mutex},
+};
 
 fn append(n: u64) -> Record {
     Record::Append { commit_index: Index(0), entries: vec![entry(n)] }
@@ -215,3 +222,70 @@
     FileStore::open(d.path(), &one_voter()).unwrap();
     assert_eq!(fs::read(&durable_index).unwrap(), bytes);
 }
+
+/// What was done to a file, in order: to which, and what.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum FileChange {
+    Zeros { from: u64, to: u64 },
+    Data { at: u64 },
+    Synced,
+}
+
+/// Files as they are, with a record of all changes by inode.
+#[derive(Clone, Default)]
+struct RecordedMedium(Arc<Mutex<Vec<(u64, FileChange)>>>);
+
+impl RecordedMedium {
+    fn note(&self, file: &File, change: FileChange) {
+        let inode = file.metadata().expect("an open file").ino();
+        let mut changes = self.0.lock().expect("changes");
+        // Zeros that follow each other are one change.
+        if let (Some((last, FileChange::Zeros { to, .. })), FileChange::Zeros { from, to: end }) =
+            (changes.last_mut(), change)
+            && (*last, *to) == (inode, from)
+        {
+            *to = end;
+            return;
+        }
+        changes.push((inode, change));
+    }
+}
+
+impl Medium for RecordedMedium {
+    fn write(&self, file: &File, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        let to = offset + bytes.len() as u64;
+        let zeros = bytes.iter().all(|byte| *byte == 0);
+        let change =
+            if zeros { FileChange::Zeros { from: offset, to } } else { FileChange::Data { at: offset } };
+        self.note(file, change);
+        SystemMedium.write(file, offset, bytes)
+    }
+
+    fn sync(&self, file: &File) -> io::Result<()> {
+        self.note(file, FileChange::Synced);
+        SystemMedium.sync(file)
+    }
+}
+
+/// Claim D5 (a): a slot is synced before its log is touched, and the log is blank, and synced as such, before it names
+/// the slot; both when a folder is opened and when a snapshot is written over an older log.
+#[test]
+fn a_log_is_blank_and_synced_before_it_names_its_slot() {
+    let d = tempfile::tempdir().unwrap();
+    filled(d.path(), 3);
+    let medium = RecordedMedium::default();
+    let mut s = FileStore::open_on(d.path(), &one_voter(), Arc::new(medium.clone())).unwrap();
+    for n in 1..3 {
+        s.write(&append(n)).unwrap();
+        let changes = std::mem::take(&mut *medium.0.lock().unwrap());
+        let snapshot: Vec<_> = changes.split(|(_, change)| *change == FileChange::Synced).collect();
+        let inode = |kind: &str| fs::metadata(newest(d.path(), kind)).unwrap().ino();
+        let [slot, blanks, header, record, rest] = snapshot[..] else { panic!("{changes:?}") };
+        let (slot_file, log_file) = (inode("slot"), inode("log"));
+        assert_eq!(slot, [(slot_file, FileChange::Data { at: 0 }), (slot_file, FileChange::Data { at: 32 })]);
+        assert_eq!(blanks, [(log_file, FileChange::Zeros { from: 32, to: SHORT_LOG_BYTES })]);
+        assert_eq!(header, [(log_file, FileChange::Data { at: 0 })]);
+        assert!(record.iter().all(|(file, _)| *file == log_file) && rest.is_empty(), "{changes:?}");
+        s.write(&Record::DurableState(Box::new(one_voter()))).unwrap();
+    }
+}
