Tests: the model searches six voters and a learner too

Asked for by the open list (an even number of voters, a control node without a disk). The model's world takes its number of voters; six scenarios run with six voters (all interleavings and one deviation, up to the bound of states), six with a learner beside three, which is told of any committed state at any time.

--- a/crates/control-plane/tests/model/describe.rs
+++ b/crates/control-plane/tests/model/describe.rs
@@ -46,6 +46,7 @@
             Action::Heal => "the cut ends".into(),
             Action::Freeze { machine } => format!("n{machine} freezes"),
             Action::Thaw => "the frozen machine goes on".into(),
+            Action::Follow { voter } => format!("the learner is told of the state of n{voter}"),
             Action::Beat => "time goes on by a heartbeat".into(),
         };
         format!("[{} ms] {what}", self.now.0)
--- a/crates/control-plane/tests/model/main.rs
+++ b/crates/control-plane/tests/model/main.rs
@@ -244,6 +244,47 @@
     }
 }
 
+/// Six voters, of whom four are a majority: no interleaving and no single deviation breaks an invariant, up to the bound
+/// of states.
+#[rstest]
+#[case::half_replicated(Scenario::HalfReplicated)]
+#[case::wiped_voter_joins(Scenario::WipedVoterJoins)]
+#[case::replacement_logged(Scenario::ReplacementLogged)]
+#[case::spare_takes_place(Scenario::SpareTakesPlace)]
+#[case::second_loss(Scenario::SecondLoss)]
+#[case::old_term_messages(Scenario::OldTermMessages)]
+fn an_even_number_of_voters_keeps_the_invariants(#[case] scenario: Scenario) {
+    const EVEN: usize = 6;
+    let start = scenario.start_with(EVEN, None).unwrap_or_else(|what| panic!("{what}"));
+    let free = holds(explore(&start, most_states(), |_| {}));
+    let mut scheduled = start;
+    let horizon = scheduled.now + HORIZON * scheduled.timing().election_timeout_ms();
+    let gone = (0..EVEN).find(|machine| scheduled.voter(*machine).is_none());
+    scheduled.schedule = Some(Schedule::new(1, horizon, gone));
+    scheduled.budget = scenario.budget_of_deviations();
+    let report = holds(explore(&scheduled, most_states(), |_| {}));
+    println!("{scenario:?}, six voters: {free}; one deviation: {report}");
+}
+
+/// A control node without a disk beside three voters: it is told of any committed state at any time, late ones too, and
+/// neither votes, nor founds, nor goes back.
+#[rstest]
+#[case::bootstrap_messages(Scenario::Founding)]
+#[case::half_replicated(Scenario::HalfReplicated)]
+#[case::replacement_logged(Scenario::ReplacementLogged)]
+#[case::replaced_voter_returns(Scenario::ReplacedVoterReturns)]
+#[case::second_loss(Scenario::SecondLoss)]
+#[case::loss_after_admission(Scenario::LossAfterAdmission)]
+fn a_learner_keeps_the_invariants(#[case] scenario: Scenario) {
+    let mut start = start_of(scenario, None).unwrap_or_else(|e| panic!("{e}"));
+    start.add_learner();
+    let report = holds(explore(&start, most_states(), |world| {
+        let learner = world.learner.and_then(|machine| world.voter(machine));
+        assert!(learner.is_none_or(|learner| !learner.is_leader() && learner.last_index() <= world.newest()));
+    }));
+    println!("{scenario:?}, with a learner: {report}");
+}
+
 /// The liveness sample finds a core that doesn't readmit a wiped voter.
 #[test]
 fn a_core_that_does_not_come_back_is_found_out() {
--- a/crates/control-plane/tests/model/scenario.rs
+++ b/crates/control-plane/tests/model/scenario.rs
@@ -3,7 +3,7 @@
 use super::{
     history::Broken,
     variant::Variant,
-    world::{Action, Budget, SPARE, VOTERS, World},
+    world::{Action, Budget, VOTERS, World},
 };
 use common::{Tick, settings::Timing};
 use control_plane::consensus::{Message, VoterRole};
@@ -94,9 +94,14 @@
 
     /// The start, with its budget.
     pub fn start(self, variant: Option<Variant>) -> Result<World, Broken> {
+        self.start_with(VOTERS, variant)
+    }
+
+    /// The start of a cluster of so many voters; one that is founded has the usual ones.
+    pub fn start_with(self, size: usize, variant: Option<Variant>) -> Result<World, Broken> {
         let mut world = match self {
             Self::Founding => World::blank(variant),
-            _ => World::bootstrapped(variant),
+            _ => World::bootstrapped(size, variant),
         };
         self.prepare(&mut world)?;
         world.budget = self.budget();
@@ -114,10 +119,10 @@
         }
         world.quiet(&[], |w| w.leader().is_some())?;
         world.order(0)?;
-        world.quiet(&[], |w| w.all_accepted(&[0, 1, 2]))?;
+        world.quiet(&[], |w| w.all_accepted(&w.first_voters()))?;
         world.packets.clear();
         let leader = world.leader().ok_or("no leader")?;
-        let follower = (leader + 1) % VOTERS;
+        let follower = (leader + 1) % world.size;
         match self {
             Self::Founding | Self::FirstElection | Self::LeaseEnds => {}
             Self::RacingChanges => world.changes = changes(1, &["c", "d"]),
@@ -148,14 +153,14 @@
                         world.quiet_to(&[], logged)?;
                     }
                     _ => {
-                        world.quiet(&[], |w| w.is_whole() && w.all_accepted(&[0, 1, 2]))?;
+                        world.quiet(&[], |w| w.is_whole() && w.all_accepted(&w.first_voters()))?;
                         world.packets.clear();
                     }
                 }
             }
             Self::SpareTakesPlace | Self::ReplacedVoterReturns => {
                 world.crash(follower, 0);
-                world.restart(SPARE);
+                world.restart(world.size);
                 world.quiet_until_join_of_spare(follower)?;
                 if self == Self::ReplacedVoterReturns {
                     world.restart(follower);
@@ -165,20 +170,20 @@
                 }
             }
             Self::ReplacedVoterStands => {
-                let last = (leader + 2) % VOTERS;
+                let last = (leader + 2) % world.size;
                 world.crash(follower, 0);
-                world.restart(SPARE);
-                let replaced = |w: &World| w.is_voter(SPARE) && w.all_accepted(&[leader, last, SPARE]);
+                world.restart(world.size);
+                let replaced = |w: &World| w.is_voter(w.size) && w.all_accepted(&[leader, last, w.size]);
                 world.quiet(&[follower], replaced)?;
                 world.crash(leader, 0);
-                world.crash(SPARE, 0);
+                world.crash(world.size, 0);
                 world.restart(follower);
                 world.stands(follower)?;
             }
             Self::LossDuringReplacement => {
-                let third = (leader + 2) % VOTERS;
+                let third = (leader + 2) % world.size;
                 world.crash(follower, 0);
-                world.restart(SPARE);
+                world.restart(world.size);
                 world.quiet_until_join_of_spare(follower)?;
                 let logged = |w: &World| w.voter(leader).is_some_and(|s| s.last_index() > s.commit_index());
                 world.quiet_to(&[follower], logged)?;
@@ -188,12 +193,12 @@
                 world.restart(follower);
             }
             Self::LossAfterAdmission => {
-                let third = (leader + 2) % VOTERS;
+                let third = (leader + 2) % world.size;
                 world.crash(follower, 0);
-                world.restart(SPARE);
+                world.restart(world.size);
                 world.quiet_until_join_of_spare(follower)?;
                 let admitted = |w: &World| {
-                    let spare = w.machine(SPARE).disk.synced.me.incarnation;
+                    let spare = w.machine(w.size).disk.synced.me.incarnation;
                     w.history.value.voters.iter().any(|voter| voter.incarnation == spare)
                 };
                 world.quiet_to(&[follower], admitted)?;
@@ -205,7 +210,7 @@
                 world.packets.clear();
             }
             Self::FollowerOutOfTouch => {
-                world.stands((leader + 2) % VOTERS)?;
+                world.stands((leader + 2) % world.size)?;
             }
             Self::OldTermMessages => {
                 world.changes = changes(1, &["c", "d"]);
@@ -231,6 +236,11 @@
         (0..self.machines.len()).find(|n| self.voter(*n).is_some_and(|voter| voter.can_serve_reads(self.now)))
     }
 
+    /// Machines that are voters at first.
+    fn first_voters(&self) -> Vec<usize> {
+        (0..self.size).collect()
+    }
+
     fn all_accepted(&self, machines: &[usize]) -> bool {
         let newest = self.history.value.newest();
         machines.iter().all(|n| self.voter(*n).is_some_and(|voter| voter.commit_index() == newest))
--- a/crates/control-plane/tests/model/world.rs
+++ b/crates/control-plane/tests/model/world.rs
@@ -1,4 +1,5 @@
-//! One state of the model: four machines, their disks, the messages in flight, and what may happen.
+//! One state of the model: voters, a spare and, where asked for, a learner; their disks, the messages in flight, and
+//! what may happen.
 
 use super::{
     digest::{Digest, combine, digest},
@@ -19,14 +20,17 @@
     sync::Arc,
 };
 
+/// Voters of the usual model.
 pub const VOTERS: usize = 3;
-/// The machine that is no voter at first.
-pub const SPARE: usize = 3;
+/// The first machines are the seeds, however many voters there are.
+const SEEDS: usize = 3;
 const CLUSTER: &str = "model";
 /// Added to an incarnation each time that a machine's disk is wiped.
 const NEXT_INCARNATION: u64 = 100;
 /// More messages than this are not in flight at once: those beyond are lost.
 const MOST_IN_FLIGHT: usize = 14;
+/// The same with more voters than the usual ones: each broadcast is as many messages.
+const MOST_IN_FLIGHT_OF_MANY: usize = 32;
 
 pub fn address(machine: usize) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 7000 + machine as u16))
@@ -177,6 +181,10 @@
     },
     ToDeadline,
     Beat,
+    /// The learner is told of the state that a voter has committed.
+    Follow {
+        voter: usize,
+    },
     /// The rest happens under a schedule only (`schedule.rs`).
     GoOn,
     Delay {
@@ -203,6 +211,10 @@
     pub packets: Vec<Arc<Digested<Packet>>>,
     pub budget: Budget,
     pub history: Arc<Digested<History>>,
+    /// Voters of the cluster; the machine with this number is the spare.
+    pub size: usize,
+    /// The last machine is a learner.
+    pub learner: Option<usize>,
     /// Operators' changes that may be sent, each any number of times.
     pub changes: Arc<Vec<Change>>,
     pub variant: Option<Variant>,
@@ -220,9 +232,9 @@
 }
 
 impl World {
-    /// Three voters that were just founded, and a blank spare.
-    pub fn bootstrapped(variant: Option<Variant>) -> Self {
-        let voters: Vec<VoterInfo> = (0..VOTERS).map(|n| holder(n, n as u8, incarnation(n))).collect();
+    /// Voters that were just founded, and a blank spare.
+    pub fn bootstrapped(size: usize, variant: Option<Variant>) -> Self {
+        let voters: Vec<VoterInfo> = (0..size).map(|n| holder(n, n as u8, incarnation(n))).collect();
         let cluster_state = ClusterState::bootstrapped(CLUSTER, voters.clone());
         let voter = |n: usize| DurableState {
             me: voters[n].clone(),
@@ -234,22 +246,23 @@
         };
         let mut history = History::default();
         assert_eq!(history.holds(&cluster_state), Ok(()));
-        Self::started((0..VOTERS).map(voter), history, variant)
+        Self::started(size, (0..size).map(voter), history, variant)
     }
 
     /// Three blank machines that start together, and a blank spare that is down.
     pub fn blank(variant: Option<Variant>) -> Self {
         let image = |n: usize| DurableState::blank(&holder(n, u8::MAX, incarnation(n)));
-        Self::started((0..VOTERS).map(image), History::default(), variant)
+        Self::started(VOTERS, (0..VOTERS).map(image), History::default(), variant)
     }
 
     fn started(
+        size: usize,
         voters: impl Iterator<Item = DurableState>,
         history: History,
         variant: Option<Variant>,
     ) -> Self {
         let now = Tick(100_000);
-        let spare = DurableState::blank(&holder(SPARE, u8::MAX, incarnation(SPARE)));
+        let spare = DurableState::blank(&holder(size, u8::MAX, incarnation(size)));
         let machine = |image: DurableState| Machine {
             process: None,
             disk: RecordWriter { synced: image, unsynced: VecDeque::new() },
@@ -266,8 +279,10 @@
             changes: Arc::new(vec![apply("a", 0, "a"), apply("b", 0, "bb")]),
             variant,
             schedule: None,
+            size,
+            learner: None,
         };
-        for n in 0..VOTERS {
+        for n in 0..size {
             world.restart(n);
         }
         world.initialize();
@@ -358,6 +373,7 @@
                 all.push(Action::Yield { machine });
             }
         }
+        all.extend(self.followed().into_iter().map(|voter| Action::Follow { voter }));
         if self.budget.deadlines > 0 && self.next_deadline().is_some() {
             all.push(Action::ToDeadline);
         }
@@ -382,7 +398,8 @@
 
     /// It is down; a blank spare is put up by the scenario, not by the search.
     pub fn may_restart(&self, machine: usize) -> bool {
-        self.voter(machine).is_none() && (machine != SPARE || self.machine(machine).disk.synced.initialized)
+        self.voter(machine).is_none()
+            && (machine != self.size || self.machine(machine).disk.synced.initialized)
     }
 
     /// Losses of power, with each number of unsynced writes kept, and of the disk.
@@ -405,7 +422,7 @@
     /// No loss of a disk waits to be repaired: each voter has its own state.
     pub fn is_whole(&self) -> bool {
         // A founder's word may still be on its way to a machine that never lost anything.
-        let first = |holder: &VoterInfo| holder.incarnation.0 < incarnation(VOTERS);
+        let first = |holder: &VoterInfo| holder.incarnation.0 < incarnation(self.size);
         let has_state = |holder: &VoterInfo| {
             let mut disks = self.machines.iter().map(|machine| &machine.value.disk.synced);
             disks.any(|image| {
@@ -514,10 +531,42 @@
                 self.now = self.now + self.timing().heartbeat_ms();
                 Ok(())
             }
+            Action::Follow { voter } => self.follow(voter),
             _ => Ok(()),
         }
     }
 
+    /// The newest committed index.
+    pub fn newest(&self) -> Index {
+        self.history.value.newest()
+    }
+
+    /// Adds a control node without a disk.
+    pub fn add_learner(&mut self) {
+        let machine = self.machines.len();
+        let image = DurableState::blank(&holder(machine, u8::MAX, incarnation(machine)));
+        let disk = RecordWriter { synced: image, unsynced: VecDeque::new() };
+        let here = Machine { process: None, disk, started: self.now, waiting: BTreeMap::new() };
+        self.machines.push(Digested::new(here));
+        self.learner = Some(machine);
+        self.restart(machine);
+        self.initialize();
+    }
+
+    /// Voters whose committed state the learner does not hold yet: newer ones, or older ones, late on their way.
+    fn followed(&self) -> Vec<usize> {
+        let Some(learner) = self.learner.and_then(|machine| self.voter(machine)) else { return Vec::new() };
+        let other = |voter: &Voter| voter.initialized && voter.commit_index() != learner.commit_index();
+        (0..=self.size).filter(|machine| self.voter(*machine).is_some_and(other)).collect()
+    }
+
+    fn follow(&mut self, voter: usize) -> Result<(), Broken> {
+        let (Some(learner), Some(told)) = (self.learner, self.voter(voter)) else { return Ok(()) };
+        let cluster_state = Box::new(told.cluster_state.clone());
+        let leader = told.leader().map(|leader| leader.rpc_addr);
+        self.raw_step(learner, Event::Followed { cluster_state, leader })
+    }
+
     fn edit<T>(&mut self, machine: usize, change: impl FnOnce(&mut Machine) -> T) -> T {
         change(Digested::edit(&mut self.machines[machine]))
     }
@@ -550,7 +599,7 @@
         };
         let mut blank = DurableState::blank(&fresh);
         if self.variant == Some(Variant::BlankVotesAsFormerSelf) {
-            let voters = (0..VOTERS).map(|n| holder(n, n as u8, 10 + n as u64)).collect();
+            let voters = (0..self.size).map(|n| holder(n, n as u8, 10 + n as u64)).collect();
             blank = DurableState {
                 me: image.me.clone(),
                 initialized: true,
@@ -571,8 +620,9 @@
         if self.variant == Some(Variant::ForgetsPromise) {
             image.current_term = image.log_term;
         }
-        let seeds = (0..VOTERS).map(address).collect();
-        let voter = Voter::new(image.me.clone(), CLUSTER, seeds, self.timing(), Some(image), started);
+        let seeds = (0..SEEDS).map(address).collect();
+        let mut voter = Voter::new(image.me.clone(), CLUSTER, seeds, self.timing(), Some(image), started);
+        voter.learner = self.learner == Some(machine);
         self.edit(machine, |here| {
             here.process = Some(voter);
             here.started = started;
@@ -849,7 +899,8 @@
                 _ => true,
             }
         });
-        self.packets.truncate(MOST_IN_FLIGHT);
+        let most = if self.size > VOTERS { MOST_IN_FLIGHT_OF_MANY } else { MOST_IN_FLIGHT };
+        self.packets.truncate(most);
     }
 }
 
