--- /dev/null
+++ b/crates/data-plane/tests/serving/fleet.rs
@@ -0,0 +1,284 @@
+//! Routers of two zones in a world in memory, without control nodes: their leases are renewed by hand.
+
+use crate::{
+    kit::{bounds, names, zones},
+    stage::{Unread, Wire},
+};
+use common::{
+    Clock, Epoch, Incarnation, Region,
+    http::{self, text},
+    runtime::{Simulation, bind, spawn},
+    settings::{Settings, Timing},
+};
+use control_plane::{
+    Change, ClusterState, Role,
+    membership::Member,
+    state_machine::{singleton, state_update::StateUpdate},
+    types::NodeInfo,
+};
+use data_plane::{
+    router::{Router, lock},
+    serving::{Serving, Site},
+};
+use hyper::StatusCode;
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{sync::watch, time::sleep};
+
+pub const LIST: ([u8; 4], u16) = ([10, 0, 9, 9], 9);
+/// Routers of the zone that is reported, and of the zone that the reports go to.
+pub const REPORTED: usize = 2;
+pub const SUBSCRIBED: usize = 4;
+/// Until each has its first reports.
+const SETTLED_MS: u64 = 5_000;
+/// Epochs of routers that have started anew lie above this.
+const RESTARTED_EPOCH: u64 = 100;
+/// Time between two looks at what the routers would use.
+pub const SAMPLE_MS: u64 = 50;
+
+/// In the proportions of the users' platform: a lease is shorter than a request for a report may take.
+pub fn timing() -> Timing {
+    Timing { lease_ms: 1_200, ..Timing::default() }
+}
+
+pub fn ip(n: usize) -> IpAddr {
+    IpAddr::from([10, 0, 8, n as u8 + 1])
+}
+
+pub fn settings(n: usize) -> Settings {
+    Settings {
+        cluster: "line".into(),
+        node: format!("p{n}"),
+        zone: if n < REPORTED { "n1" } else { "s1" }.into(),
+        rpc_addr: SocketAddr::new(ip(n), 1),
+        http: SocketAddr::new(ip(n), 80),
+        rpc_advertise: None,
+        http_advertise: None,
+        seeds: vec![],
+        may_bootstrap: true,
+        data: None,
+        timing: timing(),
+        log: "error".into(),
+    }
+}
+
+fn info(n: usize) -> NodeInfo {
+    NodeInfo::of(&settings(n), Role::Router, Incarnation(n as u64 + 1))
+}
+
+fn site(n: usize) -> Site {
+    let region = if n < REPORTED { "north" } else { "south" };
+    Site {
+        region: Region::new(region),
+        zones: zones().into_iter().filter(|(zone, _)| zone.as_str() != "n2").collect(),
+        readiness: None,
+        directory: None,
+        list: LIST.into(),
+        list_per_s: 100.0,
+        list_lag_ms: 0,
+        bounds: bounds(),
+    }
+}
+
+fn members() -> ClusterState {
+    let mut state = ClusterState::bootstrapped("line", vec![]);
+    for n in 0..REPORTED + SUBSCRIBED {
+        let _ = state.apply(state.index.next(), &Change::Join(info(n)));
+    }
+    state
+}
+
+/// A router whose lease is renewed by hand, since there is no control node; by its own clock.
+/// It reads no list and asks for no reports.
+async fn start_still(n: usize, renewed: Arc<AtomicBool>) -> Arc<Serving> {
+    start_in_epoch(n, Epoch(n as u64 + 1), renewed).await
+}
+
+async fn start(n: usize, renewed: Arc<AtomicBool>) -> Arc<Serving> {
+    let serving = start_still(n, renewed).await;
+    serving.watch_all();
+    serving
+}
+
+async fn start_in_epoch(n: usize, epoch: Epoch, renewed: Arc<AtomicBool>) -> Arc<Serving> {
+    let (set, clock) = (settings(n), Clock::default());
+    let member = Member::new(set.clone(), info(n), clock.clone());
+    let _ = member.install(StateUpdate::Snapshot(Box::new(members())), "test");
+    let router = Router::new(set.clone(), member.clone(), clock.clone());
+    spawn(async move {
+        loop {
+            if renewed.load(Ordering::Acquire) {
+                member.extend_lease(epoch, member.clock.now());
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+    let serving = Serving::new(router.clone(), Arc::new(Wire(names())), Arc::new(Unread), site(n));
+    let listener = bind(set.rpc_addr).await.expect("its own address");
+    spawn(common::rpc::listen(listener, set.me(), data_plane::rpc::SERVICE, {
+        let router = router.clone();
+        move |node, request| router.clone().answer(node, request)
+    }));
+    spawn(router.send_heartbeats());
+    serving
+}
+
+/// What the list says of zone `n1`; `None`: the platform answers nothing but 503.
+type Listing = Arc<Mutex<Option<&'static str>>>;
+
+pub struct Fleet {
+    pub world: Arc<Simulation>,
+    pub routers: Vec<Arc<Serving>>,
+    renewed: Arc<AtomicBool>,
+    listing: Listing,
+}
+
+impl Fleet {
+    pub async fn start(world: Arc<Simulation>) -> Self {
+        let list = SocketAddr::from(LIST);
+        let listener = bind(list).await.expect("the list's address");
+        let (end, ended) = watch::channel(false);
+        let listing: Listing = Arc::new(Mutex::new(Some("r1 ready\nr2 ready")));
+        let listed = listing.clone();
+        world.host(list.ip()).spawn(async move {
+            let handler = move |_, request: hyper::Request<hyper::body::Incoming>| {
+                let page = *lock(&listed);
+                let page = page.map(|page| if request.uri().path().starts_with("/n1/") { page } else { "" });
+                let status = page.map_or(StatusCode::SERVICE_UNAVAILABLE, |_| StatusCode::OK);
+                async move { Ok(text(status, page.unwrap_or_default())) }
+            };
+            http::serve(listener, Arc::default(), ended, handler).await;
+            drop(end);
+        });
+        let renewed = Arc::new(AtomicBool::new(true));
+        let mut routers = Vec::new();
+        for n in 0..REPORTED + SUBSCRIBED {
+            routers.push(world.host(ip(n)).spawn(start(n, renewed.clone())).await.expect("a router"));
+        }
+        let fleet = Self { world, routers, renewed, listing };
+        fleet.pass(SETTLED_MS, true).await;
+        fleet
+    }
+
+    /// Routers that know of replicas only what a test tells them.
+    pub async fn start_still(world: Arc<Simulation>) -> Self {
+        let renewed = Arc::new(AtomicBool::new(true));
+        let mut routers = Vec::new();
+        for n in 0..REPORTED + SUBSCRIBED {
+            routers.push(world.host(ip(n)).spawn(start_still(n, renewed.clone())).await.expect("a router"));
+        }
+        Self { world, routers, renewed, listing: Listing::default() }
+    }
+
+    /// A router's process starts anew, with the next epoch.
+    pub async fn restart(&mut self, n: usize) {
+        let renewed = self.renewed.clone();
+        let router = start_in_epoch(n, Epoch(RESTARTED_EPOCH + n as u64), renewed);
+        let serving = self.world.host(ip(n)).spawn(router).await.expect("a router");
+        let watching = serving.clone();
+        self.world.host(ip(n)).spawn(async move { watching.watch_all() }).await.expect("it watches");
+        self.routers[n] = serving;
+    }
+
+    pub fn lists(&self, rows: Option<&'static str>) {
+        *lock(&self.listing) = rows;
+    }
+
+    /// The publisher of zone `n1`, and the router of zone `s1` that passes its reports on.
+    pub fn publisher_and_relay(&self) -> (usize, usize) {
+        let state = self.routers[REPORTED].router.cluster_state();
+        let first = |role: &str, zone: &str| {
+            let ranked = singleton::ranked_holders(&state, role, Some(&zone.into()));
+            let address = ranked[0].info.rpc_addr.ip();
+            (0..REPORTED + SUBSCRIBED).find(|n| ip(*n) == address).expect("one of the routers")
+        };
+        (first("board/n1", "n1"), first("relay/n1", "s1"))
+    }
+
+    /// Whether a router would send something to replica `r1` now; not while it stands still.
+    pub async fn may_use(&self, n: usize) -> bool {
+        let serving = self.routers[n].clone();
+        let usable = async move {
+            let view = serving.fleet.load();
+            view.of(&"chat".into()).iter().any(|replica| replica.id == "r1".into() && serving.usable(replica))
+        };
+        let task = self.world.host(ip(n)).spawn(usable);
+        let answer = tokio::time::timeout(Duration::from_millis(1), task).await;
+        answer.is_ok_and(|usable| usable.unwrap_or(false))
+    }
+
+    /// Which of the routers use replica `r1` so many milliseconds from now or later, within a while.
+    pub async fn users_after(
+        &self,
+        ms: u64,
+        routers: impl Iterator<Item = usize> + Clone,
+    ) -> Vec<(usize, u64)> {
+        const WATCHED_MS: u64 = 6_000;
+        let mut users = Vec::new();
+        self.pass(ms, true).await;
+        for at in (ms..ms + WATCHED_MS).step_by(SAMPLE_MS as usize) {
+            for n in routers.clone() {
+                if self.may_use(n).await {
+                    users.push((n, at));
+                }
+            }
+            self.pass(SAMPLE_MS, true).await;
+        }
+        users
+    }
+
+    /// Time goes on, with or without renewals of the leases.
+    pub async fn pass(&self, ms: u64, renewed: bool) {
+        self.renewed.store(renewed, Ordering::Release);
+        sleep(Duration::from_millis(ms)).await;
+    }
+
+    /// Calls of one kind from a zone to another, counted while time goes on.
+    pub async fn calls(&self, step: &str, from: &str, to: &str, ms: u64, renewed: bool) -> u64 {
+        self.world.traffic.begin();
+        self.pass(ms, renewed).await;
+        let counted = self.world.traffic.end();
+        let in_zone = |ip: &IpAddr, zone: &str| {
+            let n = (0..REPORTED + SUBSCRIBED).find(|n| self::ip(*n) == *ip);
+            n.is_some_and(|n| settings(n).zone == zone)
+        };
+        let matches = |(caller, called): &(IpAddr, IpAddr)| in_zone(caller, from) && in_zone(called, to);
+        let of = counted.calls.iter().filter(|((ends, kind), _)| kind.1 == step && matches(ends));
+        of.map(|(_, calls)| calls.calls).sum()
+    }
+
+    pub fn knows(&self, n: usize) -> usize {
+        self.routers[n].fleet.load().of(&"chat".into()).len()
+    }
+
+    /// What a router knows, by the clock of its own host.
+    pub async fn at<T: Send + 'static>(&self, n: usize, f: impl FnOnce(&Router) -> T + Send + 'static) -> T {
+        let router = self.routers[n].router.clone();
+        self.world.host(ip(n)).spawn(async move { f(&router) }).await.expect("it runs")
+    }
+
+    /// Time since a router had a new report.
+    pub async fn silence_ms(&self, n: usize) -> u64 {
+        let serving = self.routers[n].clone();
+        let silence = async move {
+            let reports = lock(&serving.reports);
+            reports.by_zone.get(&"n1".into()).map_or(u64::MAX, |held| serving.now().since(held.received))
+        };
+        self.world.host(ip(n)).spawn(silence).await.expect("it runs")
+    }
+
+    pub async fn report_age_ms(&self, n: usize) -> u64 {
+        let serving = self.routers[n].clone();
+        let age = async move {
+            let reports = lock(&serving.reports);
+            reports.by_zone.get(&"n1".into()).map_or(u64::MAX, |held| serving.now().since(held.at))
+        };
+        self.world.host(ip(n)).spawn(age).await.expect("it runs")
+    }
+}
--- a/crates/data-plane/tests/serving/main.rs
+++ b/crates/data-plane/tests/serving/main.rs
@@ -3,9 +3,11 @@
 mod attempt_state;
 mod carried;
 mod connection;
+mod fleet;
 mod kit;
 mod limits;
 mod own_answers;
+mod placement;
 mod plan;
 mod prefill;
 mod prompt_length;
--- /dev/null
+++ b/crates/data-plane/tests/serving/placement.rs
@@ -0,0 +1,171 @@
+//! Where users are placed, over routers that settle at the owners of the table's shards (design 5.1, 5.3, 9.4).
+
+use crate::{
+    fleet::{Fleet, REPORTED, SUBSCRIBED, ip},
+    kit::{board, prompt, route, row},
+};
+use common::{Region, Tick, Zone, runtime::Simulation};
+use configuration::{Backend, Route, RouteKind};
+use data_plane::{
+    placement_table::UserKey,
+    router::{Cached, lock},
+    serving::{Serving, plan::Plan, region_choice::TTL_MS, replica_view::ReportStore},
+};
+use hyper::{HeaderMap, Method, Uri};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use tokio::time::sleep;
+
+const USERS: std::ops::Range<u64> = 0..64;
+/// Long enough for a call to the owner of a shard.
+const SETTLED_MS: u64 = 2_000;
+/// Two routers of the south that users come to.
+const RACERS: [usize; 2] = [REPORTED, REPORTED + 1];
+
+fn regions_of_zones() -> BTreeMap<Zone, Region> {
+    [("n1", "north"), ("w1", "west"), ("s1", "south")]
+        .map(|(zone, region)| (zone.into(), region.into()))
+        .into()
+}
+
+/// A user's request that arrives in the south, on a route with these homes.
+fn plan(user: u64, homes: &[&str]) -> Plan {
+    let homes = homes.iter().map(|home| Region::new(*home)).collect();
+    Plan {
+        route: Arc::new(Route { affinity: true, homes, ..route("talk", RouteKind::ReadOnly) }),
+        service: "chat".into(),
+        backend: Arc::new(Backend {
+            name: "chat".into(),
+            health_path: "/health".into(),
+            max_connections: 100,
+            slow_start_ms: 0,
+            slow_start_per_s: 0.0,
+            engine: None,
+        }),
+        prompt: prompt(&[(user, 100), (user + 1_000, 10)], 110),
+        long: false,
+        prefixes: Vec::new(),
+        key: Some(UserKey(user)),
+        came: Tick(0),
+        deadline: Tick(u64::MAX),
+        method: Method::GET,
+        uri: Uri::from_static("/talk/1"),
+        headers: HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        request_id: None,
+    }
+}
+
+/// Tells a router how many requests run at the one replica, of 20 slots, of the north and of the west.
+fn tell(serving: &Serving, north: u32, west: u32) {
+    let mut store = ReportStore::default();
+    let now = serving.now();
+    assert!(store.take(board("n1", 1, vec![row(1, north)]), now));
+    assert!(store.take(board("w1", 1, vec![row(2, west)]), now));
+    serving.fleet.store(Arc::new(store.fleet(&regions_of_zones(), 3_000)));
+}
+
+/// The region to which each user's request would go first, at one router.
+async fn first_regions(fleet: &Fleet, n: usize) -> Vec<Region> {
+    let serving = fleet.routers[n].clone();
+    let choose = async move {
+        let choose = |user| {
+            let regions = serving.regions(&plan(user, &["north", "west"]), &|_| true);
+            regions.first().cloned().expect("two regions are home")
+        };
+        USERS.map(choose).collect()
+    };
+    fleet.world.host(ip(n)).spawn(choose).await.expect("it runs")
+}
+
+async fn race(fleet: &Fleet) -> [Vec<Region>; 2] {
+    let [a, b] = RACERS;
+    [first_regions(fleet, a).await, first_regions(fleet, b).await]
+}
+
+/// Two routers with other figures draw other first regions for some users, at the same moment and without waiting; the
+/// owner of each shard decides, and from then on both go by its word.
+#[test]
+fn racing_routers_agree_on_a_first_region() {
+    Simulation::run(21, None, |world| async move {
+        let fleet = Fleet::start_still(world).await;
+        let [a, b] = RACERS;
+        tell(&fleet.routers[a], 2, 18);
+        tell(&fleet.routers[b], 18, 2);
+        let drawn = race(&fleet).await;
+        assert_ne!(drawn[0], drawn[1], "the figures draw alike: nothing is raced for");
+        sleep(Duration::from_millis(SETTLED_MS)).await;
+        let settled = race(&fleet).await;
+        assert_eq!(settled[0], settled[1]);
+        let either = |user: usize| [&drawn[0][user], &drawn[1][user]].contains(&&settled[0][user]);
+        assert!((0..settled[0].len()).all(either), "a region that nobody drew");
+        // Figures that turn round move nobody while both regions pass the tests.
+        tell(&fleet.routers[a], 18, 2);
+        assert_eq!(first_regions(&fleet, a).await, settled[0]);
+    });
+}
+
+/// The owners are out of reach: each router goes on by its own draw, which is the same for the same figures, without a
+/// wait and without a change from one request to the next; once they are back all agree.
+#[test]
+fn without_the_table_routers_go_on_and_agree_by_key() {
+    Simulation::run(22, None, |world| async move {
+        let fleet = Fleet::start_still(world).await;
+        let [a, b] = RACERS;
+        let others = || (0..REPORTED + SUBSCRIBED).filter(|n| !RACERS.contains(n));
+        let links: std::collections::BTreeSet<_> = others()
+            .flat_map(|other| RACERS.map(|racer| (ip(racer), ip(other))))
+            .chain([(ip(a), ip(b)), (ip(b), ip(a))])
+            .collect();
+        fleet.world.partition(links.iter().copied());
+        for racer in RACERS {
+            tell(&fleet.routers[racer], 9, 11);
+        }
+        let drawn = race(&fleet).await;
+        assert_eq!(drawn[0], drawn[1], "the same figures draw alike");
+        let regions: std::collections::BTreeSet<_> = drawn[0].iter().collect();
+        assert_eq!(regions.len(), 2, "all users in one region show nothing");
+        sleep(Duration::from_millis(SETTLED_MS)).await;
+        tell(&fleet.routers[a], 11, 9);
+        let later = race(&fleet).await;
+        assert_eq!(later, drawn, "nobody moves while both regions pass the tests");
+        fleet.world.heal(&links);
+        // A confirmation is asked for anew with a request that comes later than the last was given up.
+        for _ in 0..4 {
+            race(&fleet).await;
+            sleep(Duration::from_millis(6_000)).await;
+        }
+        let settled = race(&fleet).await;
+        assert_eq!(settled[0], settled[1]);
+    });
+}
+
+/// Homes bind a stored entry: one outside of them is passed over for as long as it lives, and so is a draw.
+#[test]
+fn a_stored_region_outside_the_homes_is_not_used() {
+    Simulation::run(23, None, |world| async move {
+        let fleet = Fleet::start_still(world).await;
+        let n = RACERS[0];
+        tell(&fleet.routers[n], 2, 2);
+        let serving = fleet.routers[n].clone();
+        let look = async move {
+            for user in USERS {
+                let stored = |region: &str| Cached {
+                    region: region.into(),
+                    ver: 7,
+                    confirmed_at: serving.now(),
+                    until: serving.now() + TTL_MS,
+                };
+                let at = (UserKey(user), "chat".into());
+                lock(&serving.router.cache).insert(at.clone(), stored("west"));
+                let regions = |homes: &[&str]| serving.regions(&plan(user, homes), &|_| true);
+                assert_eq!(
+                    regions(&["north", "west"])[0],
+                    "west".into(),
+                    "the stored one, where it is a home"
+                );
+                assert_eq!(regions(&["north"]), ["north".into()], "user {user}");
+            }
+        };
+        fleet.world.host(ip(n)).spawn(look).await.expect("it runs");
+    });
+}
