--- a/crates/control-plane/tests/cluster/mod.rs
+++ b/crates/control-plane/tests/cluster/mod.rs
@@ -214,6 +214,14 @@
         c
     }
 
+    /// Starts one more node, blank, after the others: a spare.
+    pub async fn add_spare(&mut self) {
+        let (n, voters) = (self.at.len(), 3);
+        let host = self.world.host(ip(n));
+        let s = stand(settings(n, voters, false), voters, host.clone(), false);
+        self.at.push(host.spawn(s).await.unwrap());
+    }
+
     /// Virtual time goes on until it is so; a minute is far more than anything here may take.
     pub async fn until(&self, what: &str, so: impl Fn(&Self) -> bool) {
         let end = self.world.ms() + 60_000;
