Tests: one way to start routers, to look at one, and to schedule the model

Fleet::start repeated the loop of Fleet::start_still, and three places ran something at a router by its host's clock, each in its own way: start builds on start_still, and all go through Fleet::on; the two spans of a held report share one look. The model's run with six voters repeated how a start is given its schedule: `scheduled` serves both.

--- a/crates/control-plane/tests/model/main.rs
+++ b/crates/control-plane/tests/model/main.rs
@@ -62,6 +62,15 @@
     Ok(report)
 }
 
+/// A start from which only so many deviations from the ordinary schedule lead.
+fn scheduled(mut start: World, scenario: Scenario, deviations: u8) -> World {
+    let horizon = start.now + HORIZON * start.timing().election_timeout_ms();
+    let gone = (0..start.size).find(|machine| start.voter(*machine).is_none());
+    start.schedule = Some(Schedule::new(deviations, horizon, gone));
+    start.budget = scenario.budget_of_deviations();
+    start
+}
+
 /// All runs with so many deviations from the ordinary schedule.
 fn deviations(
     scenario: Scenario,
@@ -70,11 +79,7 @@
     most: usize,
     visit: impl FnMut(&World),
 ) -> Result<Report, Counterexample> {
-    let mut start = start_of(scenario, variant)?;
-    let horizon = start.now + HORIZON * start.timing().election_timeout_ms();
-    let gone = (0..world::VOTERS).find(|machine| start.voter(*machine).is_none());
-    start.schedule = Some(Schedule::new(deviations, horizon, gone));
-    start.budget = scenario.budget_of_deviations();
+    let start = scheduled(start_of(scenario, variant)?, scenario, deviations);
     let report = explore(&start, most, visit)?;
     println!("{scenario:?}, {deviations} deviations: {report}");
     Ok(report)
@@ -257,12 +262,7 @@
     const EVEN: usize = 6;
     let start = scenario.start_with(EVEN, None).unwrap_or_else(|what| panic!("{what}"));
     let free = holds(explore(&start, most_states(), |_| {}));
-    let mut scheduled = start;
-    let horizon = scheduled.now + HORIZON * scheduled.timing().election_timeout_ms();
-    let gone = (0..EVEN).find(|machine| scheduled.voter(*machine).is_none());
-    scheduled.schedule = Some(Schedule::new(1, horizon, gone));
-    scheduled.budget = scenario.budget_of_deviations();
-    let report = holds(explore(&scheduled, most_states(), |_| {}));
+    let report = holds(explore(&scheduled(start, scenario, 1), most_states(), |_| {}));
     println!("{scenario:?}, six voters: {free}; one deviation: {report}");
 }
 
--- a/crates/data-plane/tests/serving/fleet.rs
+++ b/crates/data-plane/tests/serving/fleet.rs
@@ -5,7 +5,7 @@
     stage::{Unread, Wire},
 };
 use common::{
-    Clock, Epoch, Incarnation, Region,
+    Clock, Epoch, Incarnation, Region, Tick,
     http::{self, text},
     runtime::{Simulation, bind, spawn},
     settings::{Settings, Timing},
@@ -18,7 +18,7 @@
 };
 use data_plane::{
     router::{Router, lock},
-    serving::{Serving, Site},
+    serving::{Serving, Site, replica_view::ReceivedReport},
 };
 use hyper::StatusCode;
 use std::{
@@ -95,17 +95,7 @@
 }
 
 /// A router whose lease is renewed by hand, since there is no control node; by its own clock.
-/// It reads no list and asks for no reports.
-async fn start_still(n: usize, renewed: Arc<AtomicBool>) -> Arc<Serving> {
-    start_in_epoch(n, Epoch(n as u64 + 1), renewed).await
-}
-
-async fn start(n: usize, renewed: Arc<AtomicBool>) -> Arc<Serving> {
-    let serving = start_still(n, renewed).await;
-    serving.watch_all();
-    serving
-}
-
+/// It reads no list and asks for no reports yet.
 async fn start_in_epoch(n: usize, epoch: Epoch, renewed: Arc<AtomicBool>) -> Arc<Serving> {
     let (set, clock) = (settings(n), Clock::default());
     let member = Member::new(set.clone(), info(n), clock.clone());
@@ -156,12 +146,10 @@
             http::serve(listener, Arc::default(), ended, handler).await;
             drop(end);
         });
-        let renewed = Arc::new(AtomicBool::new(true));
-        let mut routers = Vec::new();
+        let fleet = Self { listing, ..Self::start_still(world).await };
         for n in 0..REPORTED + SUBSCRIBED {
-            routers.push(world.host(ip(n)).spawn(start(n, renewed.clone())).await.expect("a router"));
+            fleet.on(n, Serving::watch_all).await;
         }
-        let fleet = Self { world, routers, renewed, listing };
         fleet.pass(SETTLED_MS, true).await;
         fleet
     }
@@ -171,7 +159,8 @@
         let renewed = Arc::new(AtomicBool::new(true));
         let mut routers = Vec::new();
         for n in 0..REPORTED + SUBSCRIBED {
-            routers.push(world.host(ip(n)).spawn(start_still(n, renewed.clone())).await.expect("a router"));
+            let router = start_in_epoch(n, Epoch(n as u64 + 1), renewed.clone());
+            routers.push(world.host(ip(n)).spawn(router).await.expect("a router"));
         }
         Self { world, routers, renewed, listing: Listing::default() }
     }
@@ -180,10 +169,8 @@
     pub async fn restart(&mut self, n: usize) {
         let renewed = self.renewed.clone();
         let router = start_in_epoch(n, Epoch(RESTARTED_EPOCH + n as u64), renewed);
-        let serving = self.world.host(ip(n)).spawn(router).await.expect("a router");
-        let watching = serving.clone();
-        self.world.host(ip(n)).spawn(async move { watching.watch_all() }).await.expect("it watches");
-        self.routers[n] = serving;
+        self.routers[n] = self.world.host(ip(n)).spawn(router).await.expect("a router");
+        self.on(n, Serving::watch_all).await;
     }
 
     pub fn lists(&self, rows: Option<&'static str>) {
@@ -257,28 +244,37 @@
         self.routers[n].fleet.load().of(&"chat".into()).len()
     }
 
-    /// What a router knows, by the clock of its own host.
+    /// What is done at a router, by the clock of its own host.
+    pub async fn on<T: Send + 'static>(
+        &self,
+        n: usize,
+        f: impl FnOnce(&Arc<Serving>) -> T + Send + 'static,
+    ) -> T {
+        let serving = self.routers[n].clone();
+        self.world.host(ip(n)).spawn(async move { f(&serving) }).await.expect("it runs")
+    }
+
+    /// What a router knows.
     pub async fn at<T: Send + 'static>(&self, n: usize, f: impl FnOnce(&Router) -> T + Send + 'static) -> T {
-        let router = self.routers[n].router.clone();
-        self.world.host(ip(n)).spawn(async move { f(&router) }).await.expect("it runs")
+        self.on(n, |serving| f(&serving.router)).await
+    }
+
+    /// Time since a moment of the report of zone `n1` that a router holds.
+    async fn since(&self, n: usize, moment: impl Fn(&ReceivedReport) -> Tick + Send + 'static) -> u64 {
+        self.on(n, move |serving| {
+            let reports = lock(&serving.reports);
+            reports.by_zone.get(&"n1".into()).map_or(u64::MAX, |held| serving.now().since(moment(held)))
+        })
+        .await
     }
 
     /// Time since a router had a new report.
     pub async fn silence_ms(&self, n: usize) -> u64 {
-        let serving = self.routers[n].clone();
-        let silence = async move {
-            let reports = lock(&serving.reports);
-            reports.by_zone.get(&"n1".into()).map_or(u64::MAX, |held| serving.now().since(held.received))
-        };
-        self.world.host(ip(n)).spawn(silence).await.expect("it runs")
+        self.since(n, |held| held.received).await
     }
 
+    /// How old the report is that a router holds.
     pub async fn report_age_ms(&self, n: usize) -> u64 {
-        let serving = self.routers[n].clone();
-        let age = async move {
-            let reports = lock(&serving.reports);
-            reports.by_zone.get(&"n1".into()).map_or(u64::MAX, |held| serving.now().since(held.at))
-        };
-        self.world.host(ip(n)).spawn(age).await.expect("it runs")
+        self.since(n, |held| held.at).await
     }
 }
--- a/crates/data-plane/tests/serving/placement.rs
+++ b/crates/data-plane/tests/serving/placement.rs
@@ -66,15 +66,14 @@
 
 /// The region to which each user's request would go first, at one router.
 async fn first_regions(fleet: &Fleet, n: usize) -> Vec<Region> {
-    let serving = fleet.routers[n].clone();
-    let choose = async move {
-        let choose = |user| {
+    let choose = |serving: &Arc<Serving>| {
+        let first = |user| {
             let regions = serving.regions(&plan(user, &["north", "west"]), &|_| true);
             regions.first().cloned().expect("two regions are home")
         };
-        USERS.map(choose).collect()
+        USERS.map(first).collect()
     };
-    fleet.world.host(ip(n)).spawn(choose).await.expect("it runs")
+    fleet.on(n, choose).await
 }
 
 async fn race(fleet: &Fleet) -> [Vec<Region>; 2] {
@@ -146,8 +145,7 @@
         let fleet = Fleet::start_still(world).await;
         let n = RACERS[0];
         tell(&fleet.routers[n], 2, 2);
-        let serving = fleet.routers[n].clone();
-        let look = async move {
+        let look = |serving: &Arc<Serving>| {
             for user in USERS {
                 let stored = |region: &str| Cached {
                     region: region.into(),
@@ -166,6 +164,6 @@
                 assert_eq!(regions(&["north"]), ["north".into()], "user {user}");
             }
         };
-        fleet.world.host(ip(n)).spawn(look).await.expect("it runs");
+        fleet.on(n, look).await;
     });
 }
