Tenants: a key names its tenant, stays here, and binds urgency and homes

What callers saw: on both duties deployments replicas ran requests with the client's key and without the tenant's name (UNASKED), requests ran under keys that no configuration holds (ROUTE), and keys that were taken away went on working (CONFIG). Cause: the list of tenants was a field that is kept and means nothing: nothing looked at a key. Change: tenants with keys, urgency and home regions are part of the route map; a request on a route that is not public is answered 401 unless one tenant holds its key; the key is taken out and the tenant's name put in, whatever the client sent; the tenant's urgency goes before the route's; homes of both bind; two tenants with one key make a document invalid.

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -14,9 +14,11 @@
 pub mod parser;
 pub mod routes;
 pub mod routing_table;
+pub mod tenants;
 
 pub use compile::compile;
 pub use diagnostic::Diagnostic;
 pub use fleet_check::check_fleet;
 pub use routes::{Backend, BatchEngine, DocumentFormat, RequestLimits, Route, RouteKind, RouteMap};
 pub use routing_table::{Entry, KeyPart, Kind, Policy, RoutingTable};
+pub use tenants::{ApiKey, SharedKey, TenantPolicy, Tenants, home_regions};
--- a/crates/configuration/src/routes.rs
+++ b/crates/configuration/src/routes.rs
@@ -1,7 +1,7 @@
 //! Routes by host and path prefix, and what a router needs to know of their services (design 4.8).
 //! A notation reads a document into this form: the product's own, or an adapter's.
 
-use crate::diagnostic::Diagnostic;
+use crate::{diagnostic::Diagnostic, tenants::Tenants};
 use common::{Region, Service};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -48,6 +48,8 @@
     pub max_event_gap_ms: Option<u64>,
     /// Regions that may serve it; all where empty.
     pub homes: BTreeSet<Region>,
+    /// Served to callers without an API key.
+    pub public: bool,
 }
 
 impl Route {
@@ -130,6 +132,8 @@
     pub backends: BTreeMap<Service, Arc<Backend>>,
     /// Limits on clients' connections and requests.
     pub limits: RequestLimits,
+    /// Tenants by key; `None` where the document has none, and then requests need no key.
+    pub tenants: Option<Tenants>,
 }
 
 impl RouteMap {
@@ -141,7 +145,12 @@
         }
         hosts.values_mut().for_each(|v| v.sort_by_key(|r| std::cmp::Reverse(r.prefix.len())));
         let backends = backends.into_iter().map(|b| (b.name.clone(), Arc::new(b))).collect();
-        Self { version, hosts, backends, limits }
+        Self { version, hosts, backends, limits, tenants: None }
+    }
+
+    /// The same map for these tenants.
+    pub fn with_tenants(self, tenants: Option<Tenants>) -> Self {
+        Self { tenants, ..self }
     }
 
     /// The route of that host with the longest prefix that begins the path.
--- /dev/null
+++ b/crates/configuration/tests/tenants.rs
@@ -0,0 +1,71 @@
+//! Tenants by key, and the regions that bind a request of a tenant on a route.
+
+use common::Region;
+use configuration::{ApiKey, Route, RouteKind, SharedKey, TenantPolicy, Tenants, home_regions};
+use rstest::rstest;
+use std::collections::BTreeSet;
+
+fn regions(names: &[&str]) -> BTreeSet<Region> {
+    names.iter().map(|name| Region::new(*name)).collect()
+}
+
+fn tenant(name: &str, homes: &[&str]) -> TenantPolicy {
+    TenantPolicy { name: name.into(), urgency: None, homes: regions(homes) }
+}
+
+fn route(homes: &[&str]) -> Route {
+    Route {
+        name: "talk".into(),
+        host: "example.org".into(),
+        prefix: "/talk/".into(),
+        kind: RouteKind::ReadOnly,
+        hold_ms: 1_000,
+        latency_target_ms: 1_000,
+        urgency: 3,
+        shares: vec![("chat".into(), 1)],
+        tries: 1,
+        affinity: false,
+        resumable: false,
+        max_event_gap_ms: None,
+        homes: regions(homes),
+        public: false,
+    }
+}
+
+fn keys<'a>(keys: &'a [&str]) -> impl Iterator<Item = ApiKey> + 'a {
+    keys.iter().map(ApiKey::new)
+}
+
+#[test]
+fn a_key_has_one_holder() {
+    let mut tenants = Tenants::default();
+    assert_eq!(tenants.add(tenant("a", &[]), keys(&["k1", "k2", "k1"])), Ok(()));
+    assert_eq!(tenants.add(tenant("b", &[]), keys(&["k3"])), Ok(()));
+    assert_eq!(tenants.add(tenant("c", &[]), keys(&["k2"])), Err(SharedKey { holder: "a".into() }));
+    let holder = |key| tenants.holder(key).map(|tenant| tenant.name.as_str());
+    assert_eq!([holder("k1"), holder("k2"), holder("k3")], [Some("a"), Some("a"), Some("b")]);
+    assert_eq!([holder("k"), holder("")], [None, None]);
+}
+
+#[test]
+fn a_key_is_never_shown() {
+    let mut tenants = Tenants::default();
+    tenants.add(tenant("a", &[]), keys(&["secret"])).unwrap();
+    assert!(!format!("{tenants:?}").contains("secret"));
+}
+
+#[rstest]
+#[case::neither(&[], &[], None)]
+#[case::of_the_route(&["n"], &[], Some(&["n"][..]))]
+#[case::of_the_tenant(&[], &["s"], Some(&["s"][..]))]
+#[case::both(&["n", "s"], &["s", "w"], Some(&["s"][..]))]
+#[case::nothing_in_common(&["n"], &["s"], Some(&[][..]))]
+fn homes_of_route_and_tenant_both_bind(
+    #[case] of_route: &[&str],
+    #[case] of_tenant: &[&str],
+    #[case] expected: Option<&[&str]>,
+) {
+    let homes = home_regions(&route(of_route), Some(&tenant("a", of_tenant)));
+    assert_eq!(homes, expected.map(regions));
+    assert_eq!(home_regions(&route(of_route), None), (!of_route.is_empty()).then(|| regions(of_route)));
+}
--- a/crates/data-plane/src/serving/attempt.rs
+++ b/crates/data-plane/src/serving/attempt.rs
@@ -85,7 +85,7 @@
         };
         set(&names.time_left, &left.to_string())?;
         set(&names.wanted, c.id.as_str())?;
-        set(&names.urgency, &p.route.urgency.to_string())?;
+        set(&names.urgency, &p.urgency().to_string())?;
         after.map_or(Ok(()), |id| set(&names.last_event, id))?;
         Ok(req)
     }
--- a/crates/data-plane/src/serving/gateway.rs
+++ b/crates/data-plane/src/serving/gateway.rs
@@ -1,6 +1,7 @@
 //! The clients' side (design 9.2): from the head to the answer.
 
 use super::{
+    authentication::{self, Unauthenticated},
     dispatch::retry_after_ms,
     plan::{Plan, deadline, user_key},
     prefill,
@@ -14,8 +15,13 @@
     log_event,
     runtime::Listener,
 };
-use configuration::Route;
-use hyper::{Request, Response, StatusCode, body::Incoming, http::request::Parts};
+use configuration::{Route, RouteMap, TenantPolicy, home_regions};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{HeaderValue, WWW_AUTHENTICATE},
+    http::request::Parts,
+};
 use std::{
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
@@ -29,7 +35,7 @@
 const SPENT_MS: u64 = 50;
 
 fn close(mut r: Res) -> Res {
-    r.headers_mut().insert("connection", hyper::header::HeaderValue::from_static("close"));
+    r.headers_mut().insert("connection", HeaderValue::from_static("close"));
     r
 }
 
@@ -110,6 +116,7 @@
         let Some(route) = self.route(&head) else {
             return self.refuse(StatusCode::NOT_FOUND, "no route");
         };
+        let tenant = self.authenticate(&map, &route, &head)?;
         let service = route.service(common::runtime::random()).cloned();
         let backend = service.as_ref().and_then(|service| map.backends.get(service).cloned());
         let (Some(service), Some(backend)) = (service, backend) else {
@@ -123,9 +130,12 @@
         let key = user_key(&route, &service, &prompt, &self.site.region);
         let mut headers = head.headers;
         strip(&mut headers);
+        self.name_tenant(&map, tenant.as_deref(), &mut headers);
         headers.remove("content-length");
         let request_id = headers.get(&self.dialect.names().request_id).cloned();
         Ok(Plan {
+            homes: home_regions(&route, tenant.as_deref()),
+            tenant,
             route,
             service,
             backend,
@@ -143,6 +153,21 @@
         })
     }
 
+    fn authenticate(
+        &self,
+        map: &RouteMap,
+        route: &Route,
+        head: &Parts,
+    ) -> Result<Option<Arc<TenantPolicy>>, Box<Res>> {
+        let names = self.dialect.names();
+        authentication::tenant(names, map, route, &head.headers).map_err(|Unauthenticated| {
+            let mut refused = self.refused(StatusCode::UNAUTHORIZED, "unknown key", None);
+            let scheme = HeaderValue::from_static(names.key_scheme);
+            refused.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+            Box::new(refused)
+        })
+    }
+
     /// How long the client says that it still waits, in milliseconds; 0 where it says nothing.
     fn announced_time_left(&self, head: &Parts) -> u64 {
         let value = head.headers.get(&self.dialect.names().time_left);
--- a/crates/data-plane/src/serving/mod.rs
+++ b/crates/data-plane/src/serving/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod attempt;
 pub mod attempt_state;
+pub mod authentication;
 pub mod connection;
 pub mod connection_reuse;
 pub mod daemon;
--- a/crates/data-plane/src/serving/plan.rs
+++ b/crates/data-plane/src/serving/plan.rs
@@ -7,12 +7,16 @@
 use crate::placement_table::UserKey;
 use bytes::Bytes;
 use common::{Region, Service, Tick, rendezvous::stable_hash};
-use configuration::{Backend, Route};
+use configuration::{Backend, Route, TenantPolicy};
 use hyper::{HeaderMap, Method, Uri};
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 pub struct Plan {
     pub route: Arc<Route>,
+    /// Who it belongs to, where the document has tenants.
+    pub tenant: Option<Arc<TenantPolicy>>,
+    /// Regions that may serve it, by the route and by the tenant; `None` stands for all.
+    pub homes: Option<BTreeSet<Region>>,
     pub service: Service,
     pub backend: Arc<Backend>,
     pub prompt: Prompt,
@@ -44,6 +48,17 @@
     pub fn idempotent(&self) -> bool {
         self.route.idempotent()
     }
+
+    /// Whether a region may serve it.
+    pub fn is_home(&self, region: &Region) -> bool {
+        self.homes.as_ref().is_none_or(|homes| homes.contains(region))
+    }
+
+    /// 0 comes first, 9 last.
+    pub fn urgency(&self) -> u8 {
+        let own = self.tenant.as_ref().and_then(|tenant| tenant.urgency);
+        own.unwrap_or(self.route.urgency)
+    }
 }
 
 /// Milliseconds that the caller waits, as it says; the route's hold bounds it.
--- a/crates/data-plane/src/serving/protocol.rs
+++ b/crates/data-plane/src/serving/protocol.rs
@@ -20,6 +20,10 @@
     pub not_run: HeaderName,
     pub last_event: HeaderName,
     pub load: HeaderName,
+    /// Names the tenant that a request belongs to.
+    pub tenant: HeaderName,
+    /// The scheme under which a request carries its API key.
+    pub key_scheme: &'static str,
     pub ready_path: &'static str,
     pub lookup_path: &'static str,
     pub report_path: &'static str,
--- a/crates/data-plane/src/serving/region_choice.rs
+++ b/crates/data-plane/src/serving/region_choice.rs
@@ -40,8 +40,7 @@
 
     /// Regions in the order in which they should be tried; none outside the homes.
     pub fn regions(self: &Arc<Self>, p: &Plan, usable: &dyn Fn(&Candidate) -> bool) -> Vec<Region> {
-        let homes = &p.route.homes;
-        let home = |r: &Region| homes.is_empty() || homes.contains(r);
+        let home = |r: &Region| p.is_home(r);
         let fleet = self.fleet.load();
         let mut seen = fleet.regions(&p.service, usable);
         seen.retain(|r, _| home(r));
--- a/crates/data-plane/src/serving/replica_selection.rs
+++ b/crates/data-plane/src/serving/replica_selection.rs
@@ -82,8 +82,7 @@
     }
 
     fn is_at_home(&self, replica: &Candidate) -> bool {
-        let homes = &self.plan.route.homes;
-        homes.is_empty() || homes.contains(&replica.region)
+        self.plan.is_home(&replica.region)
     }
 
     fn context<'c>(&'c self, reading: &'c Reading) -> ChoiceContext<'c> {
--- a/crates/data-plane/tests/serving/kit.rs
+++ b/crates/data-plane/tests/serving/kit.rs
@@ -112,6 +112,7 @@
         resumable: false,
         max_event_gap_ms: None,
         homes: Default::default(),
+        public: false,
     }
 }
 
@@ -126,6 +127,8 @@
         not_run: h("x-not-run"),
         last_event: h("x-last-event"),
         load: h("x-load"),
+        tenant: h("x-tenant"),
+        key_scheme: "Token",
         ready_path: "/ready",
         lookup_path: "/lookup",
         report_path: "/report",
--- a/crates/data-plane/tests/serving/main.rs
+++ b/crates/data-plane/tests/serving/main.rs
@@ -1,6 +1,7 @@
 //! One binary for serving by routes: its pure rooms, then the way of a request in a world in memory.
 
 mod attempt_state;
+mod authentication;
 mod carried;
 mod connection;
 mod fleet;
--- a/crates/data-plane/tests/serving/placement.rs
+++ b/crates/data-plane/tests/serving/placement.rs
@@ -5,7 +5,7 @@
     kit::{board, prompt, route, row},
 };
 use common::{Region, Tick, Zone, runtime::Simulation};
-use configuration::{Backend, Route, RouteKind};
+use configuration::{Backend, Route, RouteKind, home_regions};
 use data_plane::{
     placement_table::UserKey,
     router::{Cached, lock},
@@ -30,8 +30,11 @@
 /// A user's request that arrives in the south, on a route with these homes.
 fn plan(user: u64, homes: &[&str]) -> Plan {
     let homes = homes.iter().map(|home| Region::new(*home)).collect();
+    let route = Route { affinity: true, homes, ..route("talk", RouteKind::ReadOnly) };
     Plan {
-        route: Arc::new(Route { affinity: true, homes, ..route("talk", RouteKind::ReadOnly) }),
+        homes: home_regions(&route, None),
+        tenant: None,
+        route: Arc::new(route),
         service: "chat".into(),
         backend: Arc::new(Backend {
             name: "chat".into(),
