--- a/crates/data-plane/src/serving/authentication.rs
+++ b/crates/data-plane/src/serving/authentication.rs
@@ -1,4 +1,4 @@
-//! Who a request belongs to (design 9.10): its API key names the tenant. The key stays here; replicas are told the
+//! Who a request belongs to (design 9.9): its API key names the tenant. The key stays here; replicas are told the
 //! tenant's name, whatever the client called itself.
 
 use super::{protocol::HeaderNames, state::Serving};
