Serving by routes passes on headers that begin with foldshunt-

Cause: headers that the product's own routers set for each other were taken out on both ways, and a platform's routers set none. Change: serving by routes takes out what speaks of one connection only. Evidence: a_clients_header_that_begins_like_the_products_own_goes_along failed before.

--- a/crates/data-plane/src/attempt.rs
+++ b/crates/data-plane/src/attempt.rs
@@ -47,7 +47,8 @@
     "expect",
 ];
 
-pub fn strip(h: &mut HeaderMap) {
+/// Takes out what speaks of one connection only.
+pub fn strip_hop_by_hop(h: &mut HeaderMap) {
     let named: Vec<HeaderName> = h
         .get_all("connection")
         .iter()
@@ -57,6 +58,11 @@
         .collect();
     named.iter().for_each(|n| drop(h.remove(n)));
     HOP_BY_HOP.iter().for_each(|n| drop(h.remove(*n)));
+}
+
+/// The same, and what routers set for each other.
+pub fn strip(h: &mut HeaderMap) {
+    strip_hop_by_hop(h);
     let own: Vec<HeaderName> = h.keys().filter(|k| k.as_str().starts_with("foldshunt-")).cloned().collect();
     own.iter().for_each(|n| drop(h.remove(n)));
 }
--- a/crates/data-plane/src/serving/attempt.rs
+++ b/crates/data-plane/src/serving/attempt.rs
@@ -9,7 +9,7 @@
     replica_view::Candidate,
     state::Serving,
 };
-use crate::{attempt::strip, response_body::ends_surely, router::lock};
+use crate::{attempt::strip_hop_by_hop, response_body::ends_surely, router::lock};
 use common::{PeerError, error::AtPeer, http::full};
 use hyper::{Request, header::HeaderValue};
 use std::{
@@ -167,7 +167,7 @@
         match attempt_state::check_answer(p.asked(), &self.answer_head(p, &answer)) {
             AnswerCheck::Answer => {
                 c.own.note_contact(self.now());
-                strip(&mut answer.head.headers);
+                strip_hop_by_hop(&mut answer.head.headers);
                 Outcome::Answer(answer)
             }
             AnswerCheck::Declined => {
--- a/crates/data-plane/src/serving/gateway.rs
+++ b/crates/data-plane/src/serving/gateway.rs
@@ -7,7 +7,7 @@
     prefill,
     state::Serving,
 };
-use crate::{attempt::strip, router::lock};
+use crate::{attempt::strip_hop_by_hop, router::lock};
 use bytes::Bytes;
 use common::{
     Tick,
@@ -129,7 +129,7 @@
         let prefixes = if long { prefill::prefixes(&prompt) } else { Vec::new() };
         let key = user_key(&route, &service, &prompt, &self.site.region);
         let mut headers = head.headers;
-        strip(&mut headers);
+        strip_hop_by_hop(&mut headers);
         self.name_tenant(&map, tenant.as_deref(), &mut headers);
         headers.remove("content-length");
         let request_id = headers.get(&self.dialect.names().request_id).cloned();
