Usage reports: one holder counts each window, copies its counts, and reports them

The platform's duty usage_report was not met: every window counted as missed. A router that holds the singleton role usage asks all routers what began to run in a window of the true time of day, fixes the counts once, hands them to other routers, and repeats them until the platform has taken them. Where a former holder may have reported a window, it is sent only as that one decided it, or not at all.

--- a/crates/common/src/clock.rs
+++ b/crates/common/src/clock.rs
@@ -84,3 +84,9 @@
 pub fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_millis() as u64
 }
+
+/// Wall time in milliseconds as this machine sees it: it may jump, and machines disagree on it. Only for what outsiders
+/// measure by the time of day; under a simulation it is the virtual one.
+pub fn time_of_day_ms() -> u64 {
+    crate::runtime::virtual_time_of_day_ms().unwrap_or_else(wall_ms)
+}
--- a/crates/common/src/runtime/host.rs
+++ b/crates/common/src/runtime/host.rs
@@ -27,6 +27,8 @@
 struct Inner {
     frozen: bool,
     powered_off: bool,
+    /// By how much its time of day is wrong.
+    clock_step_ms: i64,
     parked: Vec<Waker>,
     tasks: Vec<AbortHandle>,
     /// Tasks left after the last sweep of finished ones.
@@ -71,6 +73,15 @@
         t
     }
 
+    /// Its time of day is wrong by so much from now on; its monotonic clock is not touched.
+    pub fn step_clock(&self, ms: i64) {
+        lock(&self.inner).clock_step_ms = ms;
+    }
+
+    pub(super) fn clock_step_ms(&self) -> i64 {
+        lock(&self.inner).clock_step_ms
+    }
+
     /// Its tasks stand still until it thaws.
     pub fn freeze(&self) {
         lock(&self.inner).frozen = true;
--- a/crates/common/src/runtime/mod.rs
+++ b/crates/common/src/runtime/mod.rs
@@ -35,6 +35,12 @@
     simulation().map(|simulation| simulation.ms() + host::current().map_or(0, |host| host.offset_ms()))
 }
 
+/// The time of day of a simulation, as the host that asks sees it.
+pub(crate) fn virtual_time_of_day_ms() -> Option<u64> {
+    let step_ms = host::current().map_or(0, |host| host.clock_step_ms());
+    simulation().map(|simulation| simulation.time_of_day_ms().saturating_add_signed(step_ms))
+}
+
 /// A random value: the machine's own, or the simulation's next one.
 pub fn random<T>() -> T
 where
--- a/crates/common/src/runtime/simulation.rs
+++ b/crates/common/src/runtime/simulation.rs
@@ -36,6 +36,9 @@
     }
 }
 
+/// True time of day when a simulation begins, in milliseconds since 1970.
+const TIME_OF_DAY_AT_START_MS: u64 = 1_800_000_000_000;
+
 /// A simulated network with its hosts.
 pub struct Simulation {
     began: Instant,
@@ -98,6 +101,11 @@
         self.began.elapsed().as_millis() as u64
     }
 
+    /// The true time of day, in milliseconds since 1970.
+    pub fn time_of_day_ms(&self) -> u64 {
+        TIME_OF_DAY_AT_START_MS + self.ms()
+    }
+
     /// The random numbers of this seed.
     pub fn rng(&self) -> MutexGuard<'_, SmallRng> {
         lock(&self.rng)
--- a/crates/data-plane/src/counters.rs
+++ b/crates/data-plane/src/counters.rs
@@ -51,6 +51,10 @@
     pub grants: RenamedCounter,
     /// Age of what is known of a zone's list of replicas, in milliseconds.
     pub replica_list_age: IntGaugeVec,
+    /// Calls that report usage, by what became of them.
+    pub usage_reports: IntCounterVec,
+    /// Windows that this node reported no usage of while it held the duty, by reason.
+    pub usage_windows_skipped: IntCounterVec,
     /// Named states of the router.
     pub state: IntGaugeVec,
 }
@@ -82,6 +86,16 @@
                 "Milliseconds since the list of a zone's replicas was read that this router goes by",
                 &["zone"],
             ),
+            usage_reports: metrics.counter(
+                "usage_reports_total",
+                "Calls that report usage, by what became of them",
+                &["outcome"],
+            ),
+            usage_windows_skipped: metrics.counter(
+                "usage_windows_skipped_total",
+                "Windows that the holder of the duty reported no usage of, by reason",
+                &["reason"],
+            ),
             state: metrics.gauge("state", "1 or a count for each named state", &["what"]),
             metrics,
         }
--- a/crates/data-plane/src/router.rs
+++ b/crates/data-plane/src/router.rs
@@ -9,7 +9,7 @@
     request_queue::RequestQueue,
     retry_budget::Budget,
     rpc::{RouterRequest, RouterResponse},
-    serving::{prefill::Reading, report_publication::HeldReport},
+    serving::{prefill::Reading, report_publication::HeldReport, usage::UsageRecord},
     summary::{Event, EventKind, KEEP, Summary},
 };
 use arc_swap::ArcSwapOption;
@@ -73,6 +73,7 @@
     /// Reports of zones as this node was told them, for routers of its own zone.
     pub relayed: Mutex<BTreeMap<Zone, watch::Sender<HeldReport>>>,
     pub reading: Mutex<Reading>,
+    pub usage: UsageRecord,
     pub counters: Counters,
     pub event_log: EventLog<Event, Summary>,
     pub draining: AtomicBool,
@@ -110,6 +111,7 @@
             publications: Mutex::default(),
             relayed: Mutex::default(),
             reading: Mutex::default(),
+            usage: UsageRecord::default(),
             counters: Counters::default(),
             event_log: EventLog::new(Summary::default(), KEEP),
             draining: AtomicBool::new(false),
--- a/crates/data-plane/src/rpc.rs
+++ b/crates/data-plane/src/rpc.rs
@@ -4,7 +4,11 @@
     capacity_grant::{CapacityGrant, GrantUse},
     load::LoadReport,
     placement_table::{PlacementOutcome, PlacementRow, UserKey},
-    serving::{prefill::PromptSent, replica_report::ReplicaReport},
+    serving::{
+        prefill::PromptSent,
+        replica_report::ReplicaReport,
+        usage::{UsageAnswer, UsageQuestion},
+    },
 };
 use common::{FencingToken, Incarnation, Index, NodeId, Region, Service, Zone};
 use control_plane::state_machine::state_update::StateUpdate;
@@ -130,6 +134,8 @@
         /// Longest wait in milliseconds.
         wait_ms: u64,
     },
+    /// From the holder of the duty to report usage.
+    Usage(UsageQuestion),
 }
 
 /// A router's answer.
@@ -170,6 +176,8 @@
     /// Not done, for a named reason.
     #[serde(rename = "Bounced")]
     Rejected(String),
+    /// To the holder of the duty to report usage.
+    Usage(UsageAnswer),
 }
 
 impl tarpc::RequestName for RouterRequest {
@@ -187,6 +195,7 @@
             RouterRequest::AnnouncePrompt { .. } => "router.announce-prompt",
             RouterRequest::WatchReplicas { .. } => "router.watch-replicas",
             RouterRequest::RelayReplicas { .. } => "router.relay-replicas",
+            RouterRequest::Usage(_) => "router.usage",
         }
     }
 }
--- a/crates/data-plane/src/rpc_service.rs
+++ b/crates/data-plane/src/rpc_service.rs
@@ -79,6 +79,7 @@
                 let report = self.wait_for_relayed_report(zone, last, wait_ms).await;
                 RouterResponse::ReplicaReport(report.map(Box::new))
             }
+            RouterRequest::Usage(question) => RouterResponse::Usage(self.usage.answer(question, self.now())),
             RouterRequest::RedeemGrant { spent } => match self.redeem_here(&spent) {
                 Ok(()) => RouterResponse::Done,
                 Err(why) => self.no("redeem grant", &node, why.into()),
--- a/crates/data-plane/src/serving/daemon.rs
+++ b/crates/data-plane/src/serving/daemon.rs
@@ -44,6 +44,7 @@
     router.start_serving(&set, listeners.rpc);
     spawn(s.clone().keep_configuration());
     s.watch_all();
+    s.keep_usage_reported();
     let (stop_listening, stopped) = watch::channel(false);
     let (end, ended) = watch::channel(false);
     for at in extra {
--- a/crates/data-plane/src/serving/mod.rs
+++ b/crates/data-plane/src/serving/mod.rs
@@ -32,6 +32,10 @@
 pub mod state;
 pub mod stream_relay;
 pub mod sync_stream;
+pub mod usage;
 
-pub use protocol::{EngineReport, HeaderNames, ListPage, ListedReplica, Lookup, Prompt, ProtocolAdapter};
+pub use protocol::{
+    DutyCall, EngineReport, HeaderNames, ListPage, ListedReplica, Lookup, Prompt, ProtocolAdapter,
+};
 pub use state::{Bounds, Serving, Site};
+pub use usage::{UsageDuty, UsageReport};
--- a/crates/data-plane/src/serving/protocol.rs
+++ b/crates/data-plane/src/serving/protocol.rs
@@ -1,7 +1,8 @@
 //! What an adapter tells the data plane: the names that stand on the wire and the shapes behind
 //! them (design 9.1). Owns no state and decides nothing.
 
-use common::{ReplicaId, Service, Zone};
+use super::usage::UsageReport;
+use common::{FencingToken, ReplicaId, Service, Zone};
 use hyper::{HeaderMap, header::HeaderName};
 use std::net::SocketAddr;
 
@@ -81,6 +82,14 @@
     pub zone: String,
 }
 
+/// A call to the platform that is the duty of one node at a time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DutyCall {
+    pub path: &'static str,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: String,
+}
+
 pub trait ProtocolAdapter: Send + Sync + 'static {
     fn names(&self) -> &HeaderNames;
     fn report(&self, body: &[u8]) -> Option<EngineReport>;
@@ -91,4 +100,6 @@
     fn lookup(&self, query: &str) -> Lookup;
     /// The directory's answer, as JSON.
     fn places(&self, addrs: &[SocketAddr], keep_ms: u64) -> String;
+    /// The call that reports a window's usage; the same bytes for the same arguments.
+    fn usage_report(&self, holder: &str, fencing_token: FencingToken, report: &UsageReport) -> DutyCall;
 }
--- a/crates/data-plane/src/serving/state.rs
+++ b/crates/data-plane/src/serving/state.rs
@@ -7,10 +7,11 @@
     protocol::ProtocolAdapter,
     replica_view::{Candidate, ReplicaView, ReportStore},
     retry_budget::RetryBudget,
+    usage::UsageDuty,
 };
 use crate::router::{Router, lock};
 use arc_swap::{ArcSwap, ArcSwapOption};
-use common::{NodeId, Region, Service, Tick, Zone, log_event};
+use common::{NodeId, Region, Service, Tenant, Tick, Zone, log_event};
 use configuration::{Backend, DocumentFormat, RouteMap};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -51,6 +52,8 @@
     pub list_per_s: f64,
     pub list_lag_ms: u64,
     pub bounds: Bounds,
+    /// The duty to report usage, where the platform gives it.
+    pub usage: Option<UsageDuty>,
 }
 
 pub struct Serving {
@@ -80,6 +83,9 @@
         site: Site,
     ) -> Arc<Self> {
         let retries = RetryBudget::started(router.now());
+        if let Some(duty) = &site.usage {
+            lock(&router.usage.starts).keep_for(duty.kept_ms());
+        }
         Arc::new(Self {
             router,
             dialect,
@@ -97,6 +103,11 @@
         })
     }
 
+    /// A request of a tenant began to run at a replica at that time (design 9.10).
+    pub fn note_start(&self, tenant: &Tenant, at: Tick) {
+        lock(&self.router.usage.starts).note(tenant, at, self.now());
+    }
+
     pub fn now(&self) -> Tick {
         self.router.now()
     }
--- /dev/null
+++ b/crates/data-plane/src/serving/usage/call.rs
@@ -0,0 +1,67 @@
+//! One call that reports usage to the platform.
+
+use super::{
+    holder::UsageHolder,
+    pacing::{Call, CallEnd},
+};
+use crate::router::lock;
+use common::{
+    PeerError,
+    error::{AtPeer, within},
+    http::{full, open},
+};
+use http_body_util::{BodyExt, Limited};
+use hyper::{Method, Request, StatusCode};
+
+const STEP: &str = "report usage";
+/// Longest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 1 << 16;
+
+/// What a status says of a report.
+pub fn call_end(status: StatusCode) -> CallEnd {
+    match status {
+        StatusCode::CONFLICT => CallEnd::Superseded,
+        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS => CallEnd::Unknown,
+        status if status.is_success() => CallEnd::Accepted,
+        status if status.is_client_error() => CallEnd::Refused,
+        _ => CallEnd::Unknown,
+    }
+}
+
+impl UsageHolder {
+    /// Makes the call; `None` where nothing was sent since the duty has passed to another node.
+    pub(super) async fn report(&self, call: &Call) -> Option<Result<StatusCode, PeerError>> {
+        let ms = lock(&self.plan).spans.call;
+        let sent = self.send(call);
+        within(ms, STEP, self.duty.address, async { Ok(sent.await) }).await.unwrap_or_else(|e| Some(Err(e)))
+    }
+
+    async fn send(&self, call: &Call) -> Option<Result<StatusCode, PeerError>> {
+        let (to, router) = (self.duty.address, &self.serving.router);
+        let made = self.serving.dialect.usage_report(&self.duty.holder, call.fencing_token, &call.report);
+        let request = Request::builder().method(Method::POST).uri(made.path).header("host", to.to_string());
+        let request =
+            made.headers.iter().fold(request, |request, (name, value)| request.header(*name, value));
+        let request = match request.body(full(made.body)).at_peer(STEP, to) {
+            Ok(request) => request,
+            Err(error) => return Some(Err(error)),
+        };
+        let ms = lock(&self.plan).spans.call;
+        let mut connection = match open(router.set.rpc_addr.ip(), to, ms).await {
+            Ok(connection) => connection,
+            Err(error) => return Some(Err(error)),
+        };
+        // Opening it took a while: the duty may have passed on.
+        if !lock(&self.plan).may_send(call, self.held(), router.now()) {
+            return None;
+        }
+        let answer = match connection.send_request(request).await.at_peer(STEP, to) {
+            Ok(answer) => answer,
+            Err(error) => return Some(Err(error)),
+        };
+        let status = answer.status();
+        // Its body says nothing more; it is read so that the connection ends in good order.
+        let _ = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
+        Some(Ok(status))
+    }
+}
--- /dev/null
+++ b/crates/data-plane/src/serving/usage/mod.rs
@@ -0,0 +1,56 @@
+//! Reports of usage (design 9.10): one router at a time tells the platform, for each window of the time of day, how many
+//! requests of each tenant began to run in it. For one window the platform must never be told two different counts.
+//!
+//! - [`recorder`]: what each router saw begin, by its own monotonic clock.
+//! - [`clock`]: the time of day as most routers see it.
+//! - [`decisions`]: counts that a holder has fixed, as other routers keep them.
+//! - [`tenure`], [`plan`], [`pacing`]: who may act, what is to be done for each window, and when; pure.
+//! - [`holder`], [`survey`], [`call`]: the tasks of the holder.
+
+pub mod answers;
+pub mod call;
+pub mod clock;
+pub mod decisions;
+pub mod holder;
+pub mod pacing;
+pub mod plan;
+pub mod recorder;
+pub mod survey;
+pub mod tenure;
+
+pub use answers::{UsageAnswer, UsageQuestion, UsageRecord};
+pub use decisions::UsageReport;
+
+use std::net::SocketAddr;
+
+/// The duty as the platform gives it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UsageDuty {
+    /// Where the platform takes reports.
+    pub address: SocketAddr,
+    /// The name under which this node holds the duty.
+    pub holder: String,
+    /// Length of a window.
+    pub window_ms: u64,
+    /// Time from a window's end until its report is due.
+    pub delay_ms: u64,
+    /// A holder must not act so soon after it acted before, if another one acted in between.
+    pub return_ms: u64,
+    /// Calls for duties a second, of all nodes together.
+    pub calls_per_s: f64,
+    /// Machines that may be lost at once.
+    pub losses: usize,
+}
+
+impl UsageDuty {
+    /// For how long a router remembers what began: until its window's report is due, and one window more.
+    pub fn kept_ms(&self) -> u64 {
+        2 * self.window_ms + self.delay_ms
+    }
+
+    /// Routers that keep a decision beside the holder.
+    pub fn copies(&self) -> usize {
+        const LEAST_COPIES: usize = 2;
+        self.losses.max(LEAST_COPIES)
+    }
+}
--- a/crates/data-plane/tests/serving/fleet.rs
+++ b/crates/data-plane/tests/serving/fleet.rs
@@ -83,6 +83,7 @@
         list_per_s: 100.0,
         list_lag_ms: 0,
         bounds: bounds(),
+        usage: None,
     }
 }
 
--- a/crates/data-plane/tests/serving/main.rs
+++ b/crates/data-plane/tests/serving/main.rs
@@ -23,3 +23,7 @@
 mod source_backoff;
 mod stage;
 mod stream_relay;
+mod usage;
+mod usage_faults;
+mod usage_platform;
+mod usage_world;
--- a/crates/data-plane/tests/serving/stage.rs
+++ b/crates/data-plane/tests/serving/stage.rs
@@ -6,7 +6,7 @@
     replica_list,
 };
 use common::{
-    Clock, Epoch, Incarnation, Region, Zone,
+    Clock, Epoch, FencingToken, Incarnation, Region, Zone,
     http::{self, Body, full},
     runtime::{Listener, Simulation, Stream, bind, dial, spawn, spawn_at},
     settings::{Settings, Timing},
@@ -18,8 +18,8 @@
 use data_plane::{
     router::{Router, lock},
     serving::{
-        Bounds, EngineReport, HeaderNames, ListPage, Lookup, Prompt, ProtocolAdapter, Serving, Site,
-        replica_report::ReplicaRow, retry_budget::BudgetShare,
+        Bounds, DutyCall, EngineReport, HeaderNames, ListPage, Lookup, Prompt, ProtocolAdapter, Serving,
+        Site, UsageReport, replica_report::ReplicaRow, retry_budget::BudgetShare,
     },
 };
 use futures::StreamExt;
@@ -132,6 +132,14 @@
     fn places(&self, _: &[SocketAddr], _: u64) -> String {
         String::new()
     }
+    fn usage_report(&self, holder: &str, fencing_token: FencingToken, report: &UsageReport) -> DutyCall {
+        let counts: Vec<String> = report.counts.iter().map(|(t, n)| format!("{t}={n}")).collect();
+        DutyCall {
+            path: "/usage",
+            headers: vec![("x-holder", holder.to_string()), ("x-fence", fencing_token.to_string())],
+            body: format!("{} {}", report.window, counts.join(" ")),
+        }
+    }
 }
 
 pub struct Unread;
@@ -372,6 +380,7 @@
             list_lag_ms: 0,
             // Reports are made by hand, once: they stay as good as new.
             bounds: Bounds { drain_ms: 3_600_000, ..bounds() },
+            usage: None,
         };
         let (router, wire) = (Router::new(set, member, clock), Arc::new(Wire(names())));
         let s = Serving::new(router, wire, Arc::new(Unread), site);
--- /dev/null
+++ b/crates/data-plane/tests/serving/usage.rs
@@ -0,0 +1,1 @@
+//! The pure parts of the reports of usage.
--- /dev/null
+++ b/crates/data-plane/tests/serving/usage_world.rs
@@ -0,0 +1,275 @@
+//! Routers that hold the duty to report usage in turn, in a world in memory: a stand-in for the control nodes that counts
+//! leases as their leader does, and one for the platform that judges what it is told.
+
+use crate::{
+    kit::{bounds, names, zones},
+    stage::{Unread, Wire},
+    usage_platform::{PLATFORM, Platform},
+};
+use common::{
+    Clock, Epoch, Incarnation, Index, Region, Tenant, Tick,
+    clock::time_of_day_ms,
+    runtime::{Simulation, bind, random, spawn},
+    settings::{Settings, Timing},
+};
+use control_plane::{
+    Change, ClusterState, Role,
+    membership::{Leases, Member, Renewal},
+    state_machine::{singleton::holder_of, state_update::StateUpdate},
+    types::NodeInfo,
+};
+use data_plane::{
+    router::{Router, lock},
+    serving::{Serving, Site, UsageDuty},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::time::sleep;
+
+/// Two in each of three zones.
+pub const ROUTERS: usize = 6;
+pub const WINDOW_MS: u64 = 5_000;
+const ZONES: [&str; 3] = ["n1", "n2", "s1"];
+/// Longest way of a renewal or of its answer.
+const WAY_MS: u64 = 40;
+/// Longest way of a new state.
+const STATE_WAY_MS: u64 = 400;
+/// Longest pause between two starts at a router.
+const START_PAUSE_MS: u64 = 30;
+
+pub fn ip(n: usize) -> IpAddr {
+    IpAddr::from([10, 0, 8, n as u8 + 1])
+}
+
+/// In the proportions of the users' platform.
+pub fn timing() -> Timing {
+    Timing { lease_ms: 1_200, rpc_timeout_ms: 500, ..Timing::default() }
+}
+
+pub fn duty(n: usize) -> UsageDuty {
+    UsageDuty {
+        address: PLATFORM.into(),
+        holder: format!("m{n}"),
+        window_ms: WINDOW_MS,
+        delay_ms: 10_000,
+        return_ms: 3_000,
+        calls_per_s: 50.0,
+        losses: 2,
+    }
+}
+
+fn settings(n: usize) -> Settings {
+    Settings {
+        cluster: "line".into(),
+        node: format!("p{n}"),
+        zone: ZONES[n % 3].into(),
+        rpc_addr: SocketAddr::new(ip(n), 1),
+        http: SocketAddr::new(ip(n), 80),
+        rpc_advertise: None,
+        http_advertise: None,
+        seeds: vec![],
+        may_bootstrap: true,
+        data: None,
+        timing: timing(),
+        log: "error".into(),
+    }
+}
+
+fn site(n: usize) -> Site {
+    Site {
+        region: Region::new("north"),
+        zones: zones(),
+        readiness: None,
+        directory: None,
+        list: PLATFORM.into(),
+        list_per_s: 100.0,
+        list_lag_ms: 0,
+        bounds: bounds(),
+        usage: Some(duty(n)),
+    }
+}
+
+/// What the control nodes hold together.
+struct Core {
+    state: ClusterState,
+    leases: Leases,
+    /// Routers that don't reach it.
+    cut: BTreeSet<usize>,
+}
+
+/// Which window of the time of day, and which tenant.
+type Truth = BTreeMap<u64, BTreeMap<Tenant, u64>>;
+
+pub struct World {
+    pub simulation: Arc<Simulation>,
+    pub platform: Arc<Platform>,
+    core: Arc<Mutex<Core>>,
+    truth: Arc<Mutex<Truth>>,
+    starts: u64,
+}
+
+impl World {
+    pub async fn start(simulation: Arc<Simulation>) -> Self {
+        let state = ClusterState::bootstrapped("line", vec![]);
+        let core = Core { state, leases: Leases::new_leader(Tick(0)), cut: BTreeSet::new() };
+        let platform = Platform::start(&simulation).await;
+        let (core, truth) = (Arc::new(Mutex::new(core)), Arc::default());
+        spawn(keep_leases(simulation.clone(), core.clone()));
+        let mut world = Self { simulation, platform, core, truth, starts: 0 };
+        for n in 0..ROUTERS {
+            world.start_router(n);
+        }
+        world
+    }
+
+    /// A process starts, and begins to take requests.
+    pub fn start_router(&mut self, n: usize) {
+        self.starts += 1;
+        let (core, truth) = (self.core.clone(), self.truth.clone());
+        let process = run_router(n, Incarnation(self.starts), self.simulation.clone(), core, truth);
+        self.simulation.host(ip(n)).spawn(process);
+    }
+
+    pub fn kill(&self, n: usize) {
+        self.simulation.host(ip(n)).kill();
+    }
+
+    /// Whom the control nodes hold for the holder now.
+    pub fn holder(&self) -> Option<usize> {
+        let core = lock(&self.core);
+        let role = holder_of(&core.state, "usage", None)?;
+        (0..ROUTERS).find(|n| ip(*n) == role.holder.info.rpc_addr.ip())
+    }
+
+    /// Whether a router reaches the control nodes from now on.
+    pub fn cut_from_core(&self, n: usize, cut: bool) {
+        let mut core = lock(&self.core);
+        if cut {
+            core.cut.insert(n)
+        } else {
+            core.cut.remove(&n)
+        };
+    }
+
+    /// Cuts what a router sends to the others, or what they send to it.
+    pub fn cut_from_others(&self, n: usize, outwards: bool) -> BTreeSet<(IpAddr, IpAddr)> {
+        let others = (0..ROUTERS).filter(|other| *other != n).map(ip);
+        let links: BTreeSet<_> =
+            others.map(|other| if outwards { (ip(n), other) } else { (other, ip(n)) }).collect();
+        self.simulation.partition(links.clone());
+        links
+    }
+
+    /// The newest window that has ended.
+    pub fn newest_ended(&self) -> u64 {
+        time_of_day_ms() / WINDOW_MS - 1
+    }
+
+    /// Whether the platform was told of a window in time, each tenant within a part of the truth.
+    pub fn reported_well(&self, window: u64, error: f64) -> bool {
+        let (truth, told) = (lock(&self.truth), self.platform.accepted(window));
+        let Some((told, at)) = told else { return false };
+        let true_counts = truth.get(&window).cloned().unwrap_or_default();
+        let tenants: BTreeSet<&Tenant> = true_counts.keys().chain(told.keys()).collect();
+        let off = |tenant: &&Tenant| {
+            let (was, said) = (true_counts.get(*tenant).copied(), told.get(*tenant).copied());
+            let was = was.unwrap_or(0) as f64;
+            (said.unwrap_or(0) as f64 - was).abs() > (was * error).max(2.0)
+        };
+        at <= (window + 1) * WINDOW_MS + duty(0).delay_ms && !tenants.iter().any(off)
+    }
+}
+
+/// The leader's side of the leases.
+async fn keep_leases(simulation: Arc<Simulation>, core: Arc<Mutex<Core>>) {
+    loop {
+        sleep(Duration::from_millis(100)).await;
+        let mut core = lock(&core);
+        let Core { state, leases, .. } = &mut *core;
+        for change in leases.expired_members(state, &timing(), Tick(simulation.ms())) {
+            let _ = state.apply(state.index.next(), &change);
+        }
+    }
+}
+
+fn renewal(core: &Mutex<Core>, n: usize, info: &NodeInfo, now: Tick) -> Option<(Epoch, Index)> {
+    let mut core = lock(core);
+    if core.cut.contains(&n) {
+        return None;
+    }
+    let Core { state, leases, .. } = &mut *core;
+    match leases.renew(state, &timing(), info, now) {
+        Renewal::Extended(epoch) => Some((epoch, state.index)),
+        Renewal::Pending(change) => {
+            change.map(|change: Change| state.apply(state.index.next(), &change));
+            None
+        }
+    }
+}
+
+async fn way(most_ms: u64) {
+    sleep(Duration::from_millis(random::<u64>() % most_ms)).await;
+}
+
+async fn keep_lease(n: usize, member: Arc<Member>, simulation: Arc<Simulation>, core: Arc<Mutex<Core>>) {
+    loop {
+        let sent = member.clock.now();
+        way(WAY_MS).await;
+        let renewed = renewal(&core, n, &member.info, Tick(simulation.ms()));
+        way(WAY_MS).await;
+        if let Some((epoch, index)) = renewed.filter(|_| !lock(&core).cut.contains(&n)) {
+            member.note_announced(index, sent);
+            member.extend_lease(epoch, sent);
+        }
+        sleep(Duration::from_millis(timing().renew_interval_ms())).await;
+    }
+}
+
+async fn keep_state(n: usize, member: Arc<Member>, core: Arc<Mutex<Core>>) {
+    loop {
+        let state = lock(&core).state.clone();
+        way(STATE_WAY_MS).await;
+        if !lock(&core).cut.contains(&n) {
+            let _ = member.install(StateUpdate::Snapshot(Box::new(state)), "test");
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn run_router(
+    n: usize,
+    incarnation: Incarnation,
+    simulation: Arc<Simulation>,
+    core: Arc<Mutex<Core>>,
+    truth: Arc<Mutex<Truth>>,
+) {
+    let (set, clock) = (settings(n), Clock::default());
+    let info = NodeInfo::of(&set, Role::Router, incarnation);
+    let member = Member::new(set.clone(), info, clock.clone());
+    let router = Router::new(set.clone(), member.clone(), clock);
+    let serving = Serving::new(router.clone(), Arc::new(Wire(names())), Arc::new(Unread), site(n));
+    spawn(keep_lease(n, member.clone(), simulation.clone(), core.clone()));
+    spawn(keep_state(n, member, core));
+    let listener = loop {
+        // The one of the process before may still be there.
+        match bind(set.rpc_addr).await {
+            Ok(listener) => break listener,
+            Err(_) => sleep(Duration::from_millis(10)).await,
+        }
+    };
+    spawn(common::rpc::listen(listener, set.me(), data_plane::rpc::SERVICE, {
+        move |node, request| router.clone().answer(node, request)
+    }));
+    serving.keep_usage_reported();
+    loop {
+        way(START_PAUSE_MS).await;
+        let tenant = Tenant::new(["club", "guild", "league"][random::<u64>() as usize % 3]);
+        serving.note_start(&tenant, serving.now());
+        let window = simulation.time_of_day_ms() / WINDOW_MS;
+        *lock(&truth).entry(window).or_default().entry(tenant).or_default() += 1;
+    }
+}
