--- a/crates/data-plane/src/serving/state.rs
+++ b/crates/data-plane/src/serving/state.rs
@@ -7,6 +7,7 @@
     protocol::ProtocolAdapter,
     replica_view::{Candidate, ReplicaView, ReportStore},
     retry_budget::RetryBudget,
+    usage::UsageDuty,
 };
 use crate::router::{Router, lock};
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -51,6 +52,8 @@
     pub list_per_s: f64,
     pub list_lag_ms: u64,
     pub bounds: Bounds,
+    /// The duty to report usage, where the platform gives it.
+    pub usage: Option<UsageDuty>,
 }
 
 pub struct Serving {
@@ -80,6 +83,9 @@
         site: Site,
     ) -> Arc<Self> {
         let retries = RetryBudget::started(router.now());
+        if let Some(duty) = &site.usage {
+            lock(&router.usage.starts).keep_for(duty.kept_ms());
+        }
         Arc::new(Self {
             router,
             dialect,
