--- a/crates/data-plane/src/serving/authentication.rs
+++ b/crates/data-plane/src/serving/authentication.rs
@@ -9,7 +9,7 @@
 };
 use std::sync::Arc;
 
-/// No tenant holds the key of the request, and its route asks for one.
+/// The request carries a key that no tenant holds, or none where its route asks for one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unauthenticated;
 
@@ -22,7 +22,7 @@
 }
 
 /// The tenant of a request; `None` where the document has no tenants, or the route asks for no key and the request
-/// carries none that is known.
+/// carries none.
 ///
 /// # Errors
 /// See [`Unauthenticated`].
@@ -33,8 +33,11 @@
     headers: &HeaderMap,
 ) -> Result<Option<Arc<TenantPolicy>>, Unauthenticated> {
     let Some(tenants) = &map.tenants else { return Ok(None) };
-    let holder = api_key(names, headers).and_then(|key| tenants.holder(key)).cloned();
-    if holder.is_none() && !route.public { Err(Unauthenticated) } else { Ok(holder) }
+    if route.public && !headers.contains_key(AUTHORIZATION) {
+        return Ok(None);
+    }
+    let holder = api_key(names, headers).and_then(|key| tenants.holder(key));
+    holder.cloned().map(Some).ok_or(Unauthenticated)
 }
 
 impl Serving {
--- a/crates/data-plane/src/serving/gateway.rs
+++ b/crates/data-plane/src/serving/gateway.rs
@@ -34,6 +34,12 @@
 /// A client that has spent so much of the route's time comes for a second time.
 const SPENT_MS: u64 = 50;
 
+fn route_of(map: &RouteMap, head: &Parts) -> Option<Arc<Route>> {
+    let host = head.headers.get("host").and_then(|v| v.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or("");
+    map.find(host, head.uri.path()).cloned()
+}
+
 fn close(mut r: Res) -> Res {
     r.headers_mut().insert("connection", HeaderValue::from_static("close"));
     r
@@ -86,7 +92,12 @@
     async fn await_fit(&self, head: &Parts, left: u64) -> Option<&'static str> {
         let (began, t) = (self.now(), &self.router.set.timing);
         while let Some(why) = self.refusing().filter(|w| *w != "draining") {
-            let later = self.route(head).is_some_and(|r| left > 0 && left + SPENT_MS < r.hold_ms);
+            let later = self
+                .map
+                .load()
+                .as_deref()
+                .and_then(|map| route_of(map, head))
+                .is_some_and(|r| left > 0 && left + SPENT_MS < r.hold_ms);
             let most = if later { t.lease_ms.min(left / 2) } else { t.election_timeout_ms() / 4 };
             if self.now().since(began) >= most {
                 return Some(why);
@@ -96,12 +107,6 @@
         None
     }
 
-    fn route(&self, head: &Parts) -> Option<Arc<Route>> {
-        let host = head.headers.get("host").and_then(|v| v.to_str().ok());
-        let host = host.or_else(|| head.uri.host()).unwrap_or("");
-        self.map.load().as_ref()?.find(host, head.uri.path()).cloned()
-    }
-
     /// The plan for a request, made from its head and body, or the final answer.
     async fn plan(&self, req: Request<Incoming>, peer: SocketAddr) -> Result<Plan, Box<Res>> {
         let came = self.now();
@@ -113,7 +118,7 @@
         let Some(map) = self.map.load_full() else {
             return self.refuse_for_now("no configuration", left_ms);
         };
-        let Some(route) = self.route(&head) else {
+        let Some(route) = route_of(&map, &head) else {
             return self.refuse(StatusCode::NOT_FOUND, "no route");
         };
         let tenant = self.authenticate(&map, &route, &head)?;
--- a/crates/data-plane/tests/serving/authentication.rs
+++ b/crates/data-plane/tests/serving/authentication.rs
@@ -32,7 +32,7 @@
 #[case::other_scheme(&["Basic k1"], false, Err(Unauthenticated))]
 #[case::two_credentials(&["Token k1", "Token k2"], false, Err(Unauthenticated))]
 #[case::public_and_known(&["Token k2"], true, Ok(Some("b")))]
-#[case::public_and_unknown(&["Token k3"], true, Ok(None))]
+#[case::public_and_unknown(&["Token k3"], true, Err(Unauthenticated))]
 #[case::public_and_missing(&[], true, Ok(None))]
 fn a_key_names_its_tenant(
     #[case] credentials: &[&str],
