No byte of a request leaves by a list that is older than 7/8 of drain-ms

Callers saw: nothing known to come of it alone; a replica may get a request later than drain-ms after it was listed as draining. Cause: after the last look nothing bounded when a request was put on the connection. A replica that reads late, a small window, or a task that waits for its turn on a busy machine holds the bytes, and they left whenever they could. Change: the last look tells until when a request may leave (age of the list that it goes by, 7/8 of drain-ms; the look itself wants 3/4). The stream below the HTTP library refuses each write after that, and wakes a writer that is held up; the connection then ends, and the request counts as one that may have run. Requests that go by a list older than half of the allowed age are logged with the age and the publisher ("sent by an old list"). Tests: connection::nothing_of_a_request_leaves_too_late, seen to fail without the check (9 of 9); each_request_has_its_own_time_to_leave.

--- a/crates/data-plane/src/serving/attempt.rs
+++ b/crates/data-plane/src/serving/attempt.rs
@@ -10,7 +10,7 @@
     state::Serving,
 };
 use crate::{attempt::strip, response_body::ends_surely, router::lock};
-use common::{PeerError, error::AtPeer, http::full};
+use common::{PeerError, Tick, error::AtPeer, http::full, log_event};
 use hyper::{Request, header::HeaderValue};
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -119,14 +119,15 @@
             Err(e) => return Some(Outcome::NotSent(e)),
         };
         // Much may have passed since the choice: an evacuation, a drain, a freeze.
-        if let Some(why) = self.forbidden(p, c) {
-            return Some(Outcome::NotSent(PeerError::new("last look", c.addr, why)));
-        }
+        let leave_by = match self.leave_by(p, c) {
+            Ok(leave_by) => leave_by,
+            Err(why) => return Some(Outcome::NotSent(PeerError::new("last look", c.addr, why))),
+        };
         let left = Duration::from_millis(p.left_ms(self.now()).max(1));
         let lost = |why: &dyn std::fmt::Display| {
             Outcome::MayHaveRun(PeerError::new("await answer", c.addr, why.to_string()))
         };
-        Some(match tokio::time::timeout(left, on.send(req)).await {
+        Some(match tokio::time::timeout(left, on.send(req, leave_by)).await {
             Ok(Ok(answer)) => self.check_answer(p, c, answer),
             // The connection ended before any byte of the request was put on it.
             Ok(Err(e)) if e.is_canceled() => return None,
@@ -135,15 +136,30 @@
         })
     }
 
-    /// Why nothing may be sent to a replica now, whatever was planned.
-    pub fn forbidden(&self, p: &Plan, c: &Candidate) -> Option<&'static str> {
+    /// Until when a request may be put on a connection to a replica; why nothing may be sent there now, whatever was
+    /// planned.
+    fn leave_by(&self, p: &Plan, c: &Candidate) -> Result<Tick, &'static str> {
         let now = self.now();
         let fleet = self.fleet.load();
-        let listed = fleet.of(&c.service).iter().find(|x| x.id == c.id);
-        [(now >= p.deadline, "past its deadline"), (listed.is_none_or(|x| !self.usable(x)), "replica left")]
-            .into_iter()
-            .find_map(|(no, why)| no.then_some(why))
-            .or_else(|| self.router.refuses_work())
+        let listed = fleet.of(&c.service).iter().find(|x| x.id == c.id && self.usable(x));
+        let forbidden = [(now >= p.deadline, "past its deadline"), (listed.is_none(), "replica left")];
+        let forbidden = forbidden.into_iter().find_map(|(no, why)| no.then_some(why));
+        if let Some(why) = forbidden.or_else(|| self.router.refuses_work()) {
+            return Err(why);
+        }
+        let listed_at = listed.map_or(now, |listed| listed.listed_at);
+        self.note_list_age(c, now.since(listed_at));
+        Ok(listed_at + self.send_max_age_ms())
+    }
+
+    /// Tells of a request that goes by a list which is older than usual, and whose report that was.
+    fn note_list_age(&self, c: &Candidate, age_ms: u64) {
+        if age_ms <= self.list_max_age_ms() / 2 {
+            return;
+        }
+        let reports = lock(&self.reports);
+        let publisher = reports.by_zone.get(&c.zone).map(|held| held.board.publisher.clone());
+        log_event!(Info, "sent by an old list", "peer" => c.id, "age_ms" => age_ms, "publisher" => format!("{publisher:?}"));
     }
 
     fn answer_head(&self, p: &Plan, answer: &Answer) -> AnswerHead {
--- a/crates/data-plane/src/serving/connection.rs
+++ b/crates/data-plane/src/serving/connection.rs
@@ -74,13 +74,13 @@
 }
 
 impl Ready {
-    /// Puts a request on the connection, and waits for the head of its answer.
-    pub async fn send(self, req: Request<Body>) -> Result<Answer, hyper::Error> {
+    /// Puts a request on the connection, no byte of it after `leave_by`, and waits for the head of its answer.
+    pub async fn send(self, req: Request<Body>, leave_by: Tick) -> Result<Answer, hyper::Error> {
         let mut connection = match self {
             Self::Fresh(Fresh(connection)) => connection,
             Self::Idle(idle) => idle.connection,
         };
-        let req = req.map(|body| connection.outgoing.of(body));
+        let req = req.map(|body| connection.outgoing.of(body, leave_by));
         let (head, body) = connection.sender.send_request(req).await?.into_parts();
         let said = said(&head);
         let body = AnswerBody { body, connection: InUse(connection), said, end: BodyEnd::Unread };
--- a/crates/data-plane/src/serving/request_flush.rs
+++ b/crates/data-plane/src/serving/request_flush.rs
@@ -1,12 +1,15 @@
 //! Whether the request of an exchange has left whole: an answer may come before. The HTTP library takes
 //! a body into its buffer and then says nothing more of it, so the body tells when it was taken, and the
-//! stream below when the buffer was emptied after that.
+//! stream below when the buffer was emptied after that. The stream also takes no byte of a request later than
+//! that may leave, however long it was held up before.
 
 use bytes::Bytes;
 use common::{
+    Clock, Tick,
     http::{Body, BoxErr},
     runtime::Stream,
 };
+use futures::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use std::{
@@ -14,11 +17,15 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicU8, AtomicU64, Ordering},
     },
     task::{Context, Poll},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    time::{Sleep, sleep},
 };
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 const LEAVING: u8 = 0;
 const TAKEN: u8 = 1;
@@ -26,26 +33,40 @@
 
 /// How far the request at hand has left; one for each connection.
 #[derive(Clone, Debug, Default)]
-pub struct RequestFlush(Arc<AtomicU8>);
+pub struct RequestFlush(Arc<Progress>);
+
+#[derive(Debug, Default)]
+struct Progress {
+    step: AtomicU8,
+    /// No byte of the request may leave after this [`Tick`].
+    leave_by: AtomicU64,
+    clock: Clock,
+}
 
 impl RequestFlush {
-    /// A body whose taking is noted: the request at hand is over with it.
-    pub fn of(&self, body: Body) -> Body {
+    /// A body whose taking is noted: the request at hand is over with it. No byte leaves after `leave_by`.
+    pub fn of(&self, body: Body, leave_by: Tick) -> Body {
         let taken = body.is_end_stream();
-        self.0.store(if taken { TAKEN } else { LEAVING }, Ordering::Release);
+        self.0.leave_by.store(leave_by.0, Ordering::Release);
+        self.0.step.store(if taken { TAKEN } else { LEAVING }, Ordering::Release);
         BodyExt::boxed(TrackedBody { body, outgoing: self.clone() })
     }
 
     pub fn has_left(&self) -> bool {
-        self.0.load(Ordering::Acquire) == LEFT
+        self.0.step.load(Ordering::Acquire) == LEFT
+    }
+
+    /// For how many milliseconds more a byte may leave; `None`: no longer.
+    fn time_left_ms(&self) -> Option<u64> {
+        self.0.leave_by.load(Ordering::Acquire).checked_sub(self.0.clock.now().0)
     }
 
     fn taken(&self) {
-        let _ = self.0.compare_exchange(LEAVING, TAKEN, Ordering::AcqRel, Ordering::Acquire);
+        let _ = self.0.step.compare_exchange(LEAVING, TAKEN, Ordering::AcqRel, Ordering::Acquire);
     }
 
     fn flushed(&self) {
-        let _ = self.0.compare_exchange(TAKEN, LEFT, Ordering::AcqRel, Ordering::Acquire);
+        let _ = self.0.step.compare_exchange(TAKEN, LEFT, Ordering::AcqRel, Ordering::Acquire);
     }
 }
 
@@ -90,11 +111,34 @@
 pub struct FlushTrackingStream {
     stream: Stream,
     outgoing: RequestFlush,
+    /// Ends the wait of a writer that is held up.
+    held_up: Option<Pin<Box<Sleep>>>,
 }
 
 impl FlushTrackingStream {
     pub fn new(stream: Stream, outgoing: RequestFlush) -> Self {
-        Self { stream, outgoing }
+        Self { stream, outgoing, held_up: None }
+    }
+
+    /// A write, unless it is too late for one.
+    fn write_in_time(
+        &mut self,
+        cx: &mut Context<'_>,
+        write: impl FnOnce(Pin<&mut Stream>, &mut Context<'_>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let too_late = || io::Error::new(io::ErrorKind::TimedOut, "the request may no longer leave");
+        let Some(left_ms) = self.outgoing.time_left_ms() else { return Poll::Ready(Err(too_late())) };
+        let polled = write(Pin::new(&mut self.stream), cx);
+        if polled.is_ready() {
+            self.held_up = None;
+            return polled;
+        }
+        let wait = Duration::from_millis(left_ms + 1);
+        let held_up = self.held_up.get_or_insert_with(|| Box::pin(sleep(wait)));
+        match held_up.poll_unpin(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(too_late())),
+            Poll::Pending => Poll::Pending,
+        }
     }
 }
 
@@ -110,7 +154,7 @@
 
 impl AsyncWrite for FlushTrackingStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        self.write_in_time(cx, |stream, cx| stream.poll_write(cx, buf))
     }
 
     fn poll_write_vectored(
@@ -118,7 +162,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        self.write_in_time(cx, |stream, cx| stream.poll_write_vectored(cx, bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/data-plane/src/serving/state.rs
+++ b/crates/data-plane/src/serving/state.rs
@@ -22,6 +22,9 @@
 /// the way of a request that was sent at the last moment.
 const LIST_MAX_AGE: (u64, u64) = (3, 4);
 
+/// Part of the drain bound after which no byte of a request leaves: what is put on a connection still travels.
+const SEND_MAX_AGE: (u64, u64) = (7, 8);
+
 /// The bounds that all routers keep together, as the platform tells them.
 #[derive(Clone, Debug)]
 pub struct Bounds {
@@ -148,6 +151,11 @@
         self.site.bounds.drain_ms * LIST_MAX_AGE.0 / LIST_MAX_AGE.1
     }
 
+    /// Age of a reading of the list from which on no byte of a request leaves that goes by it, in milliseconds.
+    pub fn send_max_age_ms(&self) -> u64 {
+        self.site.bounds.drain_ms * SEND_MAX_AGE.0 / SEND_MAX_AGE.1
+    }
+
     /// All metrics of the router, as text.
     pub fn metrics(&self) -> String {
         let now = self.now();
--- a/crates/data-plane/tests/serving/connection.rs
+++ b/crates/data-plane/tests/serving/connection.rs
@@ -30,6 +30,8 @@
 const LONG: usize = 1 << 20;
 /// A body comes in pieces of this length.
 const PIECE: usize = 64 << 10;
+/// A request may leave at any time.
+const NEVER: Tick = Tick(u64::MAX);
 const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nsaid";
 
 /// Opens a connection to a peer that does what `f` says.
@@ -90,7 +92,7 @@
             rest(io).await;
         })
         .await;
-        let Answer { mut body, .. } = ready.send(request(long)).await.expect("an answer");
+        let Answer { mut body, .. } = ready.send(request(long), NEVER).await.expect("an answer");
         assert_eq!(body.whole(100).await.expect("a body").as_ref(), b"said");
         let now = Clock::default().now();
         let idle = body.finish(now);
@@ -126,7 +128,7 @@
             rest(io).await;
         })
         .await;
-        let Answer { mut body, .. } = ready.send(request(3)).await.expect("an answer");
+        let Answer { mut body, .. } = ready.send(request(3), NEVER).await.expect("an answer");
         let _ = timeout(Duration::from_secs(1), body.whole(100)).await;
         let now = Clock::default().now();
         let idle = body.finish(now);
@@ -155,7 +157,7 @@
             rest(io).await;
         })
         .await;
-        let Answer { mut body, .. } = ready.send(request(3)).await.expect("an answer");
+        let Answer { mut body, .. } = ready.send(request(3), NEVER).await.expect("an answer");
         body.whole(100).await.expect("a body");
         let clock = Clock::default();
         let idle = body.finish(clock.now()).expect("a clean end");
@@ -181,7 +183,7 @@
         })
         .await;
         sleep(Duration::from_millis(seed - 1)).await;
-        let sent = timeout(Duration::from_secs(5), ready.send(request(long))).await;
+        let sent = timeout(Duration::from_secs(5), ready.send(request(long), NEVER)).await;
         if let Ok(Err(e)) = sent
             && e.is_canceled()
         {
@@ -189,3 +191,53 @@
         }
     });
 }
+
+/// A replica that reads nothing holds a request up; what may not leave any more when it reads again never comes.
+#[rstest]
+fn nothing_of_a_request_leaves_too_late(
+    #[values(0, 200, 70_000)] first: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    const LEAVE_MS: u64 = 2_000;
+    Simulation::run(seed, None, |_| async move {
+        let got = Arc::new(AtomicUsize::new(0));
+        let ready = to_peer({
+            let got = got.clone();
+            move |mut io| async move {
+                let early = read(&mut io, first).await;
+                sleep(Duration::from_millis(LEAVE_MS + 500)).await;
+                got.store(early + read(&mut io, usize::MAX).await, Ordering::Relaxed);
+            }
+        })
+        .await;
+        let leave_by = Clock::default().now() + LEAVE_MS;
+        let sent = timeout(Duration::from_secs(60), ready.send(request(LONG), leave_by)).await;
+        assert!(matches!(sent, Ok(Err(_))), "it neither left nor failed");
+        sleep(Duration::from_secs(10)).await;
+        let got = got.load(Ordering::Relaxed);
+        assert!(got > 0 && got < LONG / 2, "{got} bytes came");
+    });
+}
+
+/// A connection that was idle until the time of its former request had passed carries the next.
+#[test]
+fn each_request_has_its_own_time_to_leave() {
+    Simulation::run(1, None, |_| async move {
+        let ready = to_peer(|mut io| async move {
+            for _ in 0..2 {
+                read(&mut io, 20).await;
+                io.write_all(ANSWER.as_bytes()).await.expect("to say it");
+                sleep(Duration::from_millis(1_000)).await;
+            }
+            rest(io).await;
+        })
+        .await;
+        let clock = Clock::default();
+        let Answer { mut body, .. } = ready.send(request(0), clock.now() + 100).await.expect("an answer");
+        body.whole(100).await.expect("a body");
+        let idle = body.finish(clock.now()).expect("a clean end");
+        sleep(Duration::from_millis(500)).await;
+        assert!(idle.usable(clock.now()), "its peer keeps it");
+        Ready::Idle(idle).send(request(0), clock.now() + 5_000).await.expect("another answer");
+    });
+}
