A publisher that alone misses the platform renews no list

Cause: a publisher that took over and failed to read the list adopted the former one's list, and called it current anew with each failed call, without an end: a single router that could not reach the platform stood for a platform that is out of service. Change: nothing but a reading renews the age of a list; the age that a report tells is the list's own. Whether the platform is out of service is decided by each router: an old list is gone by only where its sender says that it is too old, another zone's says so too, and no zone's list was read much later. Nobody adopts while any zone's list is current, and a publisher that is refused for the rate publishes no old list. A list that is gone on with is logged with its age. Tests: a_publisher_cut_off_from_the_platform_alone_renews_no_list (4 of 6 failed before: r1 used without an end), whose_list_counts (new function). The other tests of serving as before; reports' fleet() takes the age as an argument.

--- a/crates/data-plane/src/serving/health_prober.rs
+++ b/crates/data-plane/src/serving/health_prober.rs
@@ -45,13 +45,18 @@
             let Some(listed) = list.refreshed(&self, self.report_interval_ms() / 2).await else {
                 continue;
             };
+            let known = list.known();
+            // Going on with an old list is for a platform that is out of service.
+            if known.is_over_rate() && !self.is_list_current(known.read_at()) {
+                continue;
+            }
             probe_all = !probe_all;
             let asked = self.now();
             self.probe_listed(&listed, &mut health, probe_all).await;
             count += 1;
             let seq = report_number(epoch, count);
             let board = self.report(&zone, seq, (&listed, list.read_begun()), &health);
-            let at = list.current_at().min(asked);
+            let at = list.known().read_at().min(asked);
             let report = ReceivedReport { board, at, received: asked };
             if let Some(publication) = lock(&self.router.publications).get(&zone) {
                 publication.tx.send_replace(Some(Arc::new(report)));
--- a/crates/data-plane/src/serving/mod.rs
+++ b/crates/data-plane/src/serving/mod.rs
@@ -11,6 +11,7 @@
 pub mod event_splitter;
 pub mod gateway;
 pub mod health_prober;
+mod list_reading;
 pub mod plan;
 pub mod pool;
 pub mod prefill;
--- a/crates/data-plane/src/serving/replica_list.rs
+++ b/crates/data-plane/src/serving/replica_list.rs
@@ -1,6 +1,7 @@
 //! The platform's list of replicas, as the home of a zone reads it (design 9.3): page by page, within the
 //! rate that all nodes share, and never in the way of the probes.
 
+pub use super::list_reading::{ListError, ListRead};
 use super::{
     protocol::{ListPage, ListedReplica},
     state::Serving,
@@ -24,34 +25,6 @@
 /// A reader that is refused for its rate pauses up to so many times as long: what leaves must still be seen in time.
 const MAX_BACKOFF: u64 = 4;
 
-/// A whole reading of a zone's part of the list.
-#[derive(Debug, Default)]
-pub struct ListRead {
-    rows: BTreeMap<ReplicaId, ListedReplica>,
-    pages: u32,
-}
-
-impl ListRead {
-    /// Adds a page. A replica that moved between pages may stand on two: what says that it leaves counts.
-    pub fn add(&mut self, zone: &Zone, page: Vec<ListedReplica>) {
-        self.pages += 1;
-        for row in page.into_iter().filter(|r| r.zone == *zone) {
-            let leaving = |r: &ListedReplica| r.draining || r.time_left_ms.is_some();
-            if !self.rows.get(&row.id).is_some_and(leaving) {
-                self.rows.insert(row.id.clone(), row);
-            }
-        }
-    }
-}
-
-/// Why a reading failed.
-#[derive(Debug)]
-pub enum ListError {
-    /// All nodes together ask too often.
-    OverRate(PeerError),
-    Failed(PeerError),
-}
-
 /// What is known of a zone's list, and when it is read next. Pure.
 #[derive(Debug, Default)]
 pub struct KnownReplicas {
@@ -61,9 +34,9 @@
     /// When the reading was begun that is known: what changed later is not in it.
     begun: Tick,
     /// When its answer came.
+    came: Tick,
+    /// What changed later is not in the rows. Nothing but a reading renews it.
     read_at: Tick,
-    /// When it was the newest list that could be had.
-    current_at: Tick,
     /// It was taken from another publisher's report, since the platform answered neither of the two.
     adopted: bool,
     due: Tick,
@@ -75,12 +48,12 @@
         now >= self.due
     }
 
-    /// Takes a reading that was begun at `begun` and whose answer came at `came`. A replica that moves to an earlier page while the later ones
-    /// are read stands on none of them: it is gone only once a second reading lacks it too.
+    /// Takes a reading that was begun at `begun` and whose answer came at `came`. A replica that moves to an earlier
+    /// page while the later ones are read stands on none of them: it is gone only once a second reading lacks it too.
     pub fn read(&mut self, read: ListRead, begun: Tick, came: Tick, each_ms: u64) {
         let mut rows = read.rows;
         let lacking = |(id, _): &(&ReplicaId, &ListedReplica)| !rows.contains_key(*id);
-        let held: Vec<ListedReplica> = if read.pages > 1 {
+        let held: Vec<ListedReplica> = if read.pages > 1 && !self.adopted {
             let known = self.rows.iter().flatten().filter(lacking);
             known.filter(|(id, _)| !self.absent.contains(*id)).map(|(_, r)| r.clone()).collect()
         } else {
@@ -88,8 +61,9 @@
         };
         self.absent = held.iter().map(|r| r.id.clone()).collect();
         rows.extend(held.into_iter().map(|r| (r.id.clone(), r)));
-        (self.rows, self.read_at, self.backoff) = (Some(rows), came, 1);
-        (self.begun, self.current_at, self.adopted) = (begun, begun, false);
+        self.read_at = begun;
+        (self.rows, self.begun, self.came) = (Some(rows), begun, came);
+        (self.backoff, self.adopted) = (1, false);
         self.due = came + each_ms * u64::from(read.pages);
     }
 
@@ -99,21 +73,29 @@
             ListError::Failed(_) => 1,
         };
         self.due = now + each_ms * self.backoff;
-        if self.adopted && matches!(error, ListError::Failed(_)) {
-            self.current_at = now;
-        }
     }
 
-    /// Goes on with what another publisher told last: it reaches the platform no more, and neither does this node, so
-    /// the platform is out of service for all, and its last list is the newest that there is.
-    pub fn adopt(&mut self, rows: Vec<ListedReplica>, now: Tick) {
+    /// Goes on with what another publisher read at `read_at`: it reaches the platform no more, and neither does this
+    /// node. Whether the platform is out of service for all is up to those that are told this list
+    /// (`ReportStore::listed_at`).
+    pub fn adopt(&mut self, rows: Vec<ListedReplica>, read_at: Tick, now: Tick) {
         self.rows = Some(rows.into_iter().map(|row| (row.id.clone(), row)).collect());
-        (self.begun, self.read_at, self.current_at, self.adopted) = (Tick(0), now, now, true);
+        (self.begun, self.came, self.read_at, self.adopted) = (Tick(0), now, read_at, true);
+    }
+
+    /// What changed later is not in the rows.
+    pub fn read_at(&self) -> Tick {
+        self.read_at
+    }
+
+    /// The platform is in service, and refused the last reading for its rate.
+    pub fn is_over_rate(&self) -> bool {
+        self.backoff > 1
     }
 
     /// The replicas by the newest reading; nothing before the first.
     pub fn rows(&self, now: Tick) -> Option<Vec<ListedReplica>> {
-        let age = now.since(self.read_at);
+        let age = now.since(self.came);
         let aged = |r: &ListedReplica| ListedReplica {
             cold_left_ms: r.cold_left_ms.saturating_sub(age),
             ..r.clone()
@@ -146,14 +128,13 @@
         *self = Self::new(self.zone.clone());
     }
 
-    /// When the reading that is known was begun: what changed later is not in it.
+    /// When the reading that is known was begun.
     pub fn read_begun(&self) -> Tick {
         self.known.begun
     }
 
-    /// When the list that is known was the newest that could be had.
-    pub fn current_at(&self) -> Tick {
-        self.known.current_at
+    pub fn known(&self) -> &KnownReplicas {
+        &self.known
     }
 
     /// The newest list, for which a reading is waited for at most so long.
@@ -189,9 +170,11 @@
     fn failed(&mut self, error: ListError, serving: &Serving, each_ms: u64) {
         let now = serving.now();
         self.known.failed(&error, now, each_ms);
-        if matches!(error, ListError::Failed(_)) {
-            let outdated = serving.outdated_replicas(&self.zone);
-            outdated.into_iter().for_each(|rows| self.known.adopt(rows, now));
+        if matches!(error, ListError::Failed(_))
+            && let Some((rows, read_at)) = serving.outdated_replicas(&self.zone)
+        {
+            log_event!(Warn, "go on with an old list", "peer" => self.zone, "age_ms" => now.since(read_at));
+            self.known.adopt(rows, read_at, now);
         }
         let (ListError::OverRate(error) | ListError::Failed(error)) = error;
         log_event!(Info, error.step, "peer" => error.peer, "cause" => error.cause());
@@ -199,13 +182,16 @@
 }
 
 impl Serving {
-    /// A zone's replicas by the last report, where its publisher has failed to renew the list in it. The own report
-    /// counts only where nobody else could publish.
-    fn outdated_replicas(&self, zone: &Zone) -> Option<Vec<ListedReplica>> {
+    /// A zone's replicas by the last report, and when they were read, where its publisher has failed to renew the list
+    /// in it and nobody has read any other. The own report counts only where nobody else could publish.
+    fn outdated_replicas(&self, zone: &Zone) -> Option<(Vec<ListedReplica>, Tick)> {
         let reports = lock(&self.reports);
-        let held = reports.by_zone.get(zone).filter(|held| !self.is_list_current(held.at))?;
+        if self.is_list_current(reports.newest_reading()) {
+            return None;
+        }
+        let held = reports.by_zone.get(zone)?;
         let by_another = held.board.publisher != *self.router.node();
-        (by_another || self.publishers(zone).len() <= 1).then(|| held.listed(self.now()))
+        (by_another || self.publishers(zone).len() <= 1).then(|| (held.listed(self.now()), held.at))
     }
 
     /// Time between two calls for a zone's list, so that all zones together stay far below the rate.
--- a/crates/data-plane/src/serving/replica_report.rs
+++ b/crates/data-plane/src/serving/replica_report.rs
@@ -32,8 +32,8 @@
     pub fencing_token: FencingToken,
     /// Rises with each report of a publisher, over restarts too ([`report_number`]).
     pub seq: u64,
-    /// How old the oldest part of it was when it was sent (the list or the load reports), and how long the request lay
-    /// before that.
+    /// How old the oldest part of it was when it was sent (the reading of the list or the load reports), and how long
+    /// the request lay before that.
     pub age_ms: u64,
     pub waited_ms: u64,
     pub rows: Vec<ReplicaRow>,
--- a/crates/data-plane/src/serving/replica_view.rs
+++ b/crates/data-plane/src/serving/replica_view.rs
@@ -17,6 +17,10 @@
     },
 };
 
+/// Readings of two zones' lists are further apart than this part of the age at which they count no more only if the
+/// platform was in service between them.
+const READINGS_APART: u64 = 2;
+
 /// What this router itself has at a replica; lives as long as the replica is listed.
 #[derive(Debug, Default)]
 pub struct LocalLoad {
@@ -131,6 +135,8 @@
 #[derive(Default)]
 pub struct ReportStore {
     pub by_zone: BTreeMap<Zone, ReceivedReport>,
+    /// When the platform's list was read last for any zone, as far as reports told.
+    newest_reading: Tick,
     owns: HashMap<ReplicaId, Arc<LocalLoad>>,
 }
 
@@ -149,15 +155,40 @@
         // A later report of the same publisher is no older, however long it took on its way.
         let same = held.filter(|held| held.board.publisher == report.board.publisher);
         report.at = same.map_or(report.at, |held| held.at.max(report.at));
+        self.newest_reading = self.newest_reading.max(report.at);
         self.by_zone.insert(report.board.zone.clone(), report);
         true
     }
 
-    /// Folds all reports into what may be chosen. `valid_ms` is how long load reports lend.
-    pub fn fleet(&mut self, zones: &BTreeMap<Zone, Region>, valid_ms: u64) -> ReplicaView {
+    /// When the platform's list was read last for any zone, as far as reports told.
+    pub fn newest_reading(&self) -> Tick {
+        self.newest_reading
+    }
+
+    /// When the list in a report was the newest that there is, at the latest: when it was read. Only where its sender
+    /// said that it is too old, that of another zone said so too, and no list was read much later, the platform is out
+    /// of service for all, and its last list is as good as new for as long as its publisher tells it. What this router
+    /// has missed itself is no sign of that.
+    pub fn listed_at(&self, report: &ReceivedReport, list_max_age_ms: u64, zones: usize) -> Tick {
+        let says_old = |report: &ReceivedReport| report.board.age_ms > list_max_age_ms;
+        let mut others = self.by_zone.values().filter(|other| other.board.zone != report.board.zone);
+        let read_by_none = self.newest_reading.since(report.at) <= list_max_age_ms / READINGS_APART;
+        let out_of_service = says_old(report) && read_by_none && (zones <= 1 || others.any(says_old));
+        if out_of_service { report.received } else { report.at }
+    }
+
+    /// Folds all reports into what may be chosen. `valid_ms` is how long load reports lend, `list_max_age_ms` how long
+    /// a reading of the list may be gone by.
+    pub fn fleet(
+        &mut self,
+        zones: &BTreeMap<Zone, Region>,
+        valid_ms: u64,
+        list_max_age_ms: u64,
+    ) -> ReplicaView {
         let mut out = ReplicaView::default();
         for (zone, h) in &self.by_zone {
             let Some(region) = zones.get(zone) else { continue };
+            let listed_at = self.listed_at(h, list_max_age_ms, zones.len());
             for r in &h.board.rows {
                 let own = self.owns.entry(r.id.clone()).or_default().clone();
                 let mine = own.open.load(Ordering::Relaxed).max(0);
@@ -172,7 +203,7 @@
                     draining: r.draining,
                     well: r.well,
                     cold_until: h.received + h.cold_left_ms(r),
-                    listed_at: h.at,
+                    listed_at,
                     all: all.max(mine),
                     mine,
                     waiting: r.waiting,
@@ -182,9 +213,9 @@
                 });
             }
             for (svc, n) in &h.board.lends {
-                let e = out.lends.entry((region.clone(), svc.clone())).or_insert((0, h.at + valid_ms));
+                let e = out.lends.entry((region.clone(), svc.clone())).or_insert((0, listed_at + valid_ms));
                 e.0 += n;
-                e.1 = e.1.min(h.at + valid_ms);
+                e.1 = e.1.min(listed_at + valid_ms);
             }
         }
         let listed = |id: &ReplicaId| out.by_service.values().flatten().any(|c| c.id == *id);
--- a/crates/data-plane/src/serving/report_subscription.rs
+++ b/crates/data-plane/src/serving/report_subscription.rs
@@ -3,7 +3,9 @@
 //! once, however many routers they have.
 
 use super::{
-    replica_report::ReplicaReport, replica_view::ReceivedReport, source_backoff::SourceBackoff,
+    replica_report::ReplicaReport,
+    replica_view::{ReceivedReport, ReportStore},
+    source_backoff::SourceBackoff,
     state::Serving,
 };
 use crate::{
@@ -94,10 +96,9 @@
             match self.request_report(&zone, &source, &subscription).await {
                 Ok(Some(report)) => {
                     subscription.last = Some((report.publisher.clone(), report.seq));
-                    let at = report.fresh_at(now, self.now());
-                    self.take_report(report, at);
+                    let listed_at = self.take_report(report, now);
                     // The source passes on what nobody may go by: another one may reach the platform.
-                    if self.is_list_current(at) {
+                    if self.is_list_current(listed_at) {
                         subscription.backoff.succeed(&node);
                     } else {
                         self.pass_over(&zone, node, &mut subscription);
@@ -129,8 +130,13 @@
     }
 
     fn has_current_report(&self, zone: &Zone) -> bool {
-        let held_at = lock(&self.reports).by_zone.get(zone).map(|held| held.at);
-        held_at.is_some_and(|at| self.is_list_current(at))
+        let reports = lock(&self.reports);
+        let held = reports.by_zone.get(zone);
+        held.is_some_and(|held| self.is_list_current(self.listed_at(&reports, held)))
+    }
+
+    fn listed_at(&self, reports: &ReportStore, report: &ReceivedReport) -> Tick {
+        reports.listed_at(report, self.list_max_age_ms(), self.site.zones.len())
     }
 
     /// The next report of a zone; `None` where the source has none that is newer.
@@ -163,18 +169,24 @@
         }
     }
 
-    /// Takes a report up unless it is older than what is held, and passes it on to those that ask.
-    fn take_report(&self, report: ReplicaReport, at: Tick) {
+    /// Takes a report that was asked for at `asked` up unless it is older than what is held, and passes it on to those
+    /// that ask. Tells when the list in it was the newest that there is.
+    fn take_report(&self, report: ReplicaReport, asked: Tick) -> Tick {
+        let received = self.now();
+        let at = report.fresh_at(asked, received);
+        let report = ReceivedReport { board: report, at, received };
         let mut reports = lock(&self.reports);
-        let report = ReceivedReport { board: report, at, received: self.now() };
-        if !reports.take_received(report.clone()) {
-            return;
+        let taken = reports.take_received(report.clone());
+        let listed_at = self.listed_at(&reports, &report);
+        if !taken {
+            return listed_at;
         }
         self.router.pass_report_on(report);
         let valid = self.router.set.timing.report_max_age_ms();
-        let fleet = reports.fleet(&self.site.zones, valid);
+        let fleet = reports.fleet(&self.site.zones, valid, self.list_max_age_ms());
         let listed = |id: &ReplicaId| fleet.by_service.values().flatten().any(|c| c.id == *id);
         lock(&self.router.reading).retain(&listed);
         self.fleet.store(Arc::new(fleet));
+        listed_at
     }
 }
--- a/crates/data-plane/tests/serving/fleet.rs
+++ b/crates/data-plane/tests/serving/fleet.rs
@@ -119,14 +119,37 @@
     serving
 }
 
-/// What the list says of zone `n1`; `None`: the platform answers nothing but 503.
-type Listing = Arc<Mutex<Option<&'static str>>>;
+/// What the platform answers: pages of zone `n1` by their token (other zones have none), or one status to all.
+#[derive(Clone, Default)]
+struct Listing {
+    pages: Vec<(&'static str, &'static str)>,
+    status: Option<StatusCode>,
+    /// Whole readings of zone `n1`.
+    readings: usize,
+}
+
+impl Listing {
+    fn answer(&mut self, path: &str) -> (StatusCode, &'static str) {
+        let Some(token) = path.strip_prefix("/n1/") else {
+            return (self.status.unwrap_or(StatusCode::OK), "");
+        };
+        let page = self.pages.iter().find(|(page, _)| *page == token).map(|(_, text)| *text);
+        match (self.status, page) {
+            (Some(status), _) => (status, ""),
+            (None, Some(text)) => {
+                self.readings += usize::from(!text.contains("next "));
+                (StatusCode::OK, text)
+            }
+            (None, None) => (StatusCode::BAD_REQUEST, ""),
+        }
+    }
+}
 
 pub struct Fleet {
     pub world: Arc<Simulation>,
     pub routers: Vec<Arc<Serving>>,
     renewed: Arc<AtomicBool>,
-    listing: Listing,
+    listing: Arc<Mutex<Listing>>,
 }
 
 impl Fleet {
@@ -134,14 +157,13 @@
         let list = SocketAddr::from(LIST);
         let listener = bind(list).await.expect("the list's address");
         let (end, ended) = watch::channel(false);
-        let listing: Listing = Arc::new(Mutex::new(Some("r1 ready\nr2 ready")));
+        let pages = vec![("first", "r1 ready\nr2 ready")];
+        let listing = Arc::new(Mutex::new(Listing { pages, ..Listing::default() }));
         let listed = listing.clone();
         world.host(list.ip()).spawn(async move {
             let handler = move |_, request: hyper::Request<hyper::body::Incoming>| {
-                let page = *lock(&listed);
-                let page = page.map(|page| if request.uri().path().starts_with("/n1/") { page } else { "" });
-                let status = page.map_or(StatusCode::SERVICE_UNAVAILABLE, |_| StatusCode::OK);
-                async move { Ok(text(status, page.unwrap_or_default())) }
+                let (status, page) = lock(&listed).answer(request.uri().path());
+                async move { Ok(text(status, page)) }
             };
             http::serve(listener, Arc::default(), ended, handler).await;
             drop(end);
@@ -162,7 +184,7 @@
             let router = start_in_epoch(n, Epoch(n as u64 + 1), renewed.clone());
             routers.push(world.host(ip(n)).spawn(router).await.expect("a router"));
         }
-        Self { world, routers, renewed, listing: Listing::default() }
+        Self { world, routers, renewed, listing: Arc::default() }
     }
 
     /// A router's process starts anew, with the next epoch.
@@ -173,8 +195,31 @@
         self.on(n, Serving::watch_all).await;
     }
 
+    /// From now on the list says this of zone `n1`; `None`: the platform answers nothing but 503.
     pub fn lists(&self, rows: Option<&'static str>) {
-        *lock(&self.listing) = rows;
+        match rows {
+            Some(rows) => self.lists_pages(&[("first", rows)]),
+            None => self.refuses(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+
+    /// The same with several pages, the first one under `first`.
+    pub fn lists_pages(&self, pages: &[(&'static str, &'static str)]) {
+        let mut listing = lock(&self.listing);
+        (listing.pages, listing.status) = (pages.to_vec(), None);
+    }
+
+    /// From now on the platform answers nothing but this.
+    pub fn refuses(&self, status: StatusCode) {
+        lock(&self.listing).status = Some(status);
+    }
+
+    /// Until somebody has read the whole list of zone `n1` once more.
+    pub async fn until_read(&self) {
+        let before = lock(&self.listing).readings;
+        while lock(&self.listing).readings == before {
+            self.pass(1, true).await;
+        }
     }
 
     /// The publisher of zone `n1`, and the router of zone `s1` that passes its reports on.
@@ -190,10 +235,15 @@
 
     /// Whether a router would send something to replica `r1` now; not while it stands still.
     pub async fn may_use(&self, n: usize) -> bool {
+        self.uses(n, "r1").await
+    }
+
+    /// Whether a router would send something to a replica now; not while it stands still.
+    pub async fn uses(&self, n: usize, id: &'static str) -> bool {
         let serving = self.routers[n].clone();
         let usable = async move {
             let view = serving.fleet.load();
-            view.of(&"chat".into()).iter().any(|replica| replica.id == "r1".into() && serving.usable(replica))
+            view.of(&"chat".into()).iter().any(|replica| replica.id == id.into() && serving.usable(replica))
         };
         let task = self.world.host(ip(n)).spawn(usable);
         let answer = tokio::time::timeout(Duration::from_millis(1), task).await;
--- a/crates/data-plane/tests/serving/kit.rs
+++ b/crates/data-plane/tests/serving/kit.rs
@@ -46,6 +46,9 @@
     }
 }
 
+/// How long a reading of the list may be gone by.
+pub const LIST_MAX_AGE_MS: u64 = 3_000;
+
 static ZONE: LazyLock<Zone> = LazyLock::new(|| "n1".into());
 static REGION: LazyLock<Region> = LazyLock::new(|| "north".into());
 
@@ -90,7 +93,7 @@
 pub fn candidates(rows: Vec<ReplicaRow>) -> Vec<Candidate> {
     let mut f = ReportStore::default();
     assert!(f.take(board("n1", 1, rows), Tick(0)));
-    f.fleet(&zones(), 3_000).of(&"chat".into()).to_vec()
+    f.fleet(&zones(), 3_000, LIST_MAX_AGE_MS).of(&"chat".into()).to_vec()
 }
 
 pub fn prompt(parts: &[(u64, u32)], tokens_in: u32) -> Prompt {
--- a/crates/data-plane/tests/serving/placement.rs
+++ b/crates/data-plane/tests/serving/placement.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     fleet::{Fleet, REPORTED, SUBSCRIBED, ip},
-    kit::{board, prompt, route, row},
+    kit::{LIST_MAX_AGE_MS, board, prompt, route, row},
 };
 use common::{Region, Tick, Zone, runtime::Simulation};
 use configuration::{Backend, Route, RouteKind};
@@ -61,7 +61,7 @@
     let now = serving.now();
     assert!(store.take(board("n1", 1, vec![row(1, north)]), now));
     assert!(store.take(board("w1", 1, vec![row(2, west)]), now));
-    serving.fleet.store(Arc::new(store.fleet(&regions_of_zones(), 3_000)));
+    serving.fleet.store(Arc::new(store.fleet(&regions_of_zones(), 3_000, LIST_MAX_AGE_MS)));
 }
 
 /// The region to which each user's request would go first, at one router.
--- a/crates/data-plane/tests/serving/replica_view.rs
+++ b/crates/data-plane/tests/serving/replica_view.rs
@@ -1,12 +1,13 @@
 //! Tests of `data_plane::serving::replica_view`.
 
-use crate::kit::{board, context, prompt, row, zones};
+use crate::kit::{LIST_MAX_AGE_MS, board, context, prompt, row, zones};
 use common::{Region, Service, Tick};
 use data_plane::load::RegionLoad;
 use data_plane::serving::{
     prefill::Reading,
     replica_choice::{ChoiceContext, best},
-    replica_view::{Candidate, ReplicaView, ReportStore},
+    replica_report::ReplicaReport,
+    replica_view::{Candidate, ReceivedReport, ReplicaView, ReportStore},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
@@ -54,9 +55,9 @@
 ) {
     let mut f = ReportStore::default();
     assert!(f.take(board("n1", 1, vec![row(0, 0)]), Tick(0)));
-    f.fleet(&zones(), 1).of(&"chat".into())[0].own.open.store(then, Ordering::Relaxed);
+    f.fleet(&zones(), 1, LIST_MAX_AGE_MS).of(&"chat".into())[0].own.open.store(then, Ordering::Relaxed);
     assert!(f.take(board("n1", 2, vec![row(0, running)]), Tick(1)));
-    let fleet = f.fleet(&zones(), 1);
+    let fleet = f.fleet(&zones(), 1, LIST_MAX_AGE_MS);
     let c = &fleet.of(&"chat".into())[0];
     c.own.open.store(now, Ordering::Relaxed);
     assert_eq!(c.load(), want);
@@ -73,7 +74,7 @@
         .map(|_| {
             let mut f = ReportStore::default();
             assert!(f.take(board("n1", 1, rows.clone()), Tick(0)));
-            f.fleet(&zones(), 1)
+            f.fleet(&zones(), 1, LIST_MAX_AGE_MS)
         })
         .collect();
     let (reading, p) = (Reading::default(), prompt(&[], 200));
@@ -100,6 +101,35 @@
     assert!(over(&all) > 2 * routers as u32, "the best of all must do worse: {all:?}");
 }
 
+/// A list that its publisher can't renew counts on only while nobody else has read any: seen to fail, a publisher that
+/// alone was cut off from the platform renewed the age of its list by itself.
+#[rstest]
+#[case::renewed(1_000, 1_500, (0, 3_001), 1_000)]
+#[case::not_old_yet(1_000, 4_000, (0, 3_001), 1_000)]
+#[case::old_for_both(1_000, 5_000, (0, 3_001), 5_000)]
+#[case::another_read_beside_it(1_000, 5_000, (2_500, 3_001), 5_000)]
+#[case::another_read_since(1_000, 5_000, (2_501, 3_001), 1_000)]
+#[case::another_is_current(1_000, 5_000, (4_900, 0), 1_000)]
+#[case::nothing_came_of_another(1_000, 5_000, (500, 100), 1_000)]
+fn whose_list_counts(
+    #[case] at: u64,
+    #[case] received: u64,
+    #[case] (other_at, other_age_ms): (u64, u64),
+    #[case] listed_at: u64,
+) {
+    let mut f = ReportStore::default();
+    let of = |zone, at: u64, age_ms, received: u64| ReceivedReport {
+        board: ReplicaReport { age_ms, ..board(zone, 1, vec![row(0, 0)]) },
+        at: Tick(at),
+        received: Tick(received),
+    };
+    assert!(f.take_received(of("n2", other_at, other_age_ms, other_at + other_age_ms)));
+    assert!(f.take_received(of("n1", at, received - at, received)));
+    let fleet = f.fleet(&zones(), 3_000, LIST_MAX_AGE_MS);
+    let of_zone = fleet.of(&"chat".into()).iter().find(|c| c.zone == "n1".into()).expect("its replica");
+    assert_eq!(of_zone.listed_at, Tick(listed_at));
+}
+
 /// Passes of a region add up over its zones, and count as long as the oldest of its load reports.
 #[test]
 fn lends_add_up_and_run_out() {
@@ -109,7 +139,7 @@
         b.lends = [("chat".into(), n)].into();
         assert!(f.take(b, Tick(at)));
     }
-    let fleet = f.fleet(&zones(), 3_000);
+    let fleet = f.fleet(&zones(), 3_000, LIST_MAX_AGE_MS);
     let at = |r: &str| fleet.lends[&(Region::new(r), Service::new("chat"))];
     assert_eq!(at("north"), (7, Tick(3_050)));
     assert_eq!(at("south"), (7, Tick(3_070)));
@@ -123,7 +153,7 @@
     assert!(f.take(board("n1", 1, vec![row(0, 3), gone]), Tick(0)));
     assert!(f.take(board("n2", 1, vec![row(1, 4)]), Tick(0)));
     assert!(f.take(board("s1", 1, vec![row(3, 19)]), Tick(0)));
-    let fleet = f.fleet(&zones(), 1);
+    let fleet = f.fleet(&zones(), 1, LIST_MAX_AGE_MS);
     let cands = fleet.of(&"chat".into());
     cands.iter().find(|c| c.id == "r0".into()).unwrap().own.open.store(2, Ordering::Relaxed);
     let seen = fleet.regions(&"chat".into(), &|c| !c.draining);
@@ -142,7 +172,7 @@
     let mut f = ReportStore::default();
     let open = |f: &mut ReportStore, seq: u64, rows: Vec<_>| {
         assert!(f.take(board("n1", seq, rows), Tick(seq)));
-        let fleet = f.fleet(&zones(), 1);
+        let fleet = f.fleet(&zones(), 1, LIST_MAX_AGE_MS);
         fleet.of(&"chat".into()).first().map(|c| c.own.clone())
     };
     open(&mut f, 1, vec![row(0, 0)]).unwrap().open.store(1, Ordering::Relaxed);
--- a/crates/data-plane/tests/serving/report_subscription.rs
+++ b/crates/data-plane/tests/serving/report_subscription.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     fleet::{Fleet, LIST, REPORTED, SAMPLE_MS, SUBSCRIBED, ip, timing},
-    kit::{board, row, zones},
+    kit::{LIST_MAX_AGE_MS, board, row, zones},
 };
 use common::{Epoch, NodeId, Tick, runtime::Simulation};
 use control_plane::state_machine::singleton;
@@ -16,6 +16,7 @@
     },
 };
 use rstest::rstest;
+use std::net::IpAddr;
 
 #[test]
 fn a_report_crosses_between_zones_once() {
@@ -115,7 +116,7 @@
     let mut store = ReportStore::default();
     let at = report.fresh_at(Tick(made + 20), Tick(arrived));
     assert!(store.take_received(ReceivedReport { board: report, at, received: Tick(arrived) }));
-    let cold_until = store.fleet(&zones(), 3_000).of(&"chat".into())[0].cold_until;
+    let cold_until = store.fleet(&zones(), 3_000, LIST_MAX_AGE_MS).of(&"chat".into())[0].cold_until;
     assert!(cold_until >= Tick(made + LEFT_MS), "{cold_until:?} of {}", made + LEFT_MS);
     let hops = 1 + u64::from(relay);
     assert!(cold_until <= Tick(made + LEFT_MS + 2 * hops * way_ms), "{cold_until:?}");
@@ -167,6 +168,32 @@
     });
 }
 
+/// Routers that alone can't reach the platform go on with no list of their zone: others reach it.
+#[rstest]
+fn a_publisher_cut_off_from_the_platform_alone_renews_no_list(
+    #[values("silent", "one way", "the publisher alone")] how: &str,
+    #[values(3, 4)] seed: u64,
+) {
+    Simulation::run(seed, None, |world| async move {
+        let fleet = Fleet::start(world).await;
+        let (publisher, _) = fleet.publisher_and_relay();
+        let list = IpAddr::from(LIST.0);
+        let lost = (0..REPORTED).filter(|n| how != "the publisher alone" || *n == publisher).map(ip);
+        let both_ways = how != "one way";
+        fleet.world.partition(lost.flat_map(|n| {
+            let back = if both_ways { Some((n, list)) } else { None };
+            [(list, n)].into_iter().chain(back)
+        }));
+        fleet.lists(Some("r1 draining\nr2 ready"));
+        let bound_ms = fleet.routers[0].list_max_age_ms();
+        let users = fleet.users_after(bound_ms + SAMPLE_MS, 0..REPORTED + SUBSCRIBED).await;
+        assert!(users.is_empty(), "r1 is used by (router, after so many ms) {users:?}");
+        for n in 0..REPORTED + SUBSCRIBED {
+            assert!(fleet.uses(n, "r2").await, "p{n} goes by no list, though the platform can be read");
+        }
+    });
+}
+
 /// A publisher that starts anew is followed again.
 #[test]
 fn a_restarted_publisher_is_followed() {
--- a/crates/data-plane/tests/serving/stage.rs
+++ b/crates/data-plane/tests/serving/stage.rs
@@ -2,7 +2,7 @@
 //! tells, in the order in which requests reach them, whichever replica that is.
 
 use crate::{
-    kit::{board, bounds, names, prompt, row, zones},
+    kit::{LIST_MAX_AGE_MS, board, bounds, names, prompt, row, zones},
     replica_list,
 };
 use common::{
@@ -398,7 +398,7 @@
         {
             let mut reports = lock(&s.reports);
             boards.into_iter().for_each(|b| assert!(reports.take(b, s.now())));
-            s.fleet.store(Arc::new(reports.fleet(&zones(), 3_000)));
+            s.fleet.store(Arc::new(reports.fleet(&zones(), 3_000, LIST_MAX_AGE_MS)));
         }
         let share = BudgetShare { capacity: 64.0, per_ms: 0.0 };
         s.retries.earn(&"chat".into(), cast.tries / 0.8, share, s.now());
