A list is as old as the reading that knew all of its replicas

Callers saw: nothing known to come of it alone. Cause: a replica that moved between the pages of a reading stands on none of them and was kept as it was known, for one more reading; but the list counted as new as the reading that lacked it. A replica that drained just then was used for a reading's interval longer than the bound allows. Change: while a reading lacks a replica that is kept, the list is as old as the reading before.

--- a/crates/data-plane/src/serving/replica_list.rs
+++ b/crates/data-plane/src/serving/replica_list.rs
@@ -49,7 +49,8 @@
     }
 
     /// Takes a reading that was begun at `begun` and whose answer came at `came`. A replica that moves to an earlier
-    /// page while the later ones are read stands on none of them: it is gone only once a second reading lacks it too.
+    /// page while the later ones are read stands on none of them: it is gone only once a second reading lacks it too,
+    /// and until then all is as old as the reading before.
     pub fn read(&mut self, read: ListRead, begun: Tick, came: Tick, each_ms: u64) {
         let mut rows = read.rows;
         let lacking = |(id, _): &(&ReplicaId, &ListedReplica)| !rows.contains_key(*id);
@@ -61,7 +62,7 @@
         };
         self.absent = held.iter().map(|r| r.id.clone()).collect();
         rows.extend(held.into_iter().map(|r| (r.id.clone(), r)));
-        self.read_at = begun;
+        self.read_at = if self.absent.is_empty() { begun } else { self.begun };
         (self.rows, self.begun, self.came) = (Some(rows), begun, came);
         (self.backoff, self.adopted) = (1, false);
         self.due = came + each_ms * u64::from(read.pages);
--- a/crates/data-plane/tests/serving/replica_list_pages.rs
+++ b/crates/data-plane/tests/serving/replica_list_pages.rs
@@ -36,6 +36,27 @@
     assert_eq!(ids(&known, 4_000), ["r1", "r2"], "lacking twice, it is gone");
 }
 
+/// What one reading of several pages lacks is as old as the reading before, and so is the list.
+#[test]
+fn what_moves_between_pages_is_as_old_as_its_last_reading() {
+    let mut known = KnownReplicas::default();
+    known.read(read(&[&["r1", "r2"], &["r3"]]), Tick(1_000), Tick(1_010), EACH_MS);
+    assert_eq!(known.read_at(), Tick(1_000));
+    known.read(read(&[&["r1"], &["r2"]]), Tick(2_000), Tick(2_010), EACH_MS);
+    assert_eq!(known.read_at(), Tick(1_000), "r3 may have changed since");
+    known.read(read(&[&["r1"], &["r2"]]), Tick(3_000), Tick(3_010), EACH_MS);
+    assert_eq!(known.read_at(), Tick(3_000), "r3 is gone");
+    known.adopt(vec![listed("r1", false), listed("r2", false)], Tick(2_500), Tick(7_000));
+    assert_eq!(known.read_at(), Tick(2_500), "another's reading is no newer for being told");
+    known.failed(&ListError::Failed(PeerError::new("list replicas", "list", "500")), Tick(8_000), EACH_MS);
+    assert_eq!(known.read_at(), Tick(2_500), "nothing but a reading renews it");
+    known.read(read(&[&["r1"], &["r4"]]), Tick(9_000), Tick(9_010), EACH_MS);
+    assert_eq!(
+        (known.read_at(), ids(&known, 9_010)),
+        (Tick(9_000), vec!["r1".to_string(), "r4".to_string()])
+    );
+}
+
 /// One page is whole in itself.
 #[test]
 fn what_one_page_lacks_is_gone() {
--- a/crates/data-plane/tests/serving/report_subscription.rs
+++ b/crates/data-plane/tests/serving/report_subscription.rs
@@ -15,6 +15,7 @@
         report_publication::sent_now,
     },
 };
+use hyper::StatusCode;
 use rstest::rstest;
 use std::net::IpAddr;
 
@@ -194,6 +195,40 @@
     });
 }
 
+/// A reading of several pages lacks a replica that moved between them: what is known of it is as old as the reading
+/// before, whatever becomes of the platform then.
+#[rstest]
+fn a_replica_that_moved_between_pages_is_sent_to_by_no_old_list(
+    #[values("over the rate", "out of service", "answers")] then: &str,
+    #[values(3, 4)] seed: u64,
+) {
+    Simulation::run(seed, None, |world| async move {
+        let fleet = Fleet::start(world).await;
+        fleet.lists_pages(&[("first", "r2 ready\nnext b"), ("b", "r1 ready")]);
+        fleet.pass(5_000, true).await;
+        fleet.until_read().await;
+        // It drains, and moves to the first page while the second is read.
+        let began = fleet.world.ms();
+        fleet.lists_pages(&[("first", "r2 ready\nnext b"), ("b", "r3 ready")]);
+        fleet.until_read().await;
+        match then {
+            "over the rate" => fleet.refuses(StatusCode::TOO_MANY_REQUESTS),
+            "out of service" => fleet.refuses(StatusCode::SERVICE_UNAVAILABLE),
+            _ => fleet.lists_pages(&[("first", "r1 draining\nr2 ready\nnext b"), ("b", "r3 ready")]),
+        }
+        let (bound_ms, passed_ms) = (fleet.routers[0].list_max_age_ms(), fleet.world.ms() - began);
+        // The clock of the bound stands still while the platform is out of service.
+        let left_ms = if then == "out of service" { 0 } else { bound_ms.saturating_sub(passed_ms) };
+        if then == "out of service" {
+            fleet.pass(10_000, true).await;
+            fleet.lists_pages(&[("first", "r1 draining\nr2 ready\nnext b"), ("b", "r3 ready")]);
+            fleet.pass(bound_ms.saturating_sub(passed_ms), true).await;
+        }
+        let users = fleet.users_after(left_ms + SAMPLE_MS, 0..REPORTED + SUBSCRIBED).await;
+        assert!(users.is_empty(), "r1 is used by (router, after so many ms) {users:?}");
+    });
+}
+
 /// A publisher that starts anew is followed again.
 #[test]
 fn a_restarted_publisher_is_followed() {
