--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Exit 0: each request got a complete answer; 1: one did not; 2: the case could not run. TROUBLE=0: the replica reads the
-# whole request before it goes on with its answer.
+# Exit 0: the configuration could be read back; 1: it could not; 2: the case could not run. TROUBLE=0: no freeze and no
+# loss of a disk.
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../../target/review/standin" long "$here/../.." "$here/record.txt"
+exec "$here/../../target/review/standin" stuck "$here/../.." "$here/record.txt"
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -18,6 +18,7 @@
 
 const QUIET_MS: u64 = 5_000;
 const ACK_MS: u64 = 6_000;
+const RECOVER_MS: u64 = 12_000;
 const CATCH_UP_MS: u64 = 4_000;
 /// Time from the loss of a core machine to the start of its successor.
 const SUCCESSOR_MS: u64 = 1_100;
@@ -194,6 +195,16 @@
     });
 }
 
+/// When a file under a folder was last written to.
+fn newest(folder: &Path) -> Option<std::time::SystemTime> {
+    let entries = fs::read_dir(folder).ok()?.flatten();
+    let written = |entry: fs::DirEntry| match entry.metadata().ok()? {
+        metadata if metadata.is_dir() => newest(&entry.path()),
+        metadata => metadata.modified().ok(),
+    };
+    entries.filter_map(written).max()
+}
+
 fn unable(why: &str) -> ! {
     eprintln!("could not run: {why}");
     exit(2)
@@ -213,6 +224,8 @@
     port: u16,
     platform: SocketAddr,
     seeds: Vec<Ipv4Addr>,
+    /// Machines that count and may be lost at once.
+    survive: usize,
     machines: Vec<Machine>,
     record: Arc<Record>,
 }
@@ -266,7 +279,7 @@
              rules-in-force = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"places\"]\n\
              [zones]\n{zones}[listen-on]\n{listen}\
              [limits]\ncpu-share = 0.45\ncores = 1\nmemory-mb = 260\nopen-files = 4100\nlink-mbps = 1000.0\ndisk-mb = 64\n\
-             [survive]\nmachines = 1\nzones = 1\nregions = 0\n\
+             [survive]\nmachines = {}\nzones = 1\nregions = 0\n\
              [bounds]\nseed-delay-s = 3\nreuse-after-s = 2\nquiet-ms = {QUIET_MS}\nack-ms = {ACK_MS}\n\
              catch-up-s = {}\ndrain-ms = 5000\ngrace-s = 8\nlost-slack-ms = 200\nconfig-apply-ms = 3000\n\
              rollback-slack-ms = 250\nmax-stretch-ms = 8000\nretry-ratio = 0.2\nretry-window-s = 10\nextra-tries = 64\n\
@@ -276,6 +289,7 @@
             port + 1,
             seeds.join(","),
             machine.core,
+            self.survive,
             CATCH_UP_MS / 1_000,
             self.platform,
         )
@@ -311,7 +325,25 @@
             let _ = child.wait();
         }
         let _ = fs::remove_dir_all(self.folder.join(name));
-        self.record.note(format!("removed {name} for good"));
+        self.record.note(format!("{name}: processes killed, disk lost"));
+    }
+
+    /// Sends a signal to all processes of a machine.
+    fn signal(&self, name: &str, signal: &str) {
+        let machine = self.machines.iter().find(|m| m.name == name);
+        let processes: Vec<String> = machine.iter().flat_map(|m| m.children.iter()).map(|c| c.id().to_string()).collect();
+        let _ = Command::new("kill").arg(signal).args(&processes).status();
+        self.record.note(format!("{signal} to {name}, processes {}", processes.join(" ")));
+    }
+
+    /// What the control process of a machine has logged.
+    fn control_log(&self, name: &str) -> String {
+        fs::read_to_string(self.folder.join(format!("{name}.control.log"))).unwrap_or_default()
+    }
+
+    /// When a file in the data folder of a machine was last written to.
+    fn last_write(&self, name: &str) -> Option<std::time::SystemTime> {
+        newest(&self.folder.join(name))
     }
 
     fn core(&self) -> Vec<Ipv4Addr> {
@@ -381,7 +413,7 @@
 fn main() {
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let argument = |n, what| env::args().nth(n).unwrap_or_else(|| unable(&format!("argument {n}: {what}")));
-    let case = argument(1, "the case: replaced, gone or long");
+    let case = argument(1, "the case: replaced, gone, long or stuck");
     let root = PathBuf::from(argument(2, "the repository"));
     let record_file = argument(3, "the file of the record");
     let program = root.join("target/release/foldshunt-platform");
@@ -435,17 +467,20 @@
 
     let core_ip = |zone: usize, number: u8| Ipv4Addr::new(127, net, zone as u8 + 1, number);
     let seeds = (0..3).map(|zone| core_ip(zone, 1)).collect();
-    let mut fleet =
-        Fleet { folder, program, port, platform, seeds, machines: Vec::new(), record: record.clone() };
+    let survive = if case == "stuck" { 2 } else { 1 };
+    let machines = Vec::new();
+    let mut fleet = Fleet { folder, program, port, platform, seeds, survive, machines, record: record.clone() };
     for zone in 0..3 {
         fleet.start(&format!("edge-{}-1", ZONES[zone].0), zone, true, true, core_ip(zone, 1));
         for number in 2..2 + if case == "gone" { OTHERS } else { 1 } {
-            fleet.start(&format!("edge-{}-{number}", ZONES[zone].0), zone, false, true, core_ip(zone, number));
+            let name = format!("edge-{}-{number}", ZONES[zone].0);
+            fleet.start(&name, zone, case == "stuck", true, core_ip(zone, number));
         }
     }
     let verdict = match case.as_str() {
         "gone" => run_gone(&mut fleet, trouble, core_ip, &record),
         "long" => run_long(&mut fleet, core_ip, &record),
+        "stuck" => run_stuck(&mut fleet, trouble, &record),
         _ => run_replaced(&mut fleet, trouble, core_ip, &record),
     };
     record.note(format!("requests that the replicas ran: {}", runs.load(Ordering::Relaxed)));
@@ -618,3 +653,79 @@
     record.note(format!("requests with a complete answer: {whole} of {LONG_REQUESTS}"));
     i32::from(whole < LONG_REQUESTS)
 }
+
+/// One core machine freezes for 1.9 s and another one for 0.4 s, and two others lose their disks meanwhile. All are back
+/// within 2.7 s.
+fn run_stuck(fleet: &mut Fleet, trouble: bool, record: &Arc<Record>) -> i32 {
+    if begin(fleet).is_none() {
+        return 2;
+    }
+    sleep_ms(CATCH_UP_MS);
+    // A configuration is written by all voters, but not by the spare control node.
+    let before = std::time::SystemTime::now();
+    // Times of files are a few milliseconds coarse.
+    sleep_ms(50);
+    if fleet.configure(4, 3, ACK_MS).is_none() {
+        return 2;
+    }
+    sleep_ms(1_000);
+    let names: Vec<String> = fleet.machines.iter().map(|m| m.name.clone()).collect();
+    let wrote = |name: &&String| fleet.last_write(name).is_some_and(|at| at >= before);
+    let voters: Vec<&String> = names.iter().filter(wrote).collect();
+    let leads = |name: &&&String| fleet.control_log(name).contains("became leader");
+    let leaders: Vec<&&String> = voters.iter().filter(leads).collect();
+    record.note(format!("voters: {voters:?}; leader: {leaders:?}"));
+    let [leader] = leaders[..] else { return 2 };
+    // The spare node learns of the cluster from a seed, so one that runs throughout is a seed.
+    let mut others: Vec<&String> = voters.iter().filter(|name| *name != leader).copied().collect();
+    others.sort_by_key(|name| !name.ends_with("-1"));
+    let [b, c, x, y] = others[..] else { return 2 };
+    let (b, c, x, y, leader) = (b.clone(), c.clone(), x.clone(), y.clone(), (*leader).clone());
+    record.note(format!("{c} and {y} freeze; {x} and {b} lose their disks; {leader} runs throughout"));
+    if trouble {
+        let began = Instant::now();
+        let at = |ms: u64| sleep_ms(ms.saturating_sub(began.elapsed().as_millis() as u64));
+        let place = |name: &str| {
+            let ip = fleet.machines.iter().find(|m| m.name == name).map(|m| m.ip);
+            let zone = ZONES.iter().position(|(zone, _)| name.contains(&format!("-{zone}-")));
+            zone.zip(ip)
+        };
+        let (Some((x_zone, x_ip)), Some((b_zone, b_ip))) = (place(&x), place(&b)) else { return 2 };
+        fleet.signal(&c, "-STOP");
+        at(1_000);
+        fleet.remove(&x);
+        at(1_180);
+        fleet.signal(&y, "-STOP");
+        at(1_560);
+        fleet.remove(&b);
+        at(1_600);
+        fleet.signal(&y, "-CONT");
+        at(1_900);
+        fleet.signal(&c, "-CONT");
+        at(1_000 + SUCCESSOR_MS);
+        fleet.start(&x, x_zone, true, false, x_ip);
+        at(1_560 + SUCCESSOR_MS);
+        fleet.start(&b, b_zone, true, false, b_ip);
+        record.note(format!("{x} and {b} are back, with the same names and addresses and empty disks"));
+    }
+    sleep_ms(RECOVER_MS + CATCH_UP_MS);
+    let began = Instant::now();
+    let mut read = false;
+    while !read && began.elapsed().as_millis() < 2 * u128::from(QUIET_MS) {
+        for ip in fleet.core() {
+            let to = fleet.control_addr(ip);
+            let answer = call(to, &format!("GET /foldshunt/config/read HTTP/1.1\r\nHost: {to}\r\n\r\n"));
+            record.note(format!("read of the configuration at {to}: {}", status(&answer)));
+            read |= answer.is_some_and(|a| a.first.contains(" 200 ") && a.body.contains("\"version\":4"));
+        }
+        sleep_ms(500);
+    }
+    let took = fleet.configure(6, 4, ACK_MS + 6);
+    record.note(format!("configuration 4 read back: {read}; configuration 6: acknowledged after {took:?} ms"));
+    for name in names {
+        for line in fleet.control_log(&name).lines().filter(|l| l.contains("became leader") || l.contains("remov")) {
+            record.note(format!("log of {name}: {}", line.replace(&fleet.folder.display().to_string(), "")));
+        }
+    }
+    i32::from(!read)
+}
