--- a/review/standin.rs
+++ b/review/standin.rs
@@ -205,6 +205,12 @@
     entries.filter_map(written).max()
 }
 
+/// Sends a signal to processes that this program started.
+fn send_signal(signal: &str, processes: &str) -> bool {
+    let sent = Command::new("sh").args(["-c", &format!("kill {signal} {processes}")]).status();
+    sent.is_ok_and(|status| status.success())
+}
+
 fn unable(why: &str) -> ! {
     eprintln!("could not run: {why}");
     exit(2)
@@ -332,7 +338,7 @@
     fn signal(&self, name: &str, signal: &str) {
         let machine = self.machines.iter().find(|m| m.name == name);
         let processes: Vec<String> = machine.iter().flat_map(|m| m.children.iter()).map(|c| c.id().to_string()).collect();
-        let _ = Command::new("kill").arg(signal).args(&processes).status();
+        send_signal(signal, &processes.join(" "));
         self.record.note(format!("{signal} to {name}, processes {}", processes.join(" ")));
     }
 
@@ -646,7 +652,7 @@
     let router = fleet.machines.iter().find(|m| m.name == name).and_then(|m| m.children.first());
     let Some(process) = router.map(Child::id) else { return 2 };
     record.note(format!("SIGTERM to the router of {name}, process {process}"));
-    if !Command::new("kill").args(["-TERM", &process.to_string()]).status().is_ok_and(|s| s.success()) {
+    if !send_signal("-TERM", &process.to_string()) {
         return 2;
     }
     let whole = requests.into_iter().filter_map(|r| r.join().ok()).filter(|whole| *whole).count();
