Consensus: a newcomer counts as silent from its admission, not from its leader's election

With two spares and two silent voters, the second spare's join request replaced the newcomer that had just been admitted, and so on in turn for as long as the leader led: no silent voter but the first was ever replaced, and each swap kept a blank voter in the set.

Cause: a voter without an answer counted as silent since its leader's election, and a newcomer has not answered yet.

Change: its progress has the time at which the leader committed its admission; silence counts from then.

Test: `a_second_spare_replaces_the_silent_voter_and_not_the_newcomer`; with the new time left out it logs voter 3 again and again (78, 79, 78, ...) and voter 4 never.

--- a/crates/control-plane/src/consensus/candidate.rs
+++ b/crates/control-plane/src/consensus/candidate.rs
@@ -92,7 +92,7 @@
             self.persist(Record::Install { term, truncate_to, entries }, now, Vec::new(), effects);
         }
         // Committing a replacement adds the new voter to those that are counted.
-        self.commit_to(committed.min(self.last_index()), effects);
+        self.commit_to(committed.min(self.last_index()), now, effects);
         self.broadcast_append(now, effects);
     }
 }
--- a/crates/control-plane/src/consensus/follower.rs
+++ b/crates/control-plane/src/consensus/follower.rs
@@ -29,7 +29,7 @@
         self.role = VoterRole::Follower { leader: Some(by), last_contact: now };
         let mut write = self.apply_append_body(term, body, effects);
         if self.log_term == term {
-            self.commit_to(commit_index.min(self.last_index()), effects);
+            self.commit_to(commit_index.min(self.last_index()), now, effects);
         }
         if let Some(LogWrite::Record(Record::Append { commit_index, .. })) = &mut write {
             *commit_index = self.commit_index();
--- a/crates/control-plane/src/consensus/join.rs
+++ b/crates/control-plane/src/consensus/join.rs
@@ -47,7 +47,7 @@
         others.retain(|voter| voter.incarnation != self.identity.incarnation);
         let same_node = |voter: &&VoterInfo| voter.node == blank.node || voter.rpc_addr == blank.rpc_addr;
         let silent = |voter: &&VoterInfo| {
-            let last_contact = peers.get(&voter.incarnation).map_or(*since, |progress| progress.sent_at);
+            let last_contact = peers.get(&voter.incarnation).map_or(*since, Progress::counted_since);
             now.since(last_contact.max(*since)) > silence_ms
         };
         let replaced = others.iter().find(same_node).or_else(|| others.iter().find(silent));
--- a/crates/control-plane/src/consensus/log.rs
+++ b/crates/control-plane/src/consensus/log.rs
@@ -55,7 +55,7 @@
     }
 
     /// Applies the entries up to `index`, which are known to be committed.
-    pub(super) fn commit_to(&mut self, index: Index, effects: &mut Vec<Effect>) {
+    pub(super) fn commit_to(&mut self, index: Index, now: Tick, effects: &mut Vec<Effect>) {
         let from = self.commit_index();
         let committed: Vec<LogEntry> =
             self.log.iter().filter(|entry| entry.index > from && entry.index <= index).cloned().collect();
@@ -65,7 +65,7 @@
                 (&mut self.role, &entry.change)
             {
                 // A blank voter is sent a snapshot at once with this default progress.
-                peers.entry(replacement.incarnation).or_default();
+                peers.entry(replacement.incarnation).or_default().admitted_at = now;
             }
             effects.push(Effect::Committed { entry, outcome });
         }
--- a/crates/control-plane/src/consensus/replication.rs
+++ b/crates/control-plane/src/consensus/replication.rs
@@ -146,7 +146,7 @@
         let synced = self.configuration().quorum_value(|voter| self.synced_index(voter));
         let Some(synced) = synced else { return };
         let before = self.commit_index();
-        self.commit_to(synced.min(self.last_index()), effects);
+        self.commit_to(synced.min(self.last_index()), now, effects);
         if self.commit_index() > before {
             self.broadcast_append(now, effects);
             self.complete_replacement(now, effects);
@@ -155,13 +155,19 @@
 }
 
 impl Progress {
+    /// The time from which the voter's silence counts: its last answer, or its admission before it has answered.
+    pub(super) fn counted_since(&self) -> Tick {
+        self.sent_at.max(self.admitted_at)
+    }
+
     /// The progress after a reply. A reply that a newer one has overtaken only counts as contact.
     fn updated_by(self, reply: Progress) -> Progress {
         let overtaken = self.installed && (!reply.installed || reply.last < self.last);
         let sent_at = self.sent_at.max(reply.sent_at);
-        let in_flight = self.in_flight;
+        let (in_flight, admitted_at) = (self.in_flight, self.admitted_at);
         let mut progress = if overtaken { self } else { reply };
         progress.sent_at = sent_at;
+        progress.admitted_at = admitted_at;
         progress.in_flight = in_flight.filter(|append| !append.acknowledged_by(&progress));
         progress
     }
--- a/crates/control-plane/src/consensus/role.rs
+++ b/crates/control-plane/src/consensus/role.rs
@@ -18,6 +18,8 @@
     pub commit_index: Index,
     /// Send time, on the leader's clock, of the newest append that it answered.
     pub sent_at: Tick,
+    /// When this leader committed its admission; unset for the voters that it found when it was elected.
+    pub admitted_at: Tick,
     /// The append with entries or a snapshot that it has not acknowledged.
     pub in_flight: Option<InFlight>,
 }
--- a/crates/control-plane/src/consensus/step.rs
+++ b/crates/control-plane/src/consensus/step.rs
@@ -75,7 +75,7 @@
                 self.handle_append(request, now, effects);
             }
             Message::AppendReply { by, term, installed, last, commit_index, sent_at } => {
-                let progress = Progress { installed, last, commit_index, sent_at, in_flight: None };
+                let progress = Progress { installed, last, commit_index, sent_at, ..Progress::default() };
                 self.handle_append_reply(by, term, progress, now, effects);
             }
         }
--- a/crates/control-plane/tests/larger_clusters.rs
+++ b/crates/control-plane/tests/larger_clusters.rs
@@ -196,3 +196,67 @@
     voter.step(Event::Msg(addr(9), newer), now);
     assert!(grants(&voter.step(pre_vote(), now)));
 }
+
+/// Guards against a newcomer that is replaced at once: a second spare asked to join before the first one had answered the
+/// leader, which took it for silent since its own election. The second spare must replace the voter that is silent.
+#[test]
+fn a_second_spare_replaces_the_silent_voter_and_not_the_newcomer() {
+    let (mut voter, mut now) = leader_of_five();
+    let lease_ms = Timing::default().lease_ms;
+    let mut logged = Vec::new();
+    for _ in 0..40 {
+        now = now + lease_ms / 20;
+        let mut effects = voter.step(Event::Timer, now);
+        for (n, incarnation) in [(8, 78), (9, 79)] {
+            let spare = VoterInfo { node: format!("s{n}").as_str().into(), ..voter_info(n, incarnation) };
+            effects.extend(voter.step(Event::Msg(addr(n), Message::JoinRequest { voter: spare }), now));
+        }
+        for n in [1, 2] {
+            effects.extend(synced(&mut voter, now));
+            effects.extend(voter.step(append_reply(n, voter.last_index(), now), now));
+        }
+        logged.extend(effects.into_iter().filter_map(|effect| match effect {
+            Effect::Logged { change: Change::ReplaceVoter(new), .. } => Some((new.number, new.incarnation.0)),
+            _ => None,
+        }));
+    }
+    // Each replacement is logged a second time once it is committed.
+    assert_eq!(logged, [(3, 78), (3, 78), (4, 79), (4, 79)]);
+}
+
+/// Voter 0 of five as the leader of term 8, elected by voters 1 and 2.
+fn leader_of_five() -> (Voter, Tick) {
+    let mut voter = initialized(0, 5, 0);
+    let now = Tick(60_000);
+    let term = pre_vote_term(&mut voter, now).expect("it stands for election");
+    let tail = LogTail {
+        log_term: Term(0),
+        last: Index(0),
+        commit_index: Index(0),
+        snapshot: None,
+        entries: Vec::new(),
+    };
+    for n in [1, 2] {
+        let by = voter_id(n, 10 + u64::from(n));
+        voter.step(Event::Msg(addr(n), Message::PreVoteGranted { by, term }), now);
+    }
+    for n in [1, 2] {
+        let by = voter_id(n, 10 + u64::from(n));
+        voter.step(Event::Msg(addr(n), Message::Vote { by, term, tail: tail.clone() }), now);
+    }
+    assert!(voter.is_leader());
+    (voter, now)
+}
+
+/// Reports all writes as synced.
+fn synced(voter: &mut Voter, now: Tick) -> Vec<Effect> {
+    const AFTER_ALL_WRITES: u64 = 1_000;
+    voter.step(Event::Synced(AFTER_ALL_WRITES), now)
+}
+
+fn append_reply(n: u8, last: Index, sent_at: Tick) -> Event {
+    let by = voter_id(n, 10 + u64::from(n));
+    let reply =
+        Message::AppendReply { by, term: Term(8), installed: true, last, commit_index: Index(0), sent_at };
+    Event::Msg(addr(n), reply)
+}
