Simulator: a soak of real control nodes under overlapping signals, restarts and lost disks

`simulator soak` starts voters, a spare and routers as processes. Control nodes are frozen, killed, asked to stop (also while frozen), restarted and robbed of their disks; disruptions of different processes overlap, and as many disks are lost at once as the cluster must survive. Two operators change the document in series and send a change again after a lost answer; clients read it over connections that they keep until the process is gone.

Cores of five need a program that passes the number of voters: `simulator control-node`, the same daemon as foldshunt-control.

--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod sim;
 pub mod simulated_process;
 pub mod slow_start;
+pub mod soak;
 pub mod submissions;
 pub mod sync_body;
 pub mod timeline;
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -1,6 +1,15 @@
 //! `simulator`: runs fleets on one machine and the seeded simulations (design 7).
 
 use bpaf::Bpaf;
+use common::{
+    logging,
+    settings::{Flags, Settings, flags, shutdown_signal},
+};
+use control_plane::{
+    control_node::{Bootstrap, open_data_folder},
+    daemon,
+    operator::api,
+};
 use eyre::{Result, ensure, eyre};
 use simulator::{
     chaos::draw_faults,
@@ -13,6 +22,7 @@
         catch_up::{self, CatchUpPlan, catch_up_plan},
         sweep::{sweep, sweep_data},
     },
+    soak::{SoakPlan, run_soak, soak_plan},
     traffic::Load,
     world::{BrokenVariant, WorldPlan, sweep_worlds},
 };
@@ -92,6 +102,18 @@
     /// Measures, in virtual time, how long and how many bytes a control node takes to catch up
     #[bpaf(command("catch-up"))]
     CatchUp(#[bpaf(external(catch_up_plan))] CatchUpPlan),
+    /// Disrupts real control nodes in overlapping series under operators and clients
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak_plan))] SoakPlan),
+    /// Runs a control node, as foldshunt-control does, of a cluster with a given number of voters
+    #[bpaf(command("control-node"))]
+    ControlNode {
+        /// Number of voters in a new cluster
+        #[bpaf(argument("N"))]
+        voters: usize,
+        #[bpaf(external(flags))]
+        flags: Flags,
+    },
     /// Simulates placement and capacity grants under virtual time over many seeds
     #[bpaf(command("sim-data"))]
     SimData {
@@ -161,6 +183,8 @@
             tokio::task::spawn_blocking(move || sweep_worlds(&plan, from, seeds, verbose, all)).await?
         }
         Opts::CatchUp(plan) => tokio::task::spawn_blocking(move || catch_up::print_table(&plan)).await?,
+        Opts::Soak(plan) => run_soak(&plan, &programs_folder()?).await,
+        Opts::ControlNode { voters, flags } => run_control_node(voters, &flags).await,
         Opts::SimData { from, seeds } => {
             ensure!((1..=10_000_000).contains(&seeds), "--seeds: {seeds}; allowed: 1 to 10000000");
             sweep_data(from, seeds)
@@ -172,3 +196,20 @@
         }
     }
 }
+
+/// Runs a control node until it is asked to stop.
+async fn run_control_node(voters: usize, flags: &Flags) -> Result<()> {
+    let settings = Settings::read(flags)?;
+    logging::start(&settings.node, &settings.log);
+    let listeners = settings.bind().await?;
+    let folder = open_data_folder(&settings)?;
+    let bootstrap = Bootstrap { expected_voters: voters, ..Bootstrap::default() };
+    daemon::run(settings, bootstrap, listeners, folder, api::handle, shutdown_signal()?).await;
+    Ok(())
+}
+
+/// The folder of this program, in which the others are too.
+fn programs_folder() -> Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    Ok(own.parent().map(PathBuf::from).unwrap_or_default())
+}
--- a/crates/simulator/src/node.rs
+++ b/crates/simulator/src/node.rs
@@ -38,6 +38,8 @@
 pub enum Launcher {
     /// As processes, from the programs in this folder.
     Processes(PathBuf),
+    /// As processes, from the programs in this folder, with this many voters in a new cluster.
+    ProcessesOfCluster(PathBuf, u8),
     /// On hosts of a simulation.
     Simulation(Arc<common::runtime::Simulation>),
 }
@@ -100,7 +102,10 @@
             bail!("{} is already running", self.name);
         }
         self.running = Some(match launcher {
-            Launcher::Processes(bin) => RunningNode::Process(self.spawn_process(bin)?),
+            Launcher::Processes(bin) => RunningNode::Process(self.spawn_process(bin, None)?),
+            Launcher::ProcessesOfCluster(bin, voters) => {
+                RunningNode::Process(self.spawn_process(bin, Some(*voters))?)
+            }
             Launcher::Simulation(simulation) => {
                 RunningNode::Simulated(SimulatedProcess::start(simulation, self))
             }
@@ -108,12 +113,20 @@
         Ok(())
     }
 
-    fn spawn_process(&self, bin: &Path) -> Result<Child> {
+    fn spawn_process(&self, bin: &Path, voters: Option<u8>) -> Result<Child> {
         std::fs::create_dir_all(&self.dir)?;
         std::fs::write(self.dir.join("node.toml"), toml::to_string(&self.settings())?)?;
-        let program = bin.join(if self.is_control { "foldshunt-control" } else { "foldshunt-router" });
+        let (program, arguments) = match voters.filter(|_| self.is_control) {
+            Some(voters) => {
+                ("simulator", vec!["control-node".to_string(), "--voters".into(), voters.to_string()])
+            }
+            None if self.is_control => ("foldshunt-control", Vec::new()),
+            None => ("foldshunt-router", Vec::new()),
+        };
+        let program = bin.join(program);
         let log = File::options().create(true).append(true).open(self.dir.join("log"))?;
         Command::new(&program)
+            .args(arguments)
             .arg("--config")
             .arg(self.dir.join("node.toml"))
             .stdin(Stdio::null())
--- a/crates/simulator/src/relay.rs
+++ b/crates/simulator/src/relay.rs
@@ -102,7 +102,9 @@
     /// Cuts the links that `target` names.
     pub fn cut(&self, target: &str) {
         match &self.launcher {
-            Launcher::Processes(_) => self.relays.cut(self.links_of(target)),
+            Launcher::Processes(_) | Launcher::ProcessesOfCluster(..) => {
+                self.relays.cut(self.links_of(target));
+            }
             Launcher::Simulation(simulation) => simulation.partition(self.links_of(target)),
         }
     }
@@ -110,7 +112,9 @@
     /// Restores the links that `target` names.
     pub fn heal(&self, target: &str) {
         match &self.launcher {
-            Launcher::Processes(_) => self.relays.heal(&self.links_of(target)),
+            Launcher::Processes(_) | Launcher::ProcessesOfCluster(..) => {
+                self.relays.heal(&self.links_of(target));
+            }
             Launcher::Simulation(simulation) => simulation.heal(&self.links_of(target)),
         }
     }
--- /dev/null
+++ b/crates/simulator/tests/soak.rs
@@ -0,0 +1,36 @@
+//! A short soak of real control nodes (design 7.2): signals, restarts and lost disks overlap under operators and clients.
+//! `simulator soak` runs longer ones.
+
+use rstest::rstest;
+use simulator::soak::{SoakPlan, run_seed};
+use std::path::Path;
+
+/// No acknowledged change is lost or read back older, and the cluster recovers. Guards against a cluster that elects no
+/// leader any more after two lost disks during the replacement of a frozen voter.
+#[rstest]
+#[case::five_voters(11, 5, 71)]
+#[case::five_voters_by_another_seed(12, 5, 72)]
+#[case::three_voters(13, 3, 73)]
+#[tokio::test(flavor = "multi_thread")]
+async fn overlapping_disruptions_lose_nothing_acknowledged(
+    #[case] seed: u64,
+    #[case] voters: u8,
+    #[case] net: u8,
+) {
+    let dir = tempfile::tempdir().unwrap();
+    let plan = SoakPlan {
+        from: seed,
+        seeds: 1,
+        voters,
+        routers: 0,
+        clients: 8,
+        seconds: 20.0,
+        net,
+        dir: dir.path().into(),
+    };
+    let programs = Path::new(env!("CARGO_BIN_EXE_simulator")).parent().unwrap();
+    let report = run_seed(&plan, seed, programs).await.unwrap();
+    println!("{report:?}");
+    assert_eq!(report.violations, Vec::<String>::new(), "{report:?}");
+    assert!(report.accepted > 10 && report.answers > 100 && report.disruptions > 5, "{report:?}");
+}
