--- a/crates/simulator/tests/soak.rs
+++ b/crates/simulator/tests/soak.rs
@@ -3,13 +3,17 @@
 
 use rstest::rstest;
 use simulator::soak::{SoakPlan, run_seed};
-use std::{net::TcpListener, path::Path};
+use std::{
+    net::{Ipv4Addr, TcpListener},
+    path::Path,
+};
 
 /// A second octet of loopback addresses that no other soak on this machine uses while the listener is open: clusters at
 /// the same addresses would take each other's nodes for their own.
 fn reserve_net() -> (u8, TcpListener) {
-    let reserve =
-        |net: u8| TcpListener::bind(([127, net, 250, 1], 7100)).ok().map(|listener| (net, listener));
+    let reserve = |net: u8| {
+        TcpListener::bind((Ipv4Addr::new(127, net, 250, 1), 7100)).ok().map(|listener| (net, listener))
+    };
     (100..250).find_map(reserve).expect("a free range of addresses")
 }
 
