Consensus: one piece of code for what an election needs, for uncommitted entries and for a voter set that is sent

Read once more: Configuration::elects serves pre-votes and votes, uncommitted() three walks over the log, send_voter_set both messages; a reply without a join request builds no configuration.

--- a/crates/control-plane/src/consensus/admission.rs
+++ b/crates/control-plane/src/consensus/admission.rs
@@ -68,13 +68,7 @@
         let voters = self.voters();
         let named = voters.iter().any(|voter| voter.incarnation == blank.incarnation);
         if named {
-            let msg = Message::Discover {
-                voter: self.identity.clone(),
-                initialized: true,
-                voters,
-                index: self.last_index(),
-            };
-            effects.push(Effect::Send { to, msg });
+            self.send_voter_set(to, voters, self.last_index(), effects);
         }
         named
     }
--- a/crates/control-plane/src/consensus/candidate.rs
+++ b/crates/control-plane/src/consensus/candidate.rs
@@ -39,21 +39,14 @@
             Some(tail) => tail.configuration(&self.cluster_state, committed),
             None => self.configuration(),
         };
-        if self.is_elected_by(&granted, &configuration) {
+        // That log may contain replacements that this voter did not know when it asked for votes (design 2.5).
+        if configuration.elects(self.identity.incarnation, &granted) {
             self.become_leader(asked_term, newest, committed, now, effects);
         } else if newest.as_ref().is_some_and(|tail| end(tail) == vote_end) {
             self.request_further_votes(asked_term, &configuration, effects);
         }
     }
 
-    /// Whether these votes elect this candidate under the configuration of the log that is to be installed. That log may
-    /// contain replacements that this voter did not know when it asked for votes (design 2.5).
-    fn is_elected_by(&self, granted: &BTreeSet<Incarnation>, configuration: &Configuration) -> bool {
-        let own = self.identity.incarnation;
-        let voted = |voter: &VoterInfo| voter.incarnation == own || granted.contains(&voter.incarnation);
-        configuration.is_target(own) && configuration.has_quorum(voted)
-    }
-
     /// Asks those voters of a newer configuration for their votes that this candidate did not know.
     fn request_further_votes(&self, term: Term, configuration: &Configuration, effects: &mut Vec<Effect>) {
         let known = self.configuration();
--- a/crates/control-plane/src/consensus/configuration.rs
+++ b/crates/control-plane/src/consensus/configuration.rs
@@ -6,6 +6,7 @@
     types::{Change, LogEntry, VoterInfo},
 };
 use common::{Incarnation, Index};
+use std::collections::BTreeSet;
 
 /// The voter sets at the end of a log. A logged replacement that is not known to be committed makes them joint: a
 /// decision then needs a majority of the set without it and a majority of the set with it.
@@ -83,6 +84,12 @@
         self.quorum_value(|voter| fulfils(voter).then_some(())).is_some()
     }
 
+    /// Whether these votes and its own elect a candidate. A voter that is being replaced can't be elected.
+    pub fn elects(&self, candidate: Incarnation, votes: &BTreeSet<Incarnation>) -> bool {
+        let voted = |voter: &VoterInfo| voter.incarnation == candidate || votes.contains(&voter.incarnation);
+        self.is_target(candidate) && self.has_quorum(voted)
+    }
+
     /// The highest value that a majority of each set has reached, if there is one.
     pub fn quorum_value<T: Ord>(&self, value: impl Fn(&VoterInfo) -> Option<T>) -> Option<T> {
         let by_committed = majority_value(&self.committed, &value)?;
--- a/crates/control-plane/src/consensus/discovery.rs
+++ b/crates/control-plane/src/consensus/discovery.rs
@@ -5,12 +5,18 @@
 impl Voter {
     /// Sends a node the current voter set.
     pub(crate) fn send_membership(&self, to: SocketAddr, effects: &mut Vec<Effect>) {
-        let msg = Message::Discover {
-            voter: self.identity.clone(),
-            initialized: true,
-            voters: self.cluster_state.voters.clone(),
-            index: self.commit_index(),
-        };
+        self.send_voter_set(to, self.cluster_state.voters.clone(), self.commit_index(), effects);
+    }
+
+    /// Sends a node a voter set and the index at which it is in force.
+    pub(super) fn send_voter_set(
+        &self,
+        to: SocketAddr,
+        voters: Vec<VoterInfo>,
+        index: Index,
+        effects: &mut Vec<Effect>,
+    ) {
+        let msg = Message::Discover { voter: self.identity.clone(), initialized: true, voters, index };
         effects.push(Effect::Send { to, msg });
     }
 
--- a/crates/control-plane/src/consensus/election.rs
+++ b/crates/control-plane/src/consensus/election.rs
@@ -162,9 +162,8 @@
             return;
         }
         granted.insert(by.incarnation);
-        let elects = |voter: &VoterInfo| voter.incarnation == own || granted.contains(&voter.incarnation);
         // A voter that is being replaced asks only to learn whether the replacement is complete.
-        if configuration.is_target(own) && configuration.has_quorum(elects) {
+        if configuration.elects(own, granted) {
             self.become_candidate(asked_term, now, effects);
         }
     }
--- a/crates/control-plane/src/consensus/join.rs
+++ b/crates/control-plane/src/consensus/join.rs
@@ -57,6 +57,10 @@
     /// Logs a replacement once a majority without the replaced voter has answered appends that were sent after the
     /// request. No other change is logged until the replacement is committed, so that majority must be reachable first.
     pub(super) fn admit_joining_voter(&mut self, now: Tick, effects: &mut Vec<Effect>) {
+        // Most replies of followers find no request.
+        if self.join_requests.is_empty() {
+            return;
+        }
         let VoterRole::Leader { peers, .. } = &self.role else { return };
         let configuration = self.configuration();
         if configuration.is_joint() {
@@ -86,10 +90,8 @@
             return;
         }
         let Some(completion) = self.cluster_state.completion_of_replacement() else { return };
-        let commit_index = self.commit_index();
-        let mut uncommitted = self.log.iter().skip_while(|entry| entry.index <= commit_index);
         let is_replacement = |entry: &LogEntry| matches!(entry.change, Change::ReplaceVoter(_));
-        if !uncommitted.any(is_replacement) && self.proposal_rejection(&completion, now).is_none() {
+        if !self.uncommitted().any(is_replacement) && self.proposal_rejection(&completion, now).is_none() {
             self.handle_propose(completion, now, effects);
         }
     }
--- a/crates/control-plane/src/consensus/log.rs
+++ b/crates/control-plane/src/consensus/log.rs
@@ -23,6 +23,12 @@
         }
     }
 
+    /// The entries that it doesn't know to be committed.
+    pub(super) fn uncommitted(&self) -> impl Iterator<Item = &LogEntry> {
+        let commit_index = self.commit_index();
+        self.log.iter().skip_while(move |entry| entry.index <= commit_index)
+    }
+
     pub(super) fn entries_after(&self, index: Index) -> Vec<LogEntry> {
         self.log.iter().filter(|entry| entry.index > index).cloned().collect()
     }
@@ -95,8 +101,7 @@
         };
         let pending =
             self.max_encoded_len_after(self.commit_index()) + LogEntry::max_encoded_len_with(change);
-        let uncommitted = self.log.iter().filter(|entry| entry.index > self.commit_index());
-        let growth: usize = uncommitted.map(|entry| entry.change.max_state_growth()).sum();
+        let growth: usize = self.uncommitted().map(|entry| entry.change.max_state_growth()).sum();
         let state = self.cluster_state.max_encoded_len() + pending + growth + change.max_state_growth();
         [
             (!change.names_within_limit(), NotLogged::NameTooLong),
--- a/crates/control-plane/src/consensus/mod.rs
+++ b/crates/control-plane/src/consensus/mod.rs
@@ -203,9 +203,7 @@
 
     /// The voter sets at the end of its log.
     pub fn configuration(&self) -> Configuration {
-        let commit_index = self.commit_index();
-        let uncommitted = self.log.iter().skip_while(|entry| entry.index <= commit_index);
-        Configuration::at_end_of_log(&self.cluster_state, uncommitted, commit_index)
+        Configuration::at_end_of_log(&self.cluster_state, self.uncommitted(), self.commit_index())
     }
 
     /// The voter set with logged replacements applied, committed or not.
--- a/crates/control-plane/tests/model/scenario.rs
+++ b/crates/control-plane/tests/model/scenario.rs
@@ -167,9 +167,7 @@
                 world.changes = changes(1, &["c", "d"]);
                 world.wipe(follower);
                 world.restart(follower);
-                let logged = |world: &World| {
-                    world.voter(leader).is_some_and(|voter| voter.last_index() > voter.commit_index())
-                };
+                let logged = |world: &World| world.has_logged(leader);
                 match self {
                     Self::WipedVoterJoins => world.run_until_join_request(leader)?,
                     Self::ReplacementLogged => {
@@ -212,9 +210,7 @@
                 world.crash(follower, 0);
                 world.restart(world.size);
                 world.run_until_spare_asks_to_join(follower)?;
-                let logged = |world: &World| {
-                    world.voter(leader).is_some_and(|voter| voter.last_index() > voter.commit_index())
-                };
+                let logged = |world: &World| world.has_logged(leader);
                 world.run_until(&[follower], logged)?;
                 world.packets.clear();
                 world.wipe(third);
@@ -244,9 +240,7 @@
                 world.crash(follower, 0);
                 world.restart(world.size);
                 world.run_until_spare_asks_to_join(follower)?;
-                let logged = |world: &World| {
-                    world.voter(leader).is_some_and(|voter| voter.last_index() > voter.commit_index())
-                };
+                let logged = |world: &World| world.has_logged(leader);
                 world.run_until(&[follower], logged)?;
                 let is_append = |message: &Message| matches!(message, Message::Append { .. });
                 world.packets.retain(|packet| packet.value.to == third && is_append(&packet.value.message));
