--- a/crates/common/src/error.rs
+++ b/crates/common/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors that name the step that failed and the peer (design 1.4).
 
-use std::{error::Error, fmt, io};
+use std::{error::Error, fmt, io, sync::Arc};
 
 /// Any error.
 pub type BoxError = Box<dyn Error + Send + Sync>;
@@ -25,7 +25,7 @@
 }
 
 /// The failure of a step that involves a peer.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct PeerError {
     /// The step that failed.
     pub step: Step,
@@ -33,7 +33,7 @@
     pub peer: String,
     /// The kind of failure.
     pub kind: ErrorKind,
-    cause: BoxError,
+    cause: Arc<dyn Error + Send + Sync>,
 }
 
 impl fmt::Display for PeerError {
@@ -65,7 +65,7 @@
 impl PeerError {
     /// A failure of kind [`ErrorKind::Other`].
     pub fn new(step: Step, peer: impl fmt::Display, cause: impl Into<BoxError>) -> Self {
-        Self { step, peer: peer.to_string(), kind: ErrorKind::Other, cause: cause.into() }
+        Self { step, peer: peer.to_string(), kind: ErrorKind::Other, cause: cause.into().into() }
     }
 
     /// A connection that could not be opened.
@@ -90,6 +90,11 @@
         self.kind == ErrorKind::Refused
     }
 
+    /// Whether the peer did not answer in time.
+    pub fn is_timed_out(&self) -> bool {
+        self.kind == ErrorKind::TimedOut
+    }
+
     /// Whether the failure happened before any part of a request was sent, so that the peer can't have acted on it.
     pub fn is_before_sending(&self) -> bool {
         self.step == CONNECT || self.step == HANDSHAKE
