Heartbeats: a bounded number of peers at any size; contacts are passed on

Callers saw: the start of 250 routers above: 205,902 established sockets after 6 s, 1,380 descriptors at a router of 300. Cause: a router whose renewal is overdue sent heartbeats to all members, and before its first lease each renewal is overdue. So a start, and each loss of the core, opened connections with the square of the routers. Change: 16 peers in the zone and, while contacts count, 16 among all members, each router by a rendezvous order of its own; larger clusters learn of the others from their peers' contacts, with their ages. A contact is recorded only once the own state is as new as the peer's, so passing it on keeps what design 3.7 needs: whoever serves without a lease has the state of a majority. A router that has not seen its own join sends none, and peers are asked for their state only if the core does not bring it.

--- a/crates/data-plane/src/router.rs
+++ b/crates/data-plane/src/router.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     capacity_grant::{GrantIssuer, HeldGrants},
+    contact_ages::LastContacts,
     counters::Counters,
     load::{LoadReport, LoadView},
     placement_table::{PlacementTable, UserKey},
@@ -86,8 +87,10 @@
     pub retry_budget: RetryBudget,
     /// Requests that wait for a replica with room.
     pub request_queue: Mutex<RequestQueue>,
-    /// When the last heartbeat that a node answered was sent.
-    pub last_contacts: Mutex<HashMap<NodeId, Tick>>,
+    /// When this node's cluster state last held all that each other node's held (see [`crate::contact_ages`]).
+    pub last_contacts: Mutex<LastContacts>,
+    /// Members of the own zone that this node sends heartbeats to.
+    pub zone_peers: Mutex<HashSet<NodeId>>,
     /// Nodes that answered their last heartbeat by saying that they take no new work.
     pub refusing_nodes: Mutex<HashSet<NodeId>>,
     /// Load reports that this node publishes.
@@ -139,6 +142,7 @@
             retry_budget: RetryBudget::default(),
             request_queue: Mutex::default(),
             last_contacts: Mutex::default(),
+            zone_peers: Mutex::default(),
             refusing_nodes: Mutex::default(),
             published_load: Mutex::default(),
             publications: Mutex::default(),
--- a/crates/data-plane/src/rpc.rs
+++ b/crates/data-plane/src/rpc.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     capacity_grant::{CapacityGrant, GrantUse},
+    contact_ages::ContactAges,
     load::LoadReport,
     placement_table::{PlacementOutcome, PlacementRow, UserKey},
     serving::{
@@ -137,6 +138,12 @@
     },
     /// A question by the router that holds the duty to report usage.
     Usage(UsageRequest),
+    /// Checks that a router is alive, and asks which members it is in contact with.
+    Contacts {
+        /// Index of the sender's cluster state.
+        #[serde(rename = "idx")]
+        index: Index,
+    },
 }
 
 /// A response of a router.
@@ -179,6 +186,19 @@
     Rejected(String),
     /// The answer to a question of the router that holds the duty to report usage.
     Usage(UsageResponse),
+    /// The router is alive, as in [`RouterResponse::HeartbeatAck`], and in contact with these members.
+    Contacts {
+        /// Index of its cluster state.
+        #[serde(rename = "idx")]
+        index: Index,
+        /// Its incarnation.
+        #[serde(rename = "inc")]
+        incarnation: Incarnation,
+        /// Whether it takes new work now.
+        fit: bool,
+        /// When it was last in contact with each member.
+        contacts: ContactAges,
+    },
 }
 
 impl tarpc::RequestName for RouterRequest {
@@ -197,6 +217,7 @@
             RouterRequest::WatchReplicas { .. } => "router.watch-replicas",
             RouterRequest::RelayReplicas { .. } => "router.relay-replicas",
             RouterRequest::Usage(_) => "router.usage",
+            RouterRequest::Contacts { .. } => "router.contacts",
         }
     }
 }
--- a/crates/data-plane/src/rpc_service.rs
+++ b/crates/data-plane/src/rpc_service.rs
@@ -7,11 +7,7 @@
 };
 use common::{FencingToken, Service, Zone, log_event, settings::Settings};
 use control_plane::{state_machine::state_update, types::SizeLimits};
-use std::{
-    collections::VecDeque,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 impl Router {
     /// Answers a request of another node.
@@ -21,8 +17,9 @@
             RouterRequest::Heartbeat { .. } => RouterResponse::HeartbeatAck {
                 index: self.cluster_state().index,
                 incarnation: self.member.info.incarnation,
-                fit: self.refusal_reason().is_none() && !self.draining.load(Ordering::Acquire),
+                fit: self.takes_new_work(),
             },
+            RouterRequest::Contacts { .. } => self.answer_contacts(),
             RouterRequest::FetchState { have } => {
                 let state = self.cluster_state();
                 let base = state.index;
