Members: at most one state update in a heartbeat, and silent voters are asked last

Callers saw: the start of 250 routers above; and, seen in platform/tests/control.rs while this was built, a follower whose zone's first voter is partitioned had each update up to 0.8 s late, since that voter was asked first each time. Cause: each of N joins was an update to each of N members, and each update a renewal at once; a silent voter kept its place in the order. Change: one update in each heartbeat at most, which holds all that was committed meanwhile; only a change by an operator is reported at once (somebody waits for it); the backoff from silent sources of reports, moved to common, also orders the voters. Evidence: a_partitioned_voter_rejects_calls_at_once failed with the first two and passes with all three (504 for 200: the trace shows watch calls of 800 ms to the partitioned voter before each update).

--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod runtime;
 pub mod settings;
 pub mod sync;
+pub mod source_backoff;
 pub mod wire;
 
 pub use clock::{Clock, Tick};
--- a/crates/data-plane/tests/serving/source_backoff.rs
+++ b/crates/common/tests/source_backoff.rs
@@ -1,7 +1,7 @@
 //! Backoff from sources of reports (design 9.3).
 
+use common::source_backoff::SourceBackoff;
 use common::{NodeId, Tick};
-use data_plane::serving::source_backoff::SourceBackoff;
 
 const BASE_MS: u64 = 1_000;
 
@@ -10,7 +10,7 @@
 }
 
 /// Time from a failure until the source may be asked again.
-fn pause(backoff: &SourceBackoff, source: &NodeId, failed: Tick) -> u64 {
+fn pause(backoff: &SourceBackoff<NodeId>, source: &NodeId, failed: Tick) -> u64 {
     (0..).find(|ms| backoff.is_available(source, failed + *ms)).expect("available in the end")
 }
 
--- a/crates/control-plane/src/membership/local_member.rs
+++ b/crates/control-plane/src/membership/local_member.rs
@@ -10,7 +10,7 @@
 use arc_swap::ArcSwap;
 use common::{
     Clock, Epoch, Index, Revision, Tick, error::PeerError, lock, log_event, runtime::spawn,
-    settings::Settings,
+    settings::Settings, source_backoff::SourceBackoff,
 };
 use std::{
     collections::VecDeque,
@@ -21,7 +21,7 @@
     },
     time::Duration,
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// This node as a member: its lease and its copy of the cluster state.
 pub struct LocalMember {
@@ -37,6 +37,8 @@
     pub cluster_state: ArcSwap<ClusterState>,
     /// Index of that copy; sent each time the copy changes.
     pub applied: watch::Sender<Index>,
+    /// Notified when an update may hold a change by an operator.
+    pub(super) operator_change: Notify,
     lease: Mutex<HeldLease>,
     /// Revision of the document whose compiled form is in use on this node.
     pub active_revision: AtomicU64,
@@ -49,6 +51,8 @@
     pub(super) announced: Mutex<VecDeque<(Index, Tick)>>,
     /// Changes are missing between the copy and an update: the next request asks for a snapshot.
     pub(super) gap: AtomicBool,
+    /// Voters that did not answer when they were asked for an update.
+    pub(super) silent_voters: Mutex<SourceBackoff<SocketAddr>>,
     /// The node is stopping and no longer renews its lease.
     leaving: AtomicBool,
 }
@@ -71,12 +75,14 @@
             control,
             cluster_state: ArcSwap::from_pointee(ClusterState::default()),
             applied: watch::channel(Index(0)).0,
+            operator_change: Notify::new(),
             lease: Mutex::default(),
             active_revision: AtomicU64::new(0),
             leader: Mutex::default(),
             announced_voters: Mutex::default(),
             announced: Mutex::default(),
             gap: AtomicBool::new(false),
+            silent_voters: Mutex::default(),
             leaving: AtomicBool::new(false),
         })
     }
@@ -90,15 +96,14 @@
     /// Renews the lease at each renewal interval. Without a lease it asks at each heartbeat, since a join is committed
     /// within one or two of them.
     async fn keep_lease(self: Arc<Self>) {
-        let mut applied = self.applied.subscribe();
         while !self.leaving.load(Ordering::Acquire) {
-            applied.borrow_and_update();
             self.renew().await;
             let timing = &self.settings.timing;
             let wait_ms = if self.has_lease() { timing.renew_interval_ms() } else { timing.heartbeat_ms() };
-            // A renewal reports the index of this node's copy. An operator may be waiting for it, so a new index is
-            // sent at once.
-            let _ = tokio::time::timeout(Duration::from_millis(wait_ms), applied.changed()).await;
+            // A renewal reports the index of this node's copy. An operator waits for that of its own change, so such an
+            // index is sent at once.
+            let _ =
+                tokio::time::timeout(Duration::from_millis(wait_ms), self.operator_change.notified()).await;
         }
     }
 
--- a/crates/control-plane/src/state_machine/state_update.rs
+++ b/crates/control-plane/src/state_machine/state_update.rs
@@ -19,6 +19,17 @@
     Changes(Vec<LogEntry>),
 }
 
+impl StateUpdate {
+    /// Whether the update may hold a change by an operator: a snapshot does not tell.
+    pub fn may_hold_operator_change(&self) -> bool {
+        match self {
+            StateUpdate::Unchanged => false,
+            StateUpdate::Snapshot(_) => true,
+            StateUpdate::Changes(entries) => entries.iter().any(|entry| entry.change.op().is_some()),
+        }
+    }
+}
+
 /// The update for a follower that has applied the changes up to `have`. `log` holds the entries after
 /// `snapshot_index`.
 pub fn update_since(
--- a/crates/data-plane/src/serving/mod.rs
+++ b/crates/data-plane/src/serving/mod.rs
@@ -31,7 +31,6 @@
 pub mod request_flush;
 pub mod retry_budget;
 pub mod slow_start;
-pub mod source_backoff;
 pub mod state;
 pub mod stream_relay;
 pub mod sync_stream;
--- a/crates/data-plane/src/serving/report_subscription.rs
+++ b/crates/data-plane/src/serving/report_subscription.rs
@@ -5,14 +5,13 @@
 use super::{
     replica_report::ReplicaReport,
     replica_view::{ReceivedReport, ReportStore},
-    source_backoff::SourceBackoff,
     state::Serving,
 };
 use crate::{
     router::lock,
     rpc::{RouterRequest, RouterResponse},
 };
-use common::{NodeId, ReplicaId, Tick, Zone, error::PeerError, log_event};
+use common::{NodeId, ReplicaId, Tick, Zone, error::PeerError, log_event, source_backoff::SourceBackoff};
 use control_plane::{Member, state_machine::singleton};
 use std::{sync::Arc, time::Duration};
 
@@ -31,7 +30,7 @@
 #[derive(Default)]
 struct Subscription {
     /// Sources that failed.
-    backoff: SourceBackoff,
+    backoff: SourceBackoff<NodeId>,
     /// Publisher and number of the last report.
     last: Option<(NodeId, u64)>,
 }
@@ -76,7 +75,7 @@
     }
 
     /// The first available relay, else the first available publisher.
-    fn source(&self, zone: &Zone, backoff: &SourceBackoff) -> Option<Source> {
+    fn source(&self, zone: &Zone, backoff: &SourceBackoff<NodeId>) -> Option<Source> {
         let now = self.now();
         let available = |member: &Member| backoff.is_available(&member.info.node, now);
         let relay = self.relays(zone).into_iter().find(&available);
--- a/crates/data-plane/tests/serving/main.rs
+++ b/crates/data-plane/tests/serving/main.rs
@@ -22,7 +22,6 @@
 mod retry_budget;
 mod router_fixture;
 mod slow_start;
-mod source_backoff;
 mod test_data;
 mod usage;
 mod usage_cluster;
