Start: an address that is in use or not there yet is waited for

Callers saw: processes that ended by themselves at the start, since a former process still held an address, or the address was not on the machine yet. Cause: an address that could not be bound ended the program. Change: such an address is tried again, at first after 20 ms and at most a second apart, with a line in the log; a router serves while its readiness address is waited for. Other errors still end the start.

--- a/crates/common/src/runtime/mod.rs
+++ b/crates/common/src/runtime/mod.rs
@@ -10,7 +10,7 @@
 mod traffic;
 
 pub use host::{Host, spawn, spawn_at};
-pub use net::{Listener, SimulatedListener, Stream, bind, dial};
+pub use net::{Listener, SimulatedListener, Stream, bind, bind_when_available, dial};
 pub use pipe::SimulatedStream;
 pub use simulation::{LatencyModel, Simulation};
 pub use traffic::{CallKind, Calls, Traffic, TrafficCounter};
--- a/crates/common/src/runtime/net.rs
+++ b/crates/common/src/runtime/net.rs
@@ -4,7 +4,7 @@
     pipe::{SimulatedStream, pair},
     simulation::Simulation,
 };
-use crate::sync::lock;
+use crate::{log_event, sync::lock};
 use std::{
     io,
     net::{IpAddr, SocketAddr},
@@ -22,6 +22,10 @@
 /// Time after which a connection ends whose peer acknowledges neither data nor keep-alive probes.
 const PEER_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(2);
 
+/// First and longest pause between two attempts to bind an address.
+const FIRST_BIND_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
+const LONGEST_BIND_PAUSE: std::time::Duration = std::time::Duration::from_secs(1);
+
 /// A connection.
 pub enum Stream {
     /// A TCP connection of the machine.
@@ -96,6 +100,29 @@
     Ok(Listener::Simulated(SimulatedListener { simulation, address, backlog: Mutex::new(backlog) }))
 }
 
+/// Binds a listener to an address, and waits for as long as the address is in use, as by a process that is ending, or
+/// does not exist on this machine yet.
+///
+/// # Errors
+/// Any other error of the operating system.
+pub async fn bind_when_available(address: SocketAddr) -> io::Result<Listener> {
+    let mut pause = FIRST_BIND_PAUSE;
+    loop {
+        match bind(address).await {
+            Err(error) if is_temporary(&error) => {
+                log_event!(Warn, "bind", "peer" => address, "cause" => error.to_string(), "retry_ms" => pause.as_millis() as u64);
+            }
+            result => return result,
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_BIND_PAUSE);
+    }
+}
+
+fn is_temporary(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::AddrInUse | io::ErrorKind::AddrNotAvailable)
+}
+
 /// Opens a connection from the node's own address `ip`.
 ///
 /// # Errors
--- a/crates/common/src/settings/mod.rs
+++ b/crates/common/src/settings/mod.rs
@@ -9,7 +9,7 @@
 use crate::{
     ids::{NAME_RULE, is_valid_name},
     rpc::LocalNode,
-    runtime::{Listener, bind},
+    runtime::{Listener, bind_when_available},
 };
 use deprecated::Renamed;
 use eyre::{Result, WrapErr, bail, ensure, eyre};
@@ -186,13 +186,14 @@
         self.http_advertise.unwrap_or(self.http)
     }
 
-    /// Binds the RPC and HTTP addresses.
+    /// Binds the RPC and HTTP addresses, and waits for an address that is still in use or not there yet.
     ///
     /// # Errors
-    /// An address can't be bound; the message names it.
+    /// An address can't be bound for another reason; the message names it.
     pub async fn bind(&self) -> Result<Listeners> {
-        let rpc = bind(self.rpc_addr).await.wrap_err_with(|| format!("rpc: {}", self.rpc_addr))?;
-        let http = bind(self.http).await.wrap_err_with(|| format!("http: {}", self.http))?;
+        let rpc =
+            bind_when_available(self.rpc_addr).await.wrap_err_with(|| format!("rpc: {}", self.rpc_addr))?;
+        let http = bind_when_available(self.http).await.wrap_err_with(|| format!("http: {}", self.http))?;
         Ok(Listeners { rpc, http })
     }
 
--- a/crates/data-plane/src/serving/daemon.rs
+++ b/crates/data-plane/src/serving/daemon.rs
@@ -8,12 +8,13 @@
 use crate::{daemon::wait_until_drained, router::Router};
 use common::{
     Clock, Incarnation, http, log_event,
-    runtime::{bind, random, spawn},
+    runtime::{bind_when_available, random, spawn},
     settings::{Listeners, Settings},
 };
 use configuration::DocumentFormat;
 use control_plane::{Role, membership::LocalMember, types::NodeInfo};
 use std::{
+    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -29,16 +30,24 @@
     pub document_format: Arc<dyn DocumentFormat>,
 }
 
+/// Answers requests for readiness and for routers at an address, once that can be bound.
+async fn serve_directory(serving: Arc<Serving>, addr: SocketAddr, stopped: watch::Receiver<bool>) {
+    match bind_when_available(addr).await {
+        Ok(listener) => {
+            let handler = move |peer, request| serving.clone().answer_directory_request(peer, request);
+            http::serve(listener, Arc::default(), stopped, handler).await;
+        }
+        Err(error) => log_event!(Error, "bind", "peer" => addr, "cause" => error.to_string()),
+    }
+}
+
 /// Runs a router until `stop` resolves and its drain is over.
-///
-/// # Errors
-/// An address can't be listened on.
 pub async fn run(
     settings: Settings,
     listeners: Listeners,
     parts: ServingParts,
     stop: impl Future<Output = ()>,
-) -> eyre::Result<()> {
+) {
     let info = NodeInfo::of(&settings, Role::Router, Incarnation(random::<u64>() >> 1));
     let clock = Clock::default();
     let member = LocalMember::new(settings.clone(), info, clock.clone());
@@ -55,11 +64,7 @@
     let (stop_listening, stopped) = watch::channel(false);
     let (stop_extra, extra_stopped) = watch::channel(false);
     for addr in extra_listeners {
-        let listener = bind(addr).await?;
-        let me = serving.clone();
-        spawn(http::serve(listener, Arc::default(), extra_stopped.clone(), move |peer, req| {
-            me.clone().answer_directory_request(peer, req)
-        }));
+        spawn(serve_directory(serving.clone(), addr, extra_stopped.clone()));
     }
     let connections = Arc::new(http::OpenCount::default());
     let listening = spawn(serving.clone().listen(listeners.http, connections.clone(), stopped));
@@ -87,5 +92,4 @@
     wait_until_drained(&router, &connections, until).await;
     let _ = stop_extra.send(true);
     log_event!(Info, "stopped", "open" => router.open_count.open());
-    Ok(())
 }
