Start: signals wait for their handlers, and settings that are still being written are read again

Callers saw: a process that got SIGHUP in its first milliseconds ended; one that found half of its settings ended. Cause: the handler was installed after the settings were read; the product's own daemons had none at all; an error of the first read ended the program. Change: common::program blocks SIGHUP, SIGTERM and SIGINT first of all in main and delivers them once the handlers are there; common::watched_file reads until the file is complete and valid for the role, and prints each error once.

--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -12,12 +12,14 @@
 pub mod logging;
 pub mod metrics;
 pub mod mutation;
+pub mod program;
 pub mod rendezvous;
 pub mod rpc;
 pub mod runtime;
 pub mod settings;
-pub mod sync;
 pub mod source_backoff;
+pub mod sync;
+pub mod watched_file;
 pub mod wire;
 
 pub use clock::{Clock, Tick};
--- a/crates/common/src/settings/mod.rs
+++ b/crates/common/src/settings/mod.rs
@@ -215,17 +215,3 @@
     /// HTTP, for clients (router) or operators (control node).
     pub http: Listener,
 }
-
-/// A future that completes on SIGTERM or on an interrupt from the terminal.
-///
-/// # Errors
-/// No handler for SIGTERM can be installed.
-pub fn shutdown_signal() -> Result<impl Future<Output = ()>> {
-    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
-    Ok(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = tokio::signal::ctrl_c() => {}
-        }
-    })
-}
--- a/crates/foldshunt-router/src/main.rs
+++ b/crates/foldshunt-router/src/main.rs
@@ -3,7 +3,8 @@
 use bpaf::Bpaf;
 use common::{
     logging,
-    settings::{Flags, Settings, flags, shutdown_signal, warn_deprecated},
+    program::{self, Signals, Threads},
+    settings::{Flags, Settings, flags, warn_deprecated},
 };
 use eyre::Result;
 
@@ -15,17 +16,17 @@
     flags: Flags,
 }
 
-#[tokio::main]
-async fn main() -> std::process::ExitCode {
-    common::error::exit_code(run().await)
+fn main() -> std::process::ExitCode {
+    program::run(Threads::OnePerProcessor, run)
 }
 
-async fn run() -> Result<()> {
+async fn run(signals: Signals) -> Result<()> {
     let flags = opts().run().flags;
     let settings = Settings::read(&flags)?;
     logging::start(&settings.node, &settings.log);
     warn_deprecated(&flags);
-    let listeners = settings.bind().await?;
-    data_plane::daemon::run(settings, listeners, shutdown_signal()?).await;
+    let shutdown = signals.shutdown;
+    let Some(listeners) = shutdown.unless_requested(settings.bind()).await else { return Ok(()) };
+    data_plane::daemon::run(settings, listeners?, shutdown.requested()).await;
     Ok(())
 }
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -3,7 +3,8 @@
 use bpaf::Bpaf;
 use common::{
     logging,
-    settings::{Flags, Settings, flags, shutdown_signal},
+    program::{self, Shutdown, Threads},
+    settings::{Flags, Settings, flags},
 };
 use control_plane::{
     control_node::{Bootstrap, open_data_folder},
@@ -144,13 +145,18 @@
     },
 }
 
-#[tokio::main]
-async fn main() -> std::process::ExitCode {
-    common::error::exit_code(run_command().await)
+fn main() -> std::process::ExitCode {
+    match opts().run() {
+        Opts::ControlNode { voters, flags } => program::run(Threads::OnePerProcessor, |signals| {
+            run_control_node(voters, flags, signals.shutdown)
+        }),
+        command => common::error::exit_code(run_command(command)),
+    }
 }
 
-async fn run_command() -> Result<()> {
-    match opts().run() {
+#[tokio::main]
+async fn run_command(command: Opts) -> Result<()> {
+    match command {
         Opts::Fleet { firm, seconds, rate, seed, settle, net, dir, mut faults, chaos, crowd, replace } => {
             ensure!((1.0..=86_400.0).contains(&seconds), "--seconds: {seconds}; allowed: 1 to 86400");
             ensure!((0.01..=100.0).contains(&rate), "--rate: {rate}; allowed: 0.01 to 100");
@@ -184,7 +190,7 @@
         }
         Opts::CatchUp(plan) => tokio::task::spawn_blocking(move || catch_up::print_table(&plan)).await?,
         Opts::Soak(plan) => run_soak(&plan, &programs_folder()?).await,
-        Opts::ControlNode { voters, flags } => run_control_node(voters, &flags).await,
+        Opts::ControlNode { .. } => unreachable!("main runs control nodes"),
         Opts::SimData { from, seeds } => {
             ensure!((1..=10_000_000).contains(&seeds), "--seeds: {seeds}; allowed: 1 to 10000000");
             sweep_data(from, seeds)
@@ -198,13 +204,14 @@
 }
 
 /// Runs a control node until it is asked to stop.
-async fn run_control_node(voters: usize, flags: &Flags) -> Result<()> {
-    let settings = Settings::read(flags)?;
+async fn run_control_node(voters: usize, flags: Flags, shutdown: Shutdown) -> Result<()> {
+    let settings = Settings::read(&flags)?;
     logging::start(&settings.node, &settings.log);
-    let listeners = settings.bind().await?;
+    let Some(listeners) = shutdown.unless_requested(settings.bind()).await else { return Ok(()) };
+    let listeners = listeners?;
     let folder = open_data_folder(&settings)?;
     let bootstrap = Bootstrap { expected_voters: voters, ..Bootstrap::default() };
-    daemon::run(settings, bootstrap, listeners, folder, api::handle, shutdown_signal()?).await;
+    daemon::run(settings, bootstrap, listeners, folder, api::handle, shutdown.requested()).await;
     Ok(())
 }
 
