Data folder: a damaged version byte is damage, not another format

Callers saw: a control node that ended at each start ("was written in another format") after one byte of a slot's version had changed. Cause: any header whose name is right and whose version is not counted as another format, which is never overwritten. Change: if the header's checksum is right once the version is replaced by this one, this version wrote it. The voter is then blank and is admitted again, as after any damage. Evidence: a_damaged_version_is_not_taken_for_another_format: each bit of both version bytes; the first failed before (IncompatibleFormat). another_format_is_refused replaced the version and left the checksum as it was, which is this very damage, so it was wrong; it now makes the headers that another format really has, with a checksum of its own and with none, and wants both refused as before. Headers have a module of their own.

--- a/crates/control-plane/src/storage/file_store.rs
+++ b/crates/control-plane/src/storage/file_store.rs
@@ -12,10 +12,10 @@
 
 use super::{
     Corruption, LoadResult, Medium, RecordWriter, SystemMedium,
+    header::{HEADER_BYTES, Header, is_other_format, record_number},
     layout::{
-        FILE_KINDS, HEADER_BYTES, Header, LogState, MAGIC, MAGIC_NAME_BYTES, fill_with_zeros,
-        find_short_file, load_without_slots, log_follows, log_state, open_for_writing, open_if_present,
-        read_body, read_header, read_piece, record_number, reserve,
+        FILE_KINDS, LogState, fill_with_zeros, find_short_file, load_without_slots, log_follows, log_state,
+        open_for_writing, open_if_present, read_body, read_header, read_piece, reserve,
     },
     log_reader::replay_log,
 };
@@ -63,7 +63,7 @@
     if bytes.iter().all(|byte| *byte == 0) {
         return Ok(None);
     }
-    if bytes.starts_with(&MAGIC[..MAGIC_NAME_BYTES]) && !bytes.starts_with(MAGIC) {
+    if is_other_format(&bytes) {
         return Ok(Some(Err(Unreadable::IncompatibleFormat)));
     }
     let Some(header) = Header::parse(&bytes).filter(|header| header.sequence % 2 == parity) else {
--- a/crates/control-plane/src/storage/layout.rs
+++ b/crates/control-plane/src/storage/layout.rs
@@ -1,87 +1,21 @@
-//! The layout of the store's files: headers and bodies, reading them, and reserving space on disk. Files are
+//! The layout of the store's files: reading headers and bodies, and reserving space on disk. Files are
 //! cleared and searched in pieces, so that memory use stays low.
 
-use super::{Corruption, LoadResult, Medium};
+use super::{
+    Corruption, LoadResult, Medium,
+    header::{HEADER_BYTES, Header, MAGIC, SEQUENCE},
+};
 use crate::types::{SHORT_LOG_BYTES, SLOT_BYTES};
 use std::{
     fs::{File, OpenOptions},
     io,
-    ops::Range,
     os::unix::fs::FileExt,
     path::Path,
 };
 
-/// First bytes of every header; the last two digits are the version of the format.
-pub(super) const MAGIC: &[u8; 8] = b"fshunt06";
-/// Length of [`MAGIC`] without the version, in bytes.
-pub(super) const MAGIC_NAME_BYTES: usize = 6;
-/// Length of a header, in bytes.
-pub(super) const HEADER_BYTES: usize = 32;
 /// Length of the pieces in which files are cleared and searched, in bytes. It bounds the peak memory use.
 pub(super) const PIECE_BYTES: usize = 64 << 10;
 
-/// Precedes a snapshot, log or record: magic bytes, two numbers, and checksums of the body and of the header.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Header {
-    /// Sequence number of the slot, of the slot that the log follows, or the record's number ([`record_number`]).
-    pub sequence: u64,
-    /// Length of the slot's or record's body, in bytes; for a log, how many of its records are known to be synced.
-    pub number: u64,
-    /// CRC-32 of the body.
-    pub body_crc: u32,
-}
-
-const SEQUENCE: Range<usize> = 8..16;
-const NUMBER: Range<usize> = 16..24;
-const BODY_CRC: Range<usize> = 24..28;
-const HEADER_CRC: Range<usize> = 28..32;
-
-impl Header {
-    /// The header of a body.
-    pub fn new(sequence: u64, number: u64, body: &[u8]) -> Self {
-        Self { sequence, number, body_crc: crc32fast::hash(body) }
-    }
-
-    /// Encodes the header.
-    pub fn to_bytes(self) -> [u8; HEADER_BYTES] {
-        let mut bytes = [0u8; HEADER_BYTES];
-        bytes[..MAGIC.len()].copy_from_slice(MAGIC);
-        bytes[SEQUENCE].copy_from_slice(&self.sequence.to_le_bytes());
-        bytes[NUMBER].copy_from_slice(&self.number.to_le_bytes());
-        bytes[BODY_CRC].copy_from_slice(&self.body_crc.to_le_bytes());
-        let crc = crc32fast::hash(&bytes[..HEADER_CRC.start]);
-        bytes[HEADER_CRC].copy_from_slice(&crc.to_le_bytes());
-        bytes
-    }
-
-    /// Decodes a header; `None` if the magic bytes or the header's checksum don't match.
-    pub fn parse(bytes: &[u8]) -> Option<Self> {
-        let number = |range: Range<usize>| bytes.get(range)?.try_into().ok().map(u64::from_le_bytes);
-        let checksum = |range: Range<usize>| bytes.get(range)?.try_into().ok().map(u32::from_le_bytes);
-        let own_crc = crc32fast::hash(bytes.get(..HEADER_CRC.start)?);
-        if !bytes.starts_with(MAGIC) || checksum(HEADER_CRC)? != own_crc {
-            return None;
-        }
-        Some(Self { sequence: number(SEQUENCE)?, number: number(NUMBER)?, body_crc: checksum(BODY_CRC)? })
-    }
-}
-
-/// The low bits of a record's number are its position in the log; the others are those of the slot's sequence number.
-const POSITION_BITS: u32 = 32;
-
-/// The number of a record: the sequence number of the slot that its log follows, and its position in the log. Records
-/// of an older log in the same file have other numbers, so they are recognized if a crash left some of them there.
-pub(super) fn record_number(slot: u64, position: u64) -> u64 {
-    (slot << POSITION_BITS) | position
-}
-
-/// A record's position, if its number is of that slot's log. An earlier release wrote numbers without a slot.
-pub(super) fn record_position(slot: u64, number: u64) -> Option<u64> {
-    let named_slot = number >> POSITION_BITS;
-    let position = number & ((1 << POSITION_BITS) - 1);
-    (named_slot == 0 || named_slot == slot & (u64::MAX >> POSITION_BITS)).then_some(position)
-}
-
 /// Opens a file for reading and writing, and creates it if necessary.
 pub(super) fn open_for_writing(path: &Path) -> io::Result<File> {
     OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
@@ -219,6 +153,11 @@
 /// The kinds of files, of which there are two each, and their lengths in bytes.
 pub(super) const FILE_KINDS: [(&str, u64); 2] = [("slot", SLOT_BYTES), ("log", SHORT_LOG_BYTES)];
 
+/// Names of all files.
+pub(super) fn file_names() -> impl Iterator<Item = String> {
+    FILE_KINDS.iter().flat_map(|(kind, _)| (0..2).map(move |parity| format!("{kind}-{parity}")))
+}
+
 /// Finds a file that is missing or too short. All four have their full length before the first slot is written.
 pub(super) fn find_short_file(folder: &Path) -> io::Result<Option<Corruption>> {
     for (kind, expected) in FILE_KINDS {
--- a/crates/control-plane/src/storage/log_reader.rs
+++ b/crates/control-plane/src/storage/log_reader.rs
@@ -3,7 +3,8 @@
 use super::{
     Corruption, LoadResult,
     file_store::Unreadable,
-    layout::{HEADER_BYTES, Header, MAGIC, PIECE_BYTES, read_body, read_piece, record_position},
+    header::{HEADER_BYTES, Header, MAGIC, record_position},
+    layout::{PIECE_BYTES, read_body, read_piece},
 };
 use crate::consensus::{DurableState, Record};
 use common::wire;
--- a/crates/control-plane/src/storage/mod.rs
+++ b/crates/control-plane/src/storage/mod.rs
@@ -3,6 +3,7 @@
 
 mod data_folder;
 mod file_store;
+mod header;
 mod layout;
 mod log_reader;
 mod medium;
--- a/crates/control-plane/tests/store.rs
+++ b/crates/control-plane/tests/store.rs
@@ -151,7 +151,14 @@
 fn another_format_is_refused() {
     let dir = tempfile::tempdir().unwrap();
     write_log(dir.path(), 1);
-    edit(&newest_file(dir.path(), "slot"), |bytes| bytes[..8].copy_from_slice(b"fshunt01"));
+    // A header of another format has a checksum of its own, or none in this place.
+    edit(&newest_file(dir.path(), "slot"), |bytes| {
+        bytes[..8].copy_from_slice(b"fshunt01");
+        let header_crc = crc32fast::hash(&bytes[..28]);
+        bytes[28..32].copy_from_slice(&header_crc.to_le_bytes());
+    });
+    assert_eq!(FileStore::load(dir.path()).unwrap(), LoadResult::IncompatibleFormat);
+    edit(&newest_file(dir.path(), "slot"), |bytes| bytes[28..32].fill(0x5a));
     assert_eq!(FileStore::load(dir.path()).unwrap(), LoadResult::IncompatibleFormat);
     let dir = tempfile::tempdir().unwrap();
     write_log(dir.path(), 1);
@@ -167,6 +174,25 @@
     assert_eq!(FileStore::load(dir.path()).unwrap(), LoadResult::IncompatibleFormat);
 }
 
+/// A damaged version of this format is damage: taken for another format, it would end the process at each start.
+#[test]
+fn a_damaged_version_is_not_taken_for_another_format() {
+    let dir = tempfile::tempdir().unwrap();
+    write_log(dir.path(), 2);
+    let slot = newest_file(dir.path(), "slot");
+    let intact = fs::read(&slot).unwrap();
+    for position in 6..8 {
+        for bit in 0..8 {
+            edit(&slot, |bytes| {
+                bytes.clone_from(&intact);
+                bytes[position] ^= 1 << bit;
+            });
+            let loaded = FileStore::load(dir.path()).unwrap();
+            assert!(matches!(loaded, LoadResult::Corrupt(_)), "byte {position}, bit {bit}: {loaded:?}");
+        }
+    }
+}
+
 /// Logs are searched in pieces of 64 KiB. A later record's header is found wherever it is, also across the end of a
 /// piece.
 #[rstest]
