Data folder: damaged files are moved aside within the folder, and kept once

By reading: a damaged folder was renamed in its parent, which a process may not be able to write (or where the folder is a mount), so that its voter would never have come back; and each damage left another 12 MB on a disk of 64. Change: the files go into `damaged/` in the folder, over those of the last damage, and the names are synced before anything is written: an older slot that came back without the newer one would count as the newest state. Evidence: damaged_files_are_kept_once_whatever_was_moved_before_a_crash: a crash after any subset of the four moves leaves no older state. a_damaged_folder_is_replaced_without_a_restart wanted the folder beside; it wants the four files inside now, their content, and nothing beside.

--- a/crates/control-plane/src/storage/data_folder.rs
+++ b/crates/control-plane/src/storage/data_folder.rs
@@ -2,10 +2,14 @@
 
 use super::{
     Corruption, FileStore, LoadResult, Medium, OpenError, OpenedStorage, StateStorage, SystemMedium,
+    layout::file_names,
 };
 use crate::{consensus::DurableState, types::VoterInfo};
 use common::{Incarnation, log_event, settings::Settings};
-use std::{io, path::PathBuf, sync::Arc};
+use std::{fs::File, io, path::PathBuf, sync::Arc};
+
+/// Folder in the data folder that holds the files that were found damaged last.
+pub const DAMAGED_FILES: &str = "damaged";
 
 /// The identity of a voter with a blank data folder. Its incarnation is random, so that no two are equal.
 pub fn blank_voter(settings: &Settings) -> VoterInfo {
@@ -49,7 +53,7 @@
         Ok(Self { settings: settings.clone(), path, medium })
     }
 
-    /// Reads the state in the folder. A damaged folder is moved aside rather than overwritten, and the voter is
+    /// Reads the state in the folder. Damaged files are moved aside rather than overwritten, and the voter is
     /// then blank.
     fn read(&self) -> Result<DurableState, OpenError> {
         let blank = DurableState::blank(&blank_voter(&self.settings));
@@ -87,10 +91,23 @@
         Ok(DurableState { identity, ..state })
     }
 
+    /// Moves the files into a folder of their own within the data folder, since nothing else may be writable, in place of
+    /// those that were damaged before. The new names are synced before anything else is written: an older slot that
+    /// came back without the newer one would be taken for the newest state.
     fn move_aside(&self, corruption: &Corruption) -> io::Result<()> {
-        let moved_to = self.path.with_extension(format!("damaged-{}", common::clock::wall_ms()));
+        let moved_to = self.path.join(DAMAGED_FILES);
         log_event!(Error, "data folder", "cause" => corruption.to_string(), "moved_to" => moved_to.display().to_string());
-        std::fs::rename(&self.path, &moved_to)
+        std::fs::create_dir_all(&moved_to)?;
+        for file in file_names() {
+            match std::fs::rename(self.path.join(&file), moved_to.join(&file)) {
+                Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
+                _ => {}
+            }
+        }
+        for folder in [&moved_to, &self.path] {
+            File::open(folder)?.sync_all()?;
+        }
+        Ok(())
     }
 }
 
--- a/crates/control-plane/src/storage/mod.rs
+++ b/crates/control-plane/src/storage/mod.rs
@@ -9,7 +9,7 @@
 mod medium;
 mod recorder;
 
-pub use data_folder::{DataFolder, blank_voter};
+pub use data_folder::{DAMAGED_FILES, DataFolder, blank_voter};
 pub use file_store::FileStore;
 pub use medium::{Medium, SystemMedium};
 pub use recorder::{Recorder, RecoveryBackoff};
--- a/crates/control-plane/tests/disk_faults.rs
+++ b/crates/control-plane/tests/disk_faults.rs
@@ -8,14 +8,19 @@
 use control_plane::{
     consensus::{DurableState, Record},
     storage::FileStore,
-    storage::{DataFolder, Recorder, RecoveryBackoff},
+    storage::{DAMAGED_FILES, DataFolder, Recorder, RecoveryBackoff},
     storage::{LoadResult, OpenError, RecordWriter},
 };
 use medium::{DiskFault, FaultPlan, FaultyMedium};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
 use samples::{bootstrapped, entry, voter_at};
-use std::{fs, path::Path, sync::Arc, time::Duration};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
 use tempfile::{TempDir, tempdir};
 
 /// Number of records that a run writes. Every third one is a snapshot, so that new slots are written often.
@@ -259,8 +264,48 @@
     assert!(run.recorder.write(&Record::Promise(Term(9))).is_err());
     let state = run.recorder.recover().unwrap();
     assert!(!state.initialized && state.identity.incarnation != Incarnation(5));
-    let names = fs::read_dir(run.dir.path()).unwrap().map(|e| e.unwrap().file_name());
-    assert_eq!(names.filter(|name| name.to_string_lossy().starts_with("data.damaged-")).count(), 1);
+    let beside = fs::read_dir(run.dir.path()).unwrap().count();
+    assert_eq!(beside, 1, "nothing is written beside the data folder");
+    for file in ["slot-0", "slot-1", "log-0", "log-1"] {
+        assert!(run.path().join(DAMAGED_FILES).join(file).exists(), "{file}");
+    }
+    assert_eq!(fs::read(run.path().join(DAMAGED_FILES).join("slot-0")).unwrap()[..64], [9; 64]);
+}
+
+/// The files of a damaged folder stay in the folder, whose parent may not be writable, and only those of the last
+/// damage: the disk must not fill. A crash while they are moved leaves no older state that counts as the newest.
+#[test]
+fn damaged_files_are_kept_once_whatever_was_moved_before_a_crash() {
+    let names = ["slot-0", "slot-1", "log-0", "log-1"];
+    for moved in 0..1 << names.len() {
+        let dir = folder_with_records();
+        let data = dir.path().join("data");
+        let kept = data.join(DAMAGED_FILES);
+        fs::create_dir_all(&kept).unwrap();
+        fs::write(kept.join("slot-0"), "of an earlier damage").unwrap();
+        let slot = newest_slot(&data);
+        let mut bytes = fs::read(&slot).unwrap();
+        bytes[50] ^= 1;
+        fs::write(&slot, bytes).unwrap();
+        for (bit, name) in names.iter().enumerate() {
+            if moved & (1 << bit) != 0 {
+                fs::rename(data.join(name), kept.join(name)).unwrap();
+            }
+        }
+        let mut recorder = Recorder::new(Box::new(DataFolder::new(&settings(&data)).unwrap()));
+        let state = recorder.recover().unwrap();
+        assert!(!state.initialized, "moved {moved:04b}: an older state counts as the newest");
+        assert_eq!(fs::read_dir(&kept).unwrap().count(), names.len(), "moved {moved:04b}");
+        assert_eq!(fs::read_dir(dir.path()).unwrap().count(), 1);
+    }
+}
+
+/// The slot file with the higher sequence number.
+fn newest_slot(data: &Path) -> PathBuf {
+    let sequence = |name: &str| {
+        fs::read(data.join(name)).unwrap()[8..16].iter().rev().fold(0, |n, b| n << 8 | u64::from(*b))
+    };
+    data.join(if sequence("slot-1") > sequence("slot-0") { "slot-1" } else { "slot-0" })
 }
 
 #[test]
