Heartbeats: eight peers, one heartbeat at a time to each, and contacts that cost little

Callers saw (fleet-start 370 beside a build on all cores): none of 370 ready after 50 s, all cores busy 50 s later still. Cause: the same class as before, smaller: while leases were in doubt, each of 16 peers was asked each 160 ms whether or not it had answered, and each answer looked each member up several times with a clock reading and a lock (32 % of the samples: answer_contacts, 20 % cut_off). The contacts took the processor time that the renewals needed to end the doubt. Change: 8 peers, the next one by name among them so that each node is asked by some node; no second heartbeat to a peer that owes an answer; one pass under one lock. Small rounds still meet a majority before leases end: tests/heartbeats.rs, 240 routers.

--- a/crates/data-plane/src/contact.rs
+++ b/crates/data-plane/src/contact.rs
@@ -51,9 +51,13 @@
             return false;
         }
         let state = self.cluster_state();
-        let all = state.members.len();
-        let reachable = state.members.keys().filter(|n| **n == *self.node() || self.is_reachable(n)).count();
-        reachable * 2 <= all
+        let (now, lease_ms) = (self.now(), self.settings.timing.lease_ms);
+        let contacts = lock(&self.last_contacts);
+        let in_contact = |node: &&NodeId| {
+            *node == self.node() || contacts.get(*node).is_some_and(|at| now.since(*at) <= lease_ms)
+        };
+        let reachable = state.members.keys().filter(in_contact).count();
+        reachable * 2 <= state.members.len()
     }
 
     /// Why this node rejects new work now, if it does (design 3.5, 3.6).
--- a/crates/data-plane/src/contact_ages.rs
+++ b/crates/data-plane/src/contact_ages.rs
@@ -54,8 +54,10 @@
         }
         for (node, age) in state.members.keys().zip(&self.ages).filter(|(_, age)| **age != NO_CONTACT) {
             let at = sent - u64::from(*age) * self.unit_ms;
-            let known = contacts.entry(node.clone()).or_default();
-            *known = at.max(*known);
+            match contacts.get_mut(node) {
+                Some(known) => *known = at.max(*known),
+                None => drop(contacts.insert(node.clone(), at)),
+            }
         }
     }
 }
--- a/crates/data-plane/src/heartbeat.rs
+++ b/crates/data-plane/src/heartbeat.rs
@@ -12,9 +12,9 @@
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-/// Most members of the own zone, and most members altogether, that a router sends heartbeats to. With this many, the
-/// contacts of all routers of a cluster of several hundred reach each other in three rounds.
-pub const MAX_PEERS: usize = 16;
+/// Most members of the own zone, and most members of all zones, that a router sends heartbeats to. With this many, the
+/// contacts of a cluster of several hundred routers reach a majority in three rounds.
+pub const MAX_PEERS: usize = 8;
 /// Age at which a contact is dropped, in lease durations.
 const CONTACT_RETENTION_LEASES: u64 = 10;
 /// Heartbeats of the leader between two rounds while contacts are passed on: several rounds fit into the time between the
@@ -27,12 +27,15 @@
     contacts: Option<ContactAges>,
 }
 
-/// At most [`MAX_PEERS`] of `members`, others than `own`. Each node chooses by an order of its own, so that all nodes are
-/// chosen about equally often.
+/// At most [`MAX_PEERS`] of `members`, which are in the order of their names, others than `own`: the next one by name, so
+/// that each is chosen by some node, and the first ones of an order of this node's own.
 pub fn select_peers<'a>(own: &NodeId, members: impl Iterator<Item = &'a Member>) -> Vec<&'a Member> {
-    let others: Vec<&Member> = members.filter(|member| member.info.node != *own).collect();
-    let order = ranked(own.as_str(), &others, |member| member.info.node.as_str());
-    order.into_iter().copied().take(MAX_PEERS).collect()
+    let mut others: Vec<&Member> = members.filter(|member| member.info.node != *own).collect();
+    let before = others.partition_point(|member| member.info.node < *own);
+    others.rotate_left(before);
+    let Some((next, rest)) = others.split_first() else { return Vec::new() };
+    let order = ranked(own.as_str(), rest, |member| member.info.node.as_str());
+    std::iter::once(*next).chain(order.into_iter().copied()).take(MAX_PEERS).collect()
 }
 
 impl Router {
@@ -82,7 +85,10 @@
         }
         let relayed = self.relays_contacts(state);
         for member in &peers {
-            common::runtime::spawn(self.clone().send_heartbeat((*member).clone(), state.index, relayed));
+            // A peer that has not answered the last heartbeat is busy or gone: more of them would not help.
+            if lock(&self.heartbeats_in_flight).insert(member.info.node.clone()) {
+                common::runtime::spawn(self.clone().send_heartbeat((*member).clone(), state.index, relayed));
+            }
         }
         lock(&self.refusing_nodes).retain(|node| peers.iter().any(|peer| peer.info.node == *node));
         *lock(&self.zone_peers) = zone_peers.into_iter().map(|member| member.info.node.clone()).collect();
@@ -111,6 +117,7 @@
                 }
                 Role::Control => (self.control_heartbeat(&member, index).await, None),
             };
+            lock(&self.heartbeats_in_flight).remove(&member.info.node);
             let Some(answer) = answered else { return };
             if self.obtain_state(answer.index, source).await {
                 self.record_contact(member.info.node, answer.contacts, sent);
--- a/crates/data-plane/src/router.rs
+++ b/crates/data-plane/src/router.rs
@@ -22,10 +22,8 @@
 use control_plane::{ClusterState, Member, membership};
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    sync::{Arc, Mutex},
 };
 use tokio::sync::watch;
 
@@ -89,7 +87,9 @@
     pub request_queue: Mutex<RequestQueue>,
     /// When this node's cluster state last held all that each other node's held (see [`crate::contact_ages`]).
     pub last_contacts: Mutex<LastContacts>,
-    /// Members of the own zone that this node sends heartbeats to.
+    /// Members whose answer to a heartbeat is awaited.
+    pub heartbeats_in_flight: Mutex<HashSet<NodeId>>,
+    /// Members of its zone that get heartbeats.
     pub zone_peers: Mutex<HashSet<NodeId>>,
     /// Nodes that answered their last heartbeat by saying that they take no new work.
     pub refusing_nodes: Mutex<HashSet<NodeId>>,
@@ -142,6 +142,7 @@
             retry_budget: RetryBudget::default(),
             request_queue: Mutex::default(),
             last_contacts: Mutex::default(),
+            heartbeats_in_flight: Mutex::default(),
             zone_peers: Mutex::default(),
             refusing_nodes: Mutex::default(),
             published_load: Mutex::default(),
