Soak: routers too, SIGHUP in series, a kill of all, and processes that end by themselves

It draws routers as well, sends SIGHUP in series and in the first moments of a new process (100 ms after it was started, when main runs), kills all processes and starts them at once, and counts each process that ended without a disruption as a violation.

--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -115,6 +115,12 @@
         #[bpaf(external(flags))]
         flags: Flags,
     },
+    /// Runs a router of such a cluster
+    #[bpaf(command("router"))]
+    Router {
+        #[bpaf(external(flags))]
+        flags: Flags,
+    },
     /// Simulates placement and capacity grants under virtual time over many seeds
     #[bpaf(command("sim-data"))]
     SimData {
@@ -150,6 +156,9 @@
         Opts::ControlNode { voters, flags } => program::run(Threads::OnePerProcessor, |signals| {
             run_control_node(voters, flags, signals.shutdown)
         }),
+        Opts::Router { flags } => {
+            program::run(Threads::OnePerProcessor, |signals| run_router(flags, signals.shutdown))
+        }
         command => common::error::exit_code(run_command(command)),
     }
 }
@@ -190,7 +199,7 @@
         }
         Opts::CatchUp(plan) => tokio::task::spawn_blocking(move || catch_up::print_table(&plan)).await?,
         Opts::Soak(plan) => run_soak(&plan, &programs_folder()?).await,
-        Opts::ControlNode { .. } => unreachable!("main runs control nodes"),
+        Opts::ControlNode { .. } | Opts::Router { .. } => unreachable!("main runs the daemons"),
         Opts::SimData { from, seeds } => {
             ensure!((1..=10_000_000).contains(&seeds), "--seeds: {seeds}; allowed: 1 to 10000000");
             sweep_data(from, seeds)
@@ -215,6 +224,15 @@
     Ok(())
 }
 
+/// Runs a router until it is asked to stop.
+async fn run_router(flags: Flags, shutdown: Shutdown) -> Result<()> {
+    let settings = Settings::read(&flags)?;
+    logging::start(&settings.node, &settings.log);
+    let Some(listeners) = shutdown.unless_requested(settings.bind()).await else { return Ok(()) };
+    data_plane::daemon::run(settings, listeners?, shutdown.requested()).await;
+    Ok(())
+}
+
 /// The folder of this program, in which the others are too.
 fn programs_folder() -> Result<PathBuf> {
     let own = std::env::current_exe()?;
--- a/crates/simulator/src/node.rs
+++ b/crates/simulator/src/node.rs
@@ -116,12 +116,13 @@
     fn spawn_process(&self, bin: &Path, voters: Option<u8>) -> Result<Child> {
         std::fs::create_dir_all(&self.dir)?;
         std::fs::write(self.dir.join("node.toml"), toml::to_string(&self.settings())?)?;
-        let (program, arguments) = match voters.filter(|_| self.is_control) {
-            Some(voters) => {
+        let (program, arguments) = match (voters, self.is_control) {
+            (Some(voters), true) => {
                 ("simulator", vec!["control-node".to_string(), "--voters".into(), voters.to_string()])
             }
-            None if self.is_control => ("foldshunt-control", Vec::new()),
-            None => ("foldshunt-router", Vec::new()),
+            (Some(_), false) => ("simulator", vec!["router".to_string()]),
+            (None, true) => ("foldshunt-control", Vec::new()),
+            (None, false) => ("foldshunt-router", Vec::new()),
         };
         let program = bin.join(program);
         let log = File::options().create(true).append(true).open(self.dir.join("log"))?;
--- a/crates/simulator/src/soak/cluster.rs
+++ b/crates/simulator/src/soak/cluster.rs
@@ -4,7 +4,7 @@
 use crate::{
     deployment::{Deployment, Firm, deployment},
     fleet::ip,
-    node::{Launcher, Node, RPC_PORT},
+    node::{Launcher, Node, RPC_PORT, RunningNode},
     operator::Operator,
     sim::disk::SimDisk,
 };
@@ -161,9 +161,25 @@
         serde_json::from_slice(&body).ok()
     }
 
+    /// All processes.
+    pub fn processes(&self) -> impl Iterator<Item = &Arc<Process>> {
+        self.control_nodes.iter().chain(&self.routers)
+    }
+
+    /// The processes that are not being disrupted and have ended all the same, each with how it ended.
+    pub fn ended_by_themselves(&self) -> Vec<String> {
+        let ended = |process: &Arc<Process>| {
+            let mut node = process.node.try_lock().ok()?;
+            let Some(RunningNode::Process(child)) = &mut node.running else { return None };
+            let status = child.try_wait().ok()??;
+            Some(format!("{} ended by itself: {status}", process.name))
+        };
+        self.processes().filter_map(ended).collect()
+    }
+
     /// Kills all processes.
     pub async fn stop(&self) {
-        for process in self.control_nodes.iter().chain(&self.routers) {
+        for process in self.processes() {
             let mut node = process.node.lock().await;
             let _ = node.thaw();
             let _ = node.kill().await;
--- a/crates/simulator/src/soak/disruptions.rs
+++ b/crates/simulator/src/soak/disruptions.rs
@@ -2,7 +2,7 @@
 //! overlap.
 
 use super::cluster::{Cluster, Process};
-use crate::node::Launcher;
+use crate::node::Node;
 use eyre::{Result, eyre};
 use nix::{
     sys::signal::{Signal, kill},
@@ -20,13 +20,20 @@
 /// How long a process is frozen or down, in milliseconds: also beyond the silence after which a spare replaces a voter.
 const DURATION_MS: std::ops::Range<u64> = 100..3_500;
 
+/// How often SIGHUP is sent in a series.
+const HANG_UPS: usize = 3;
+/// Time in which a new process is loaded: until its `main` runs, the system's own handling of signals applies.
+const LOADING_TIME: Duration = Duration::from_millis(100);
+
 /// How many disruptions there were.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Counts {
     /// All disruptions.
     pub disruptions: usize,
     /// Losses of disks among them.
     pub lost_disks: usize,
+    /// Processes that ended by themselves.
+    pub ended: Vec<String>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,6 +48,10 @@
     StopWhileFrozen,
     /// SIGKILL and an empty disk, later a new process.
     LoseDisk,
+    /// SIGHUP several times, also in the first moments of a new process. It must change nothing.
+    HangUp,
+    /// SIGKILL to all processes that are not disrupted already, and new ones for all at once.
+    KillAll,
 }
 
 /// Runs disruptions for this long; returns once all of them have ended.
@@ -57,36 +68,48 @@
         if losses_left == 0 && cluster.missing_participants().await.is_empty() {
             losses_left = (cluster.voters - 1) / 2;
         }
-        let kind = draw_kind(&mut rng, losses_left > 0);
-        let process = cluster.control_nodes[rng.random_range(0..cluster.control_nodes.len())].clone();
+        let (kind, process) = draw(&mut rng, cluster, losses_left > 0);
         let duration = Duration::from_millis(rng.random_range(DURATION_MS));
         let gap = Duration::from_millis(rng.random_range(GAP_MS));
         if process.node.try_lock().is_ok() {
             counts.disruptions += 1;
             counts.lost_disks += usize::from(kind == Kind::LoseDisk);
             losses_left -= usize::from(kind == Kind::LoseDisk);
-            running.spawn(disrupt(process, kind, duration, cluster.launcher.clone()));
+            running.spawn(disrupt(process, kind, duration, cluster.clone()));
         }
         sleep(gap).await;
+        counts.ended.extend(cluster.ended_by_themselves());
     }
     while let Some(ended) = running.join_next().await {
         ended??;
     }
+    counts.ended.extend(cluster.ended_by_themselves());
+    counts.ended.sort();
+    counts.ended.dedup();
     Ok(counts)
 }
 
-fn draw_kind(rng: &mut SmallRng, may_lose_disk: bool) -> Kind {
-    match rng.random_range(0..10) {
+/// Draws a disruption and its process: half of them meet control nodes, as far as there are routers.
+fn draw(rng: &mut SmallRng, cluster: &Cluster, may_lose_disk: bool) -> (Kind, Arc<Process>) {
+    let control_nodes = cluster.control_nodes.len();
+    let kind = match rng.random_range(0..14) {
         0..=2 => Kind::Freeze,
         3 | 4 => Kind::Kill,
         5 => Kind::Stop,
         6 => Kind::StopWhileFrozen,
+        7 | 8 => Kind::HangUp,
+        9 => Kind::KillAll,
         _ if may_lose_disk => Kind::LoseDisk,
         _ => Kind::Freeze,
-    }
+    };
+    let processes: Vec<&Arc<Process>> = cluster.processes().collect();
+    let is_router = kind != Kind::LoseDisk && processes.len() > control_nodes && rng.random_bool(0.5);
+    let drawn = if is_router { control_nodes..processes.len() } else { 0..control_nodes };
+    (kind, processes[rng.random_range(drawn)].clone())
 }
 
-async fn disrupt(process: Arc<Process>, kind: Kind, duration: Duration, launcher: Launcher) -> Result<()> {
+async fn disrupt(process: Arc<Process>, kind: Kind, duration: Duration, cluster: Arc<Cluster>) -> Result<()> {
+    let launcher = &cluster.launcher;
     let mut node = process.node.lock().await;
     match kind {
         Kind::Freeze => {
@@ -115,6 +138,33 @@
             node.wipe()?;
             sleep(duration).await;
         }
+        Kind::HangUp => {
+            hang_up(&node)?;
+            node.stop().await?;
+            node.start(launcher)?;
+            sleep(LOADING_TIME).await;
+            return hang_up(&node);
+        }
+        Kind::KillAll => {
+            let mut others: Vec<_> =
+                cluster.processes().filter_map(|process| process.node.try_lock().ok()).collect();
+            node.kill().await?;
+            for other in &mut others {
+                other.kill().await?;
+            }
+            for other in &mut others {
+                other.start(launcher)?;
+            }
+        }
+    }
+    node.start(launcher)
+}
+
+/// Sends SIGHUP to a process a few times.
+fn hang_up(node: &Node) -> Result<()> {
+    let pid = node.pid().ok_or_else(|| eyre!("{} has ended", node.name))?;
+    for _ in 0..HANG_UPS {
+        kill(Pid::from_raw(pid as i32), Signal::SIGHUP)?;
     }
-    node.start(&launcher)
+    Ok(())
 }
--- a/crates/simulator/src/soak/mod.rs
+++ b/crates/simulator/src/soak/mod.rs
@@ -104,6 +104,9 @@
     let counts = disruptions::run(&cluster, seed, Duration::from_secs_f64(plan.seconds)).await?;
     let recovery = recover(&cluster, &history).await;
     clients.stop().await;
+    for ended in counts.ended.into_iter().chain(cluster.ended_by_themselves()) {
+        history.violation(ended);
+    }
     cluster.stop().await;
     if history.violations().is_empty() {
         std::fs::remove_dir_all(&dir)?;
--- a/crates/simulator/tests/soak.rs
+++ b/crates/simulator/tests/soak.rs
@@ -17,21 +17,26 @@
     (100..250).find_map(reserve).expect("a free range of addresses")
 }
 
-/// No acknowledged change is lost or read back older, and the cluster recovers. Guards against a cluster that elects no
+/// No acknowledged change is lost or read back older, no process ends by itself, and the cluster recovers. Guards against a cluster that elects no
 /// leader any more after two lost disks during the replacement of a frozen voter.
 #[rstest]
-#[case::five_voters(11, 5)]
-#[case::five_voters_by_another_seed(12, 5)]
-#[case::three_voters(13, 3)]
+#[case::five_voters(11, 5, 0)]
+#[case::five_voters_by_another_seed(12, 5, 0)]
+#[case::three_voters(13, 3, 0)]
+#[case::with_routers(14, 3, 20)]
 #[tokio::test(flavor = "multi_thread")]
-async fn overlapping_disruptions_lose_nothing_acknowledged(#[case] seed: u64, #[case] voters: u8) {
+async fn overlapping_disruptions_lose_nothing_acknowledged(
+    #[case] seed: u64,
+    #[case] voters: u8,
+    #[case] routers: u8,
+) {
     let (net, _reservation) = reserve_net();
     let dir = tempfile::tempdir().unwrap();
     let plan = SoakPlan {
         from: seed,
         seeds: 1,
         voters,
-        routers: 0,
+        routers,
         clients: 8,
         seconds: 20.0,
         net,
