--- a/crates/data-plane/src/contact.rs
+++ b/crates/data-plane/src/contact.rs
@@ -124,6 +124,7 @@
             ("open_jobs", self.open_count.open() as i64),
             ("waitlist", lock(&self.request_queue).len() as i64),
             ("table_rows", lock(&self.placements).len() as i64),
+            ("connections_opened", self.rpc_client.connections_opened() as i64),
         ]);
         for (name, value) in values {
             self.counters.state.with_label_values(&[name]).set(value);
