Heartbeats: contacts that are passed on never need a newer state than the index beside them

By reading, no run shows it: the answer read the state first and the contacts afterwards. With several threads a contact could be recorded in between, after a newer state was obtained, and go out under the older index; the receiver would count it without that state. The state is read under the contacts' lock now; whoever records a contact has stored its state before. No test brings it about.

--- a/crates/data-plane/src/heartbeat.rs
+++ b/crates/data-plane/src/heartbeat.rs
@@ -212,12 +212,15 @@
 
     /// The answer to a router that wants this node's contacts.
     pub(crate) fn answer_contacts(&self) -> RouterResponse {
-        let state = self.cluster_state();
         let lease_ms = self.settings.timing.lease_ms;
-        let contacts =
-            ContactAges::new(&state, self.node(), &lock(&self.last_contacts), self.now(), lease_ms);
+        let (index, contacts) = {
+            // A contact is recorded after the state that it needs, so the state read under the lock is new enough.
+            let contacts = lock(&self.last_contacts);
+            let state = self.cluster_state();
+            (state.index, ContactAges::new(&state, self.node(), &contacts, self.now(), lease_ms))
+        };
         RouterResponse::Contacts {
-            index: state.index,
+            index,
             incarnation: self.member.info.incarnation,
             fit: self.takes_new_work(),
             contacts,
