--- a/crates/common/src/rendezvous.rs
+++ b/crates/common/src/rendezvous.rs
@@ -16,10 +16,14 @@
     hasher.finish()
 }
 
+/// The rendezvous weight of a node for a key.
+fn weight(key: &str, node: &str) -> u64 {
+    stable_hash(&[key.as_bytes(), node.as_bytes()])
+}
+
 /// Orders `nodes` by their rendezvous weight for `key`, highest first; ties are broken by name.
 pub fn ranked<'a, T>(key: &str, nodes: &'a [T], name: impl Fn(&T) -> &str) -> Vec<&'a T> {
-    let weight = |node: &T| stable_hash(&[key.as_bytes(), name(node).as_bytes()]);
-    let mut weighted: Vec<(u64, &T)> = nodes.iter().map(|node| (weight(node), node)).collect();
+    let mut weighted: Vec<(u64, &T)> = nodes.iter().map(|node| (weight(key, name(node)), node)).collect();
     weighted.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| name(a.1).cmp(name(b.1))));
     weighted.into_iter().map(|(_, node)| node).collect()
 }
@@ -30,8 +34,7 @@
     nodes: impl Iterator<Item = &'a T>,
     name: impl Fn(&T) -> &str,
 ) -> Option<&'a T> {
-    let weight = |node: &T| stable_hash(&[key.as_bytes(), name(node).as_bytes()]);
-    let weighted = nodes.map(|node| (weight(node), node));
+    let weighted = nodes.map(|node| (weight(key, name(node)), node));
     let first = weighted.max_by(|a, b| a.0.cmp(&b.0).then_with(|| name(b.1).cmp(name(a.1))));
     first.map(|(_, node)| node)
 }
--- a/crates/control-plane/src/state_machine/singleton.rs
+++ b/crates/control-plane/src/state_machine/singleton.rs
@@ -18,20 +18,23 @@
     pub fencing_token: FencingToken,
 }
 
+/// The routers of a zone, or all of them.
+fn candidates<'a>(state: &'a ClusterState, zone: Option<&Zone>) -> impl Iterator<Item = &'a Member> {
+    let in_zone = move |member: &&Member| zone.is_none_or(|zone| member.info.zone == *zone);
+    state.routers().into_iter().filter(in_zone)
+}
+
 /// The holder of the role `key` among all routers, or among those of `zone`. The token is the epoch of the
 /// membership, which any join or expiry raises.
 pub fn holder_of(state: &ClusterState, key: &str, zone: Option<&Zone>) -> Option<SingletonRole> {
-    let in_zone = |member: &&Member| zone.is_none_or(|zone| member.info.zone == *zone);
-    let holder =
-        first_ranked(key, state.routers().into_iter().filter(in_zone), |member| member.info.node.as_str())?;
+    let holder = first_ranked(key, candidates(state, zone), |member| member.info.node.as_str())?;
     Some(SingletonRole { holder: holder.clone(), fencing_token: FencingToken(state.epoch.0) })
 }
 
 /// All candidates for the role `key` in their rendezvous order. The first holds it; the second and third serve as its
 /// followers.
 pub fn ranked_holders(state: &ClusterState, key: &str, zone: Option<&Zone>) -> Vec<Member> {
-    let in_zone = |member: &&Member| zone.is_none_or(|zone| member.info.zone == *zone);
-    let candidates: Vec<Member> = state.routers().into_iter().filter(in_zone).cloned().collect();
+    let candidates: Vec<Member> = candidates(state, zone).cloned().collect();
     ranked(key, &candidates, |member| member.info.node.as_str()).into_iter().cloned().collect()
 }
 
