--- a/crates/common/src/connection/mod.rs
+++ b/crates/common/src/connection/mod.rs
@@ -3,26 +3,31 @@
 //!
 //! This module knows nothing of the requests' content.
 
+mod body;
+mod response;
+mod stream;
 mod timing;
 
+pub use body::{BodyError, RequestBody};
+
 use crate::{
-    http::{Body, BoxError, OpenCount, OpenGuard, text},
+    http::{Body, BoxError, OpenCount, OpenGuard},
+    memory_budget::MemoryBudget,
     runtime::{Listener, Stream, spawn},
+    settings::Resources,
 };
 use futures::FutureExt;
 use hyper::{
-    Request, Response, StatusCode,
-    body::Incoming,
-    header::{CONNECTION, HeaderValue},
+    Request, Response,
+    body::{Body as _, Incoming},
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
-use std::{future::poll_fn, net::SocketAddr, pin::pin, sync::Arc, task::Poll, time::Duration};
-use timing::{Progress, TimedBody, TimedStream};
-use tokio::{
-    sync::watch,
-    time::{Instant, sleep, sleep_until},
-};
+use response::{head_bytes, head_too_large, timed};
+use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use stream::{TimedBody, TimedStream};
+use timing::{Progress, timed_out};
+use tokio::{sync::watch, time::sleep};
 
 /// How long connections that are open at shutdown keep accepting requests.
 const SHUTDOWN_GRACE: Duration = Duration::from_millis(500);
@@ -41,30 +46,58 @@
     pub max_header_bytes: usize,
     /// Longest time from the first byte of a head to its last, in milliseconds.
     pub header_timeout_ms: u64,
-    /// Longest time without a request, in milliseconds.
+    /// Longest time without a request, or in which the client takes no byte of an answer, in milliseconds.
     pub idle_timeout_ms: u64,
 }
 
 impl Default for ConnectionLimits {
     fn default() -> Self {
-        Self { max_header_bytes: 64 << 10, header_timeout_ms: 30_000, idle_timeout_ms: 30_000 }
+        Self { max_header_bytes: 64 << 10, header_timeout_ms: 10_000, idle_timeout_ms: 30_000 }
     }
 }
 
 /// Returns the current limits, which may change while connections are open.
 pub type CurrentLimits = Arc<dyn Fn() -> ConnectionLimits + Send + Sync>;
 
+/// What the listeners of a process share: memory for the bytes of requests.
+pub struct Admission {
+    memory: Arc<MemoryBudget>,
+}
+
+impl Admission {
+    /// For a process with these resources.
+    pub fn of(resources: &Resources) -> Self {
+        Self { memory: MemoryBudget::new(resources.request_bytes()) }
+    }
+}
+
+impl Default for Admission {
+    /// For a process with the default resources.
+    fn default() -> Self {
+        Self::of(&Resources::default())
+    }
+}
+
+/// How the connections of a listener are served.
+struct Server<F> {
+    admission: Arc<Admission>,
+    limits: CurrentLimits,
+    handler: F,
+}
+
 /// Serves with the default limits until `stop` turns true.
 pub async fn serve<F, Fut>(
     listener: impl Into<Listener>,
+    admission: Arc<Admission>,
     connections: Arc<OpenCount>,
     stop: watch::Receiver<bool>,
     handler: F,
 ) where
-    F: Fn(SocketAddr, Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+    F: Fn(SocketAddr, Request<RequestBody>) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Result<Response<Body>, BoxError>> + Send + 'static,
 {
-    serve_with_limits(listener, connections, stop, Arc::new(ConnectionLimits::default), handler).await;
+    let limits = Arc::new(ConnectionLimits::default);
+    serve_with_limits(listener, admission, connections, stop, limits, handler).await;
 }
 
 /// Serves with the given limits until `stop` turns true.
@@ -73,43 +106,21 @@
 /// that are on their way before they are shut down gracefully.
 pub async fn serve_with_limits<F, Fut>(
     listener: impl Into<Listener>,
-    connections: Arc<OpenCount>,
-    stop: watch::Receiver<bool>,
-    limits: CurrentLimits,
-    handler: F,
-) where
-    F: Fn(SocketAddr, Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
-    Fut: Future<Output = Result<Response<Body>, BoxError>> + Send + 'static,
-{
-    let handler_limits = limits.clone();
-    let timed_handler = move |peer, request, progress: Arc<Progress>| {
-        progress.request_begins();
-        let too_large = head_bytes(&request) > handler_limits().max_header_bytes;
-        let response = (!too_large).then(|| handler(peer, request));
-        let limits = handler_limits.clone();
-        async move {
-            let response = match response {
-                Some(response) => response.await?,
-                None => head_too_large(),
-            };
-            Ok(timed(response, progress, limits().idle_timeout_ms))
-        }
-    };
-    accept_all(listener.into(), connections, stop, limits, timed_handler).await;
-}
-
-async fn accept_all<F, Fut>(
-    listener: Listener,
+    admission: Arc<Admission>,
     connections: Arc<OpenCount>,
     mut stop: watch::Receiver<bool>,
     limits: CurrentLimits,
     handler: F,
 ) where
-    F: Fn(SocketAddr, Request<Incoming>, Arc<Progress>) -> Fut + Clone + Send + Sync + 'static,
-    Fut: Future<Output = Result<Response<TimedBody>, BoxError>> + Send + 'static,
+    F: Fn(SocketAddr, Request<RequestBody>) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Result<Response<Body>, BoxError>> + Send + 'static,
 {
+    let listener = listener.into();
+    let server = Arc::new(Server { admission, limits, handler });
     let start = |stream, peer, stop| {
-        spawn(serve_one(stream, peer, connections.enter(), stop, limits.clone(), handler.clone()));
+        let progress = Arc::new(Progress::new(&server.admission.memory));
+        let connection = AcceptedConnection { stream, peer, progress, _open: connections.enter() };
+        spawn(connection.serve(server.clone(), stop));
     };
     loop {
         let accepted = tokio::select! {
@@ -127,103 +138,84 @@
     }
 }
 
-async fn serve_one<F, Fut>(
+impl<F, Fut> Server<F>
+where
+    F: Fn(SocketAddr, Request<RequestBody>) -> Fut,
+    Fut: Future<Output = Result<Response<Body>, BoxError>>,
+{
+    /// Has the handler answer a request, unless its head is too large.
+    async fn answer(
+        &self,
+        peer: SocketAddr,
+        request: Request<Incoming>,
+        progress: Arc<Progress>,
+    ) -> Result<Response<TimedBody>, BoxError> {
+        progress.request_begins(!request.body().is_end_stream());
+        let response = if head_bytes(&request) > (self.limits)().max_header_bytes {
+            head_too_large()
+        } else {
+            let memory = self.admission.memory.clone();
+            let request = request.map(|body| RequestBody::new(body, progress.clone(), memory));
+            (self.handler)(peer, request).await?
+        };
+        Ok(timed(response, progress, (self.limits)().idle_timeout_ms))
+    }
+}
+
+/// A connection that was just accepted.
+struct AcceptedConnection {
     stream: Stream,
     peer: SocketAddr,
-    _guard: OpenGuard,
+    progress: Arc<Progress>,
+    _open: OpenGuard,
+}
+
+impl AcceptedConnection {
+    /// Serves the connection to its end.
+    async fn serve<F, Fut>(self, server: Arc<Server<F>>, stop: watch::Receiver<bool>)
+    where
+        F: Fn(SocketAddr, Request<RequestBody>) -> Fut,
+        Fut: Future<Output = Result<Response<Body>, BoxError>>,
+    {
+        let Self { stream, peer, progress, .. } = self;
+        let stream = TimedStream::new(stream, progress.clone());
+        serve_http(stream, peer, &progress, &server, stop).await;
+    }
+}
+
+/// Serves HTTP on a stream until the connection is done or exceeds a time limit.
+async fn serve_http<F, Fut>(
+    stream: TimedStream,
+    peer: SocketAddr,
+    progress: &Arc<Progress>,
+    server: &Server<F>,
     mut stop: watch::Receiver<bool>,
-    limits: CurrentLimits,
-    handler: F,
 ) where
-    F: Fn(SocketAddr, Request<Incoming>, Arc<Progress>) -> Fut,
-    Fut: Future<Output = Result<Response<TimedBody>, BoxError>>,
+    F: Fn(SocketAddr, Request<RequestBody>) -> Fut,
+    Fut: Future<Output = Result<Response<Body>, BoxError>>,
 {
-    let progress = Arc::new(Progress::new());
-    let stream = TimedStream { inner: stream, progress: progress.clone() };
-    let request_progress = progress.clone();
-    let service = service_fn(move |request| handler(peer, request, request_progress.clone()));
-    let buffer = (limits().max_header_bytes.saturating_mul(BUFFER_PER_HEADER_LIMIT)).max(MIN_BUFFER_BYTES);
+    let service = service_fn(|request| server.answer(peer, request, progress.clone()));
+    let header_limit = (server.limits)().max_header_bytes;
     let connection = hyper::server::conn::http1::Builder::new()
-        .max_buf_size(buffer)
+        .max_buf_size(header_limit.saturating_mul(BUFFER_PER_HEADER_LIMIT).max(MIN_BUFFER_BYTES))
         .half_close(false)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
+    let mut connection = pin!(connection);
     let stopped = async {
         let _ = stop.wait_for(|stopped| *stopped).await;
         sleep(SHUTDOWN_GRACE).await;
     };
-    let mut timed_out = pin!(timed_out(&progress, &limits));
+    let mut timed_out = pin!(timed_out(progress, || (server.limits)()));
     tokio::select! {
         biased;
         _ = connection.as_mut() => return,
-        _ = timed_out.as_mut() => return,
-        _ = stopped => {}
+        () = timed_out.as_mut() => return,
+        () = stopped => {}
     }
     connection.as_mut().graceful_shutdown();
     tokio::select! {
         biased;
         _ = connection => {}
-        _ = timed_out => {}
-    }
-}
-
-/// Completes when the client exceeds a time limit.
-///
-/// It is polled after its connection, so that bytes that have already arrived are read before the deadline is checked and
-/// no client is cut off because this process was delayed.
-async fn timed_out(progress: &Progress, limits: &CurrentLimits) {
-    let mut timer = pin!(sleep_until(Instant::now()));
-    poll_fn(|context| {
-        loop {
-            let Some(deadline) = progress.deadline(&limits()) else {
-                return Poll::Pending;
-            };
-            if deadline <= Instant::now() {
-                return Poll::Ready(());
-            }
-            if timer.is_elapsed() || deadline < timer.deadline() {
-                timer.as_mut().reset(deadline);
-            }
-            if timer.as_mut().poll(context).is_pending() {
-                return Poll::Pending;
-            }
-        }
-    })
-    .await;
-}
-
-/// Announces the idle timeout to the client and wraps the body, so that the connection's progress learns when the response
-/// has ended.
-fn timed(mut response: Response<Body>, progress: Arc<Progress>, idle_timeout_ms: u64) -> Response<TimedBody> {
-    progress.response_begins(idle_timeout_ms);
-    announce_idle_timeout(&mut response, idle_timeout_ms);
-    response.map(|body| TimedBody { body, progress })
-}
-
-/// The size of a request's head in its usual HTTP/1.1 form.
-fn head_bytes(request: &Request<Incoming>) -> usize {
-    const LINE_END: usize = 2;
-    let target = request.uri().path_and_query().map_or(1, |path| path.as_str().len());
-    let request_line = request.method().as_str().len() + 1 + target + " HTTP/1.1".len() + LINE_END;
-    let field = |(name, value): (&hyper::header::HeaderName, &HeaderValue)| {
-        name.as_str().len() + ": ".len() + value.len() + LINE_END
-    };
-    request_line + request.headers().iter().map(field).sum::<usize>() + LINE_END
-}
-
-fn head_too_large() -> Response<Body> {
-    let mut response = text(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head over the limit\n");
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    response
-}
-
-/// Adds a `keep-alive` header, unless the timeout is below a second or the response has a `connection` header.
-fn announce_idle_timeout(response: &mut Response<Body>, idle_timeout_ms: u64) {
-    let seconds = idle_timeout_ms / 1_000;
-    if seconds == 0 || response.headers().contains_key(CONNECTION) {
-        return;
-    }
-    if let Ok(value) = format!("timeout={seconds}").parse() {
-        response.headers_mut().insert("keep-alive", value);
+        () = timed_out => {}
     }
 }
--- a/crates/common/src/connection/timing.rs
+++ b/crates/common/src/connection/timing.rs
@@ -1,179 +1,169 @@
-//! How long a connection has been idle or has been receiving a head, as observed on its stream and its response bodies.
+//! What a connection is doing and since when, as observed on its stream, its requests and its response bodies; and which
+//! time limit applies to it.
 
 use super::ConnectionLimits;
 use crate::{
-    http::{Body, BoxError},
-    runtime::Stream,
+    memory_budget::{MemoryBudget, OutOfMemory, Reservation},
     sync::lock,
 };
-use bytes::Bytes;
-use hyper::body::{Frame, SizeHint};
 use std::{
-    io,
-    pin::Pin,
+    future::poll_fn,
+    pin::pin,
     sync::{Arc, Mutex, MutexGuard},
-    task::{Context, Poll},
+    task::Poll,
     time::Duration,
 };
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    time::Instant,
-};
+use tokio::time::{Instant, sleep_until};
 
 /// What a connection is doing.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
     /// It waits for a request.
     Idle,
     /// Part of a request's head has arrived.
     ReceivingHead,
-    /// A request is being received, handled or answered.
+    /// The body of a request is being received.
+    ReceivingBody,
+    /// A request is being handled or answered.
     Serving,
 }
 
 struct State {
     phase: Phase,
+    /// When the phase began; while a body is being received, when its newest bytes arrived.
     since: Instant,
     /// Idle timeout that the newest response announced to the client.
     announced_idle_timeout_ms: u64,
+    /// Since when the client has taken no more bytes of an answer.
+    write_blocked_since: Option<Instant>,
+    /// Bytes of the head that is being received, or whose request is being served.
+    head_bytes: usize,
+    /// Memory for these bytes.
+    head_memory: Reservation,
+}
+
+impl State {
+    fn enter(&mut self, phase: Phase) {
+        (self.phase, self.since) = (phase, Instant::now());
+    }
 }
 
 /// The phase of a connection; shared by its stream, its requests and its timer.
 pub(super) struct Progress(Mutex<State>);
 
 impl Progress {
-    pub(super) fn new() -> Self {
-        Self(Mutex::new(State { phase: Phase::Idle, since: Instant::now(), announced_idle_timeout_ms: 0 }))
+    /// A connection that was just accepted; the bytes of its heads draw on `memory`.
+    pub(super) fn new(memory: &Arc<MemoryBudget>) -> Self {
+        Self(Mutex::new(State {
+            phase: Phase::Idle,
+            since: Instant::now(),
+            announced_idle_timeout_ms: 0,
+            write_blocked_since: None,
+            head_bytes: 0,
+            head_memory: memory.reserve(),
+        }))
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
         lock(&self.0)
     }
 
-    fn received(&self) {
+    /// Notes bytes that have arrived.
+    ///
+    /// # Errors
+    /// There is no memory for the head that they belong to.
+    pub(super) fn received(&self, bytes: usize) -> Result<(), OutOfMemory> {
         let mut state = self.state();
-        if state.phase == Phase::Idle {
-            (state.phase, state.since) = (Phase::ReceivingHead, Instant::now());
+        match state.phase {
+            Phase::Idle => state.enter(Phase::ReceivingHead),
+            Phase::ReceivingBody => state.since = Instant::now(),
+            _ => {}
+        }
+        if state.phase != Phase::ReceivingHead {
+            return Ok(());
         }
+        state.head_bytes += bytes;
+        let head_bytes = state.head_bytes;
+        state.head_memory.grow_to(head_bytes)
     }
 
-    /// The last bytes of a response may be sent after its body has ended; the idle time starts after them.
-    fn sent(&self, written: &Poll<io::Result<usize>>) {
+    /// Notes that some bytes of an answer were sent, or that the client takes none now.
+    pub(super) fn sent(&self, any: bool) {
         let mut state = self.state();
-        if matches!(written, Poll::Ready(Ok(count)) if *count > 0) && state.phase == Phase::Idle {
+        if !any {
+            let now = Instant::now();
+            state.write_blocked_since.get_or_insert(now);
+            return;
+        }
+        state.write_blocked_since = None;
+        // The last bytes of a response may be sent after its body has ended; the idle time starts after them.
+        if state.phase == Phase::Idle {
             state.since = Instant::now();
         }
     }
 
-    pub(super) fn request_begins(&self) {
-        self.state().phase = Phase::Serving;
+    pub(super) fn request_begins(&self, has_body: bool) {
+        let mut state = self.state();
+        state.enter(if has_body { Phase::ReceivingBody } else { Phase::Serving });
+    }
+
+    /// The whole request was read.
+    pub(super) fn request_read(&self) {
+        let mut state = self.state();
+        if state.phase == Phase::ReceivingBody {
+            state.enter(Phase::Serving);
+        }
     }
 
     pub(super) fn response_begins(&self, idle_timeout_ms: u64) {
-        self.state().announced_idle_timeout_ms = idle_timeout_ms;
+        let mut state = self.state();
+        state.announced_idle_timeout_ms = idle_timeout_ms;
+        state.enter(Phase::Serving);
     }
 
-    fn response_ended(&self) {
+    pub(super) fn response_ended(&self) {
         let mut state = self.state();
-        (state.phase, state.since) = (Phase::Idle, Instant::now());
+        state.head_bytes = 0;
+        state.head_memory.release();
+        state.enter(Phase::Idle);
     }
 
     /// When the connection is closed if its phase does not change. An idle timeout that was announced to the client is
     /// honoured even if the limit has been lowered since.
-    pub(super) fn deadline(&self, limits: &ConnectionLimits) -> Option<Instant> {
+    fn deadline(&self, limits: &ConnectionLimits) -> Option<Instant> {
         let state = self.state();
-        let timeout_ms = match state.phase {
-            Phase::Idle => limits.idle_timeout_ms.max(state.announced_idle_timeout_ms),
-            Phase::ReceivingHead => limits.header_timeout_ms,
-            Phase::Serving => return None,
+        let idle_timeout_ms = limits.idle_timeout_ms.max(state.announced_idle_timeout_ms);
+        let of_phase = match state.phase {
+            Phase::Idle => Some(state.since + Duration::from_millis(idle_timeout_ms)),
+            Phase::ReceivingHead => Some(state.since + Duration::from_millis(limits.header_timeout_ms)),
+            Phase::ReceivingBody | Phase::Serving => None,
         };
-        Some(state.since + Duration::from_millis(timeout_ms))
+        let of_write = state.write_blocked_since.map(|since| since + Duration::from_millis(idle_timeout_ms));
+        of_phase.into_iter().chain(of_write).min()
     }
 }
 
-/// A connection's stream, which reports received and sent bytes to its progress.
-pub(super) struct TimedStream {
-    pub(super) inner: Stream,
-    pub(super) progress: Arc<Progress>,
-}
-
-impl AsyncRead for TimedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.inner).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.progress.received();
+/// Completes when the client exceeds a time limit.
+///
+/// It is polled after its connection, so that bytes that have already arrived are read before the deadline is checked and
+/// no client is cut off because this process was delayed.
+pub(super) async fn timed_out(progress: &Progress, limits: impl Fn() -> ConnectionLimits) {
+    let mut timer = pin!(sleep_until(Instant::now()));
+    poll_fn(|context| {
+        loop {
+            let Some(deadline) = progress.deadline(&limits()) else {
+                return Poll::Pending;
+            };
+            if deadline <= Instant::now() {
+                return Poll::Ready(());
+            }
+            if timer.is_elapsed() || deadline < timer.deadline() {
+                timer.as_mut().reset(deadline);
+            }
+            if timer.as_mut().poll(context).is_pending() {
+                return Poll::Pending;
+            }
         }
-        read
-    }
-}
-
-impl AsyncWrite for TimedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
-        self.progress.sent(&written);
-        written
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.inner).poll_write_vectored(context, parts);
-        self.progress.sent(&written);
-        written
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(context)
-    }
-}
-
-/// A response body, which reports its end to the connection's progress.
-pub(super) struct TimedBody {
-    pub(super) body: Body,
-    pub(super) progress: Arc<Progress>,
-}
-
-impl hyper::body::Body for TimedBody {
-    type Data = Bytes;
-    type Error = BoxError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-impl Drop for TimedBody {
-    fn drop(&mut self) {
-        self.progress.response_ended();
-    }
+    })
+    .await;
 }
--- a/crates/common/src/http.rs
+++ b/crates/common/src/http.rs
@@ -8,7 +8,6 @@
 use http_body_util::{BodyExt, Full, Limited, combinators::BoxBody};
 use hyper::{
     Method, Request, Response, StatusCode,
-    body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
@@ -20,7 +19,9 @@
 };
 use tokio::io::{AsyncRead, AsyncWrite};
 
-pub use crate::connection::{ConnectionLimits, CurrentLimits, serve, serve_with_limits};
+pub use crate::connection::{
+    Admission, BodyError, ConnectionLimits, CurrentLimits, RequestBody, serve, serve_with_limits,
+};
 
 /// Any error of a body or handler.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -150,37 +151,6 @@
     .await
 }
 
-/// Why a body could not be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyError {
-    /// It is longer than the limit.
-    TooLarge,
-    /// The connection ended before the end of the body.
-    Broken,
-}
-
-impl std::fmt::Display for BodyError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
-            BodyError::TooLarge => "the body is over the limit",
-            BodyError::Broken => "the body broke off",
-        })
-    }
-}
-
-impl std::error::Error for BodyError {}
-
-/// Reads a whole body of at most `max_bytes`.
-///
-/// # Errors
-/// See [`BodyError`].
-pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
-    let read = Limited::new(body, max_bytes).collect().await;
-    read.map(|body| body.to_bytes()).map_err(|e| {
-        if e.is::<http_body_util::LengthLimitError>() { BodyError::TooLarge } else { BodyError::Broken }
-    })
-}
-
 /// Sends a request to one control node after another until one responds with a status other than 503.
 ///
 /// Once a request other than GET may have been sent, it is not sent to another node: its outcome is undetermined.
--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod ids;
 pub mod logging;
+pub mod memory_budget;
 pub mod metrics;
 pub mod mutation;
 pub mod program;
--- a/crates/common/src/settings/mod.rs
+++ b/crates/common/src/settings/mod.rs
@@ -1,9 +1,11 @@
 //! Settings of a node: from a file, the environment and flags, in rising priority, read by figment (design 1.10).
 
 mod deprecated;
+mod resources;
 mod timing;
 
 pub use deprecated::{DEPRECATED, deprecated_names, warn_deprecated};
+pub use resources::Resources;
 pub use timing::Timing;
 
 use crate::{
@@ -58,6 +60,9 @@
     /// Durations.
     #[serde(default)]
     pub timing: Timing,
+    /// Memory and descriptors of the process.
+    #[serde(default)]
+    pub resources: Resources,
     /// Log level.
     #[serde(default = "info")]
     pub log: String,
@@ -173,6 +178,7 @@
             self.log,
             LOG_LEVELS.join(", ")
         );
+        self.resources.check()?;
         self.timing.check()
     }
 
--- /dev/null
+++ b/crates/common/tests/clients.rs
@@ -0,0 +1,178 @@
+//! A server and clients that don't behave, in virtual time: memory, connections, time limits, and refusals that arrive.
+
+use bytes::Bytes;
+use common::{
+    http::{Admission, BodyError, BoxError, OpenCount, RequestBody, serve, text},
+    runtime::{Simulation, Stream, bind, dial, spawn, spawn_at},
+    settings::Resources,
+};
+use hyper::{Request, Response, StatusCode};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+/// A quarter of it, 4 MiB, is for the bytes of requests; three MiB of that are for large bodies, beside heads.
+const RESOURCES: Resources = Resources { memory_mb: 16, open_files: 64 };
+const MAX_BODY_BYTES: usize = 1 << 20;
+const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+/// The default limit on idle connections.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const LIMIT: Duration = Duration::from_secs(600);
+const LARGE_ANSWER_BYTES: usize = 2 << 20;
+
+fn server() -> SocketAddr {
+    ([127, 2, 0, 1], 80).into()
+}
+
+fn client_ip() -> IpAddr {
+    [127, 2, 0, 9].into()
+}
+
+type Answered = Result<Response<common::http::Body>, BoxError>;
+
+/// Reads the body and says how that ended. `/hold/MS` keeps a copy of the body meanwhile and afterwards, `/large`
+/// answers more than a client's window takes.
+async fn answer(_peer: SocketAddr, request: Request<RequestBody>) -> Answered {
+    let (head, body) = request.into_parts();
+    if head.uri.path() == "/large" {
+        return Ok(text(StatusCode::OK, "a".repeat(LARGE_ANSWER_BYTES)));
+    }
+    let read = body.read(MAX_BODY_BYTES, BODY_TIMEOUT).await;
+    if let Some(held_ms) = head.uri.path().strip_prefix("/hold/").and_then(|ms| ms.parse().ok()) {
+        let copy: Option<Bytes> = read.clone().ok();
+        spawn(async move {
+            sleep(Duration::from_millis(held_ms)).await;
+            drop(copy);
+        });
+    }
+    let code = read.map_or_else(BodyError::status, |_| StatusCode::OK);
+    let mut response = text(code, "read\n");
+    if code != StatusCode::OK {
+        response.headers_mut().insert("connection", "close".parse()?);
+    }
+    Ok(response)
+}
+
+/// Runs a scenario against the server; it gets the count of open connections.
+fn run<F, Fut>(scenario: F)
+where
+    F: FnOnce(Arc<OpenCount>) -> Fut,
+    Fut: Future<Output = ()>,
+{
+    Simulation::run(7, None, |_| async {
+        let open = Arc::new(OpenCount::default());
+        let (_stop, stopped) = watch::channel(false);
+        let listener = bind(server()).await.unwrap();
+        let admission = Arc::new(Admission::of(&RESOURCES));
+        spawn_at(server().ip(), serve(listener, admission, open.clone(), stopped, answer));
+        scenario(open).await;
+    });
+}
+
+async fn connect() -> Stream {
+    dial(client_ip(), server()).await.unwrap()
+}
+
+fn head(path: &str, body_bytes: usize) -> String {
+    format!("POST {path} HTTP/1.1\r\nhost: server\r\ncontent-length: {body_bytes}\r\n\r\n")
+}
+
+/// The status of the next answer; `None` if the connection ends before that.
+async fn status(stream: &mut Stream) -> Option<u16> {
+    let mut got = Vec::new();
+    while !got.windows(4).any(|window| window == b"\r\n\r\n") {
+        let mut buffer = [0; 1_024];
+        match timeout(LIMIT, stream.read(&mut buffer)).await.expect("an answer or an end") {
+            Ok(count) if count > 0 => got.extend_from_slice(&buffer[..count]),
+            _ => return None,
+        }
+    }
+    String::from_utf8_lossy(&got).split(' ').nth(1)?.parse().ok()
+}
+
+/// Sends a head and a part of the body.
+async fn begin(path: &str, body_bytes: usize, sent_bytes: usize) -> Stream {
+    let mut stream = connect().await;
+    let _ = stream.write_all(head(path, body_bytes).as_bytes()).await;
+    let _ = stream.write_all(&vec![b'a'; sent_bytes]).await;
+    stream
+}
+
+async fn ask(path: &str, body_bytes: usize) -> Option<u16> {
+    status(&mut begin(path, body_bytes, body_bytes).await).await
+}
+
+#[test]
+fn bodies_that_stall_are_refused_only_while_memory_is_scarce() {
+    run(|_| async {
+        let mut lone = begin("/", MAX_BODY_BYTES, MAX_BODY_BYTES - 1).await;
+        sleep(Duration::from_secs(20)).await;
+        lone.write_all(b"a").await.unwrap();
+        assert_eq!(status(&mut lone).await, Some(200));
+
+        let mut stalled = Vec::new();
+        for _ in 0..3 {
+            stalled.push(begin("/", MAX_BODY_BYTES, MAX_BODY_BYTES - 1).await);
+        }
+        assert_eq!(ask("/", MAX_BODY_BYTES).await, Some(503));
+        assert_eq!(ask("/", 1_000).await, Some(200));
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(ask("/", MAX_BODY_BYTES).await, Some(200));
+        // One found no memory when it came, and another was given up since; the last may wait in calm.
+        let mut refused = Vec::new();
+        for stream in &mut stalled {
+            refused.extend(timeout(Duration::from_secs(1), status(stream)).await.ok().flatten());
+        }
+        refused.sort_unstable();
+        assert!(refused.starts_with(&[408]) && refused.ends_with(&[503]), "{refused:?}");
+    });
+}
+
+/// Chunks of one byte take no more memory than the bytes.
+#[test]
+fn small_chunks_take_little_memory() {
+    run(|_| async {
+        let mut streams = Vec::new();
+        for _ in 0..8 {
+            let mut stream = connect().await;
+            let head = "POST / HTTP/1.1\r\nhost: server\r\ntransfer-encoding: chunked\r\n\r\n";
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(&b"1\r\na\r\n".repeat(40_000)).await.unwrap();
+            streams.push(stream);
+        }
+        for stream in &mut streams {
+            stream.write_all(b"0\r\n\r\n").await.unwrap();
+            assert_eq!(status(stream).await, Some(200));
+        }
+    });
+}
+
+#[test]
+fn memory_returns_with_the_last_copy_of_a_body() {
+    run(|_| async {
+        for _ in 0..2 {
+            assert_eq!(ask("/hold/10000", MAX_BODY_BYTES).await, Some(200));
+        }
+        assert_eq!(ask("/", MAX_BODY_BYTES).await, Some(503));
+        sleep(Duration::from_secs(11)).await;
+        assert_eq!(ask("/", MAX_BODY_BYTES).await, Some(200));
+    });
+}
+
+#[test]
+fn an_answer_that_is_not_taken_ends_the_connection() {
+    run(|open| async move {
+        let _stream = begin("/large", 0, 0).await;
+        sleep(IDLE_TIMEOUT / 2).await;
+        assert_eq!(open.open(), 1);
+        sleep(IDLE_TIMEOUT).await;
+        assert_eq!(open.open(), 0);
+    });
+}
--- a/crates/control-plane/src/daemon.rs
+++ b/crates/control-plane/src/daemon.rs
@@ -11,7 +11,7 @@
     runtime::spawn,
     settings::{Listeners, Settings},
 };
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 use std::{
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
@@ -36,7 +36,7 @@
     handler: F,
     stop: impl Future<Output = ()>,
 ) where
-    F: Fn(Arc<ControlNode>, SocketAddr, Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+    F: Fn(Arc<ControlNode>, SocketAddr, Request<http::RequestBody>) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Result<Response<http::Body>, http::BoxError>> + Send + 'static,
 {
     let node = ControlNode::start(settings.clone(), bootstrap, start, log_writer);
@@ -52,7 +52,8 @@
     let open_requests = Arc::new(http::OpenCount::default());
     let handler_node = node.clone();
     let handle = move |peer, request| handler(handler_node.clone(), peer, request);
-    let serving = spawn(http::serve(listeners.http, open_requests.clone(), stopped, handle));
+    let admission = Arc::new(http::Admission::of(&settings.resources));
+    let serving = spawn(http::serve(listeners.http, admission, open_requests.clone(), stopped, handle));
     log_event!(Info, "started", "rpc" => settings.rpc_addr, "http" => settings.http);
     stop.await;
     log_event!(Info, "stopping");
--- a/crates/control-plane/src/operator/api/mod.rs
+++ b/crates/control-plane/src/operator/api/mod.rs
@@ -16,18 +16,23 @@
 use bytes::Bytes;
 use common::{
     NAME_RULE, OpId,
-    http::{Body, BodyError, BoxError, json, read_body, text},
+    http::{Body, BodyError, BoxError, RequestBody, json, text},
     is_valid_name, log_event,
 };
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    header::{CONNECTION, HeaderValue, RETRY_AFTER},
+};
 use serde::Deserialize;
 use serde_json::json as j;
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 type ApiResponse = Response<Body>;
 /// A result, or the response that ends the call early.
 type Early<T> = Result<T, Box<ApiResponse>>;
 
+/// Time in which the body of an operator's call must arrive.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest wait that a call may request, in milliseconds.
 const MAX_WAIT_MS: u64 = 60_000;
 
@@ -39,6 +44,21 @@
     json(code, &j!({"error": why.into()}))
 }
 
+/// The response to a call whose body was not read.
+fn unread_body(why: BodyError) -> ApiResponse {
+    let message = match why {
+        BodyError::TooLarge => format!("body: longer than {MAX_DOCUMENT_BYTES} bytes"),
+        BodyError::Broken => "body: ended before its announced length".into(),
+        BodyError::TimedOut | BodyError::OutOfMemory => format!("body: {why}"),
+    };
+    let mut response = error(why.status(), message);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    if why.retry_after_s() > 0 {
+        response.headers_mut().insert(RETRY_AFTER, why.retry_after_s().into());
+    }
+    response
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ReplicaBody {
@@ -78,22 +98,16 @@
 pub async fn handle(
     node: Arc<ControlNode>,
     _peer: SocketAddr,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<ApiResponse, BoxError> {
     let (head, body) = request.into_parts();
     let call = Call::new(&node, &head.headers, &head.uri);
     if !is_valid_name(call.op.as_str()) {
         return Ok(error(StatusCode::BAD_REQUEST, format!("foldshunt-op: {NAME_RULE}")));
     }
-    let body = match read_body(body, MAX_DOCUMENT_BYTES).await {
+    let body = match body.read(MAX_DOCUMENT_BYTES, BODY_TIMEOUT).await {
         Ok(body) => body,
-        Err(BodyError::TooLarge) => {
-            let why = format!("body: longer than {MAX_DOCUMENT_BYTES} bytes");
-            return Ok(error(StatusCode::PAYLOAD_TOO_LARGE, why));
-        }
-        Err(BodyError::Broken) => {
-            return Ok(error(StatusCode::BAD_REQUEST, "body: ended before its announced length"));
-        }
+        Err(why) => return Ok(unread_body(why)),
     };
     let path: Vec<&str> = head.uri.path().trim_matches('/').split('/').collect();
     let response = call.route(&head.method, &path, &body).await;
--- a/crates/control-plane/tests/cluster/mod.rs
+++ b/crates/control-plane/tests/cluster/mod.rs
@@ -101,6 +101,7 @@
         may_bootstrap,
         data: None,
         timing: Timing::default(),
+        resources: Default::default(),
         log: "info".into(),
     }
 }
--- a/crates/control-plane/tests/disk_faults.rs
+++ b/crates/control-plane/tests/disk_faults.rs
@@ -42,6 +42,7 @@
         may_bootstrap: true,
         data: Some(dir.to_path_buf()),
         timing: Timing::default(),
+        resources: Default::default(),
         log: "info".into(),
     }
 }
--- a/crates/control-plane/tests/learner.rs
+++ b/crates/control-plane/tests/learner.rs
@@ -71,6 +71,7 @@
         may_bootstrap: true,
         data: None,
         timing: Timing::default(),
+        resources: Default::default(),
         log: "info".into(),
     }
 }
--- a/crates/control-plane/tests/unique_ids.rs
+++ b/crates/control-plane/tests/unique_ids.rs
@@ -18,6 +18,7 @@
         may_bootstrap: true,
         data: None,
         timing: Timing::default(),
+        resources: Default::default(),
         log: "info".into(),
     }
 }
--- a/crates/data-plane/src/daemon.rs
+++ b/crates/data-plane/src/daemon.rs
@@ -26,9 +26,9 @@
     router.start(&settings, listeners.rpc);
     let (stop_listening, stopped) = watch::channel(false);
     let (connections, handler) = (Arc::new(http::OpenCount::default()), router.clone());
-    let serving = spawn(http::serve(listeners.http, connections.clone(), stopped, move |peer, req| {
-        handler.clone().handle(peer, req)
-    }));
+    let admission = Arc::new(http::Admission::of(&settings.resources));
+    let handle = move |peer, request| handler.clone().handle(peer, request);
+    let serving = spawn(http::serve(listeners.http, admission, connections.clone(), stopped, handle));
     log_event!(Info, "started", "rail" => settings.rpc_addr, "http" => settings.http);
     stop.await;
     // The order of a drain (design 6.5): first this node is not ready and gives up its singleton roles, so that clients
--- a/crates/data-plane/src/dispatch.rs
+++ b/crates/data-plane/src/dispatch.rs
@@ -3,8 +3,8 @@
 use crate::{
     attempt::{AttemptTarget, Outcome, OutgoingRequest, attempt},
     attempt_history::{AttemptHistory, AttemptStep},
-    gateway::{rejected, unknown},
     plan::Plan,
+    response::{rejected, unknown},
     retry_policy::{FailedAttempt, may_retry},
     router::{Router, lock},
 };
--- a/crates/data-plane/src/gateway.rs
+++ b/crates/data-plane/src/gateway.rs
@@ -3,16 +3,16 @@
 use crate::{
     forwarding,
     plan::{Plan, header_of},
+    response::{ClientResponse, body_rejection, rejection_response},
     router::{ActiveConfiguration, Router, is_active_in},
-    summary::EventKind,
 };
 use common::{
-    PeerError, RequestId,
-    http::{Body, BodyError, BoxError, OpenGuard, json, read_body, text},
+    RequestId,
+    http::{BoxError, OpenGuard, RequestBody, json, text},
     log_event,
 };
 use control_plane::Member;
-use hyper::{Request, Response, StatusCode, body::Incoming, http::request::Parts};
+use hyper::{Request, StatusCode, http::request::Parts};
 use serde_json::json as j;
 use std::{
     net::SocketAddr,
@@ -20,71 +20,13 @@
     time::Duration,
 };
 
-/// Response to a client, or to a router that forwarded its request.
-type Res = Response<Body>;
-
-/// Adds the headers that tell a client its request's id and outcome.
-pub fn with_outcome(mut response: Res, request_id: &RequestId, outcome: &'static str, reason: &str) -> Res {
-    let headers = response.headers_mut();
-    for (name, value) in
-        [("foldshunt-job", request_id.as_str()), ("foldshunt-outcome", outcome), ("foldshunt-reason", reason)]
-    {
-        if let Ok(value) = value.parse()
-            && !(name == "foldshunt-reason" && reason.is_empty())
-        {
-            headers.insert(name, value);
-        }
-    }
-    response
-}
-
-/// Response to a request that did not run and won't; `retry_s` says when to try again, 0 leaves that out.
-pub fn rejection_response(
-    router: &Router,
-    request_id: &RequestId,
-    code: StatusCode,
-    reason: &str,
-    retry_s: u64,
-) -> Res {
-    router.counters.reject(reason);
-    router.record_event(EventKind::Rejected(reason.into()));
-    let mut response = json(
-        code,
-        &j!({"outcome": "bounced", "reason": reason, "job": request_id, "retry_after_s": retry_s}),
-    );
-    if retry_s > 0
-        && !common::mutation::enabled("no-retry-after")
-        && let Ok(value) = retry_s.to_string().parse()
-    {
-        response.headers_mut().insert("retry-after", value);
-    }
-    with_outcome(response, request_id, "bounced", reason)
-}
-
-/// Response to a planned request that did not run and won't.
-pub fn rejected(router: &Router, plan: &Plan, reason: &str, retry_s: u64) -> Res {
-    router.counters.requests.inc(&[&plan.entry.name, "bounced"]);
-    rejection_response(router, &plan.request_id, StatusCode::SERVICE_UNAVAILABLE, reason, retry_s)
-}
-
-/// Response to a request that may have run, and so is never reported as rejected. `late` says that its deadline passed.
-pub fn unknown(router: &Router, plan: &Plan, error: &PeerError, late: bool) -> Res {
-    router.counters.requests.inc(&[&plan.entry.name, "unknown"]);
-    router.record_event(EventKind::Unknown(error.step.into()));
-    let code = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
-    let response = json(code, &j!({"outcome": "unknown", "reason": error.step, "job": plan.request_id}));
-    with_outcome(response, &plan.request_id, "unknown", error.step)
-}
-
 impl Router {
-    /// Response to a request that ran.
-    pub fn done(&self, plan: &Plan, response: Res) -> Res {
-        self.counters.requests.inc(&[&plan.entry.name, "done"]);
-        with_outcome(response, &plan.request_id, "done", "")
-    }
-
     /// Handles one HTTP request, from a client or from a router of another region.
-    pub async fn handle(self: Arc<Self>, _peer: SocketAddr, req: Request<Incoming>) -> Result<Res, BoxError> {
+    pub async fn handle(
+        self: Arc<Self>,
+        _peer: SocketAddr,
+        req: Request<RequestBody>,
+    ) -> Result<ClientResponse, BoxError> {
         let (head, body) = req.into_parts();
         match head.uri.path() {
             "/healthz" => return Ok(text(StatusCode::OK, "ok\n")),
@@ -119,9 +61,9 @@
         configuration: Arc<ActiveConfiguration>,
         request_id: RequestId,
         head: Parts,
-        body: Incoming,
+        body: RequestBody,
         open: OpenGuard,
-    ) -> Res {
+    ) -> ClientResponse {
         let reject =
             |code, reason, retry_s| close(rejection_response(self, &request_id, code, reason, retry_s));
         if let Some(reason) = self.refusal_reason() {
@@ -144,18 +86,10 @@
         {
             return close(response);
         }
-        let length = header_of(&head)("content-length").and_then(|v| v.parse::<usize>().ok());
-        if length.is_some_and(|n| n > plan.entry.max_body_bytes) {
-            return reject(StatusCode::PAYLOAD_TOO_LARGE, "body over the entry's limit", 0);
-        }
         let left = Duration::from_millis(plan.deadline.since(self.now()));
-        let bytes = match tokio::time::timeout(left, read_body(body, plan.entry.max_body_bytes)).await {
-            Ok(Ok(b)) => b,
-            Ok(Err(BodyError::TooLarge)) => {
-                return reject(StatusCode::PAYLOAD_TOO_LARGE, "body over the entry's limit", 0);
-            }
-            Ok(Err(BodyError::Broken)) => return reject(StatusCode::BAD_REQUEST, "body broke off", 0),
-            Err(_) => return reject(StatusCode::REQUEST_TIMEOUT, "body not here in time", 0),
+        let bytes = match body.read(plan.entry.max_body_bytes, left).await {
+            Ok(bytes) => bytes,
+            Err(error) => return reject(error.status(), body_rejection(error), error.retry_after_s()),
         };
         let plan = if forwarded.is_none() { plan.with_key(&head, &bytes) } else { plan };
         let request = Plan::outgoing_request(&head, bytes);
@@ -198,7 +132,7 @@
 
     /// Redirects a client whose request may not be processed here to a router in a home region. The body is not read
     /// (design 5.2).
-    fn redirect_home(&self, plan: &Plan, head: &Parts) -> Option<Res> {
+    fn redirect_home(&self, plan: &Plan, head: &Parts) -> Option<ClientResponse> {
         let own = self.own_region(&plan.configuration.table);
         let evacuated = self.cluster_state().evacuated.contains(self.zone());
         let at_home = own.as_ref().is_some_and(|o| plan.homes.contains(o));
@@ -243,7 +177,7 @@
 }
 
 /// Closes the connection after a response: it can't or shall not carry another request.
-fn close(mut response: Res) -> Res {
+fn close(mut response: ClientResponse) -> ClientResponse {
     response.headers_mut().insert("connection", "close".parse().expect("a valid header value"));
     response
 }
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod replica_choice;
 pub mod replica_health;
 pub mod request_queue;
+pub mod response;
 pub mod response_body;
 pub mod retry_budget;
 pub mod retry_policy;
--- a/crates/data-plane/src/serving/daemon.rs
+++ b/crates/data-plane/src/serving/daemon.rs
@@ -31,11 +31,16 @@
 }
 
 /// Answers requests for readiness and for routers at an address, once that can be bound.
-async fn serve_directory(serving: Arc<Serving>, addr: SocketAddr, stopped: watch::Receiver<bool>) {
+async fn serve_directory(
+    serving: Arc<Serving>,
+    admission: Arc<http::Admission>,
+    addr: SocketAddr,
+    stopped: watch::Receiver<bool>,
+) {
     match bind_when_available(addr).await {
         Ok(listener) => {
             let handler = move |peer, request| serving.clone().answer_directory_request(peer, request);
-            http::serve(listener, Arc::default(), stopped, handler).await;
+            http::serve(listener, admission, Arc::default(), stopped, handler).await;
         }
         Err(error) => log_event!(Error, "bind", "peer" => addr, "cause" => error.to_string()),
     }
@@ -63,11 +68,12 @@
     serving.spawn_usage_tasks();
     let (stop_listening, stopped) = watch::channel(false);
     let (stop_extra, extra_stopped) = watch::channel(false);
+    let admission = Arc::new(http::Admission::of(&settings.resources));
     for addr in extra_listeners {
-        spawn(serve_directory(serving.clone(), addr, extra_stopped.clone()));
+        spawn(serve_directory(serving.clone(), admission.clone(), addr, extra_stopped.clone()));
     }
     let connections = Arc::new(http::OpenCount::default());
-    let listening = spawn(serving.clone().listen(listeners.http, connections.clone(), stopped));
+    let listening = spawn(serving.clone().listen(listeners.http, admission, connections.clone(), stopped));
     let me = serving.clone();
     spawn(async move {
         loop {
--- a/crates/data-plane/src/serving/directory.rs
+++ b/crates/data-plane/src/serving/directory.rs
@@ -4,10 +4,10 @@
 use crate::router::lock;
 use common::{
     Region, Zone,
-    http::{Body, BoxError, json, text},
+    http::{Body, BoxError, RequestBody, json, text},
 };
 use control_plane::Member;
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode};
 use std::{net::SocketAddr, sync::Arc};
 
 /// Routers that a zone or region must have before its clients are sent only to these.
@@ -71,7 +71,7 @@
     pub async fn answer_directory_request(
         self: Arc<Self>,
         _peer: SocketAddr,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
     ) -> Result<Response<Body>, BoxError> {
         let names = self.protocol.header_names();
         let path = request.uri().path();
--- a/crates/data-plane/src/serving/gateway.rs
+++ b/crates/data-plane/src/serving/gateway.rs
@@ -12,7 +12,8 @@
 use common::{
     Tick,
     http::{
-        Body, BodyError, BoxError, ConnectionLimits, CurrentLimits, OpenCount, read_body, serve_with_limits,
+        Admission, Body, BodyError, BoxError, ConnectionLimits, CurrentLimits, OpenCount, RequestBody,
+        serve_with_limits,
     },
     log_event,
     runtime::Listener,
@@ -20,7 +21,6 @@
 use configuration::{Route, RouteMap, TenantPolicy, home_regions};
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
     header::{HeaderValue, WWW_AUTHENTICATE},
     http::request::Parts,
 };
@@ -56,7 +56,7 @@
     pub async fn serve(
         self: Arc<Self>,
         peer: SocketAddr,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
     ) -> Result<Response<Body>, BoxError> {
         let open_count = Arc::new(self.router.open_count.enter());
         let draining = || self.router.draining.load(Ordering::Acquire);
@@ -87,13 +87,14 @@
     pub async fn listen(
         self: Arc<Self>,
         clients: Listener,
+        admission: Arc<Admission>,
         connections: Arc<OpenCount>,
         stop: watch::Receiver<bool>,
     ) {
         let me = self.clone();
         let limits: CurrentLimits = Arc::new(move || me.connection_limits());
         let handler = move |peer, request| self.clone().serve(peer, request);
-        serve_with_limits(clients, connections, stop, limits, handler).await;
+        serve_with_limits(clients, admission, connections, stop, limits, handler).await;
     }
 
     /// Waits until this router may take requests; returns the reason if it still may not.
@@ -120,7 +121,7 @@
     }
 
     /// Makes the plan for a request from its head and body, or returns the answer that refuses it.
-    async fn plan(&self, req: Request<Incoming>, peer: SocketAddr) -> Result<Plan, Box<Response<Body>>> {
+    async fn plan(&self, req: Request<RequestBody>, peer: SocketAddr) -> Result<Plan, Box<Response<Body>>> {
         let received_at = self.now();
         let (head, body) = req.into_parts();
         let left_ms = self.announced_time_left(&head);
@@ -140,7 +141,7 @@
             return self.refuse(StatusCode::NOT_FOUND, "the route has no service");
         };
         let deadline = deadline(self.protocol.header_names(), &head.headers, &route, received_at);
-        let body = self.read_request_body(&head, body, map.limits.max_body_bytes, deadline, peer).await?;
+        let body = self.read_request_body(body, map.limits.max_body_bytes, deadline, peer).await?;
         let prompt = self.protocol.parse_prompt(&head.headers);
         let long_prompt = lock(&self.prompt_lengths).note(&route, prompt.tokens_in, received_at);
         let prefixes = if long_prompt { prefill::prefixes(&prompt) } else { Vec::new() };
@@ -195,28 +196,28 @@
     /// Reads a body to its end, within `max_bytes` and the deadline.
     async fn read_request_body(
         &self,
-        head: &Parts,
-        body: Incoming,
+        body: RequestBody,
         max_bytes: usize,
         deadline: Tick,
         peer: SocketAddr,
     ) -> Result<Bytes, Box<Response<Body>>> {
-        let content_length = head.headers.get("content-length");
-        let content_length = content_length.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
-        if content_length.is_some_and(|bytes| bytes > max_bytes) {
-            return self.refuse_and_close(StatusCode::PAYLOAD_TOO_LARGE, "body over the limit");
-        }
-        let left = Duration::from_millis(deadline.since(self.now()).max(1));
-        match tokio::time::timeout(left, read_body(body, max_bytes)).await {
-            Ok(Ok(body)) => Ok(body),
-            Ok(Err(BodyError::TooLarge)) => {
+        let left_ms = deadline.since(self.now());
+        let error = match body.read(max_bytes, Duration::from_millis(left_ms.max(1))).await {
+            Ok(body) => return Ok(body),
+            Err(error) => error,
+        };
+        log_event!(Debug, "read body", "peer" => peer, "cause" => error.to_string());
+        match error {
+            BodyError::TooLarge => {
                 self.refuse_and_close(StatusCode::PAYLOAD_TOO_LARGE, "body over the limit")
             }
-            Ok(Err(BodyError::Broken)) => {
-                log_event!(Debug, "read body", "peer" => peer, "cause" => "the client ended it early");
-                self.refuse_and_close(StatusCode::BAD_REQUEST, "body broke off")
+            BodyError::Broken => self.refuse_and_close(StatusCode::BAD_REQUEST, "body broke off"),
+            BodyError::TimedOut => {
+                self.refuse_and_close(StatusCode::REQUEST_TIMEOUT, "body not here in time")
             }
-            Err(_) => self.refuse(StatusCode::REQUEST_TIMEOUT, "body not here in time"),
+            BodyError::OutOfMemory => self
+                .refuse_for_now("no memory for the body", left_ms)
+                .map_err(|refused| Box::new(close(*refused))),
         }
     }
 
--- a/crates/data-plane/tests/kit/mod.rs
+++ b/crates/data-plane/tests/kit/mod.rs
@@ -69,6 +69,7 @@
         may_bootstrap: true,
         data: None,
         timing: Timing { lease_ms: 60_000, probe_interval_ms: 60_000, ..Timing::default() },
+        resources: Default::default(),
         log: "error".into(),
     }
 }
@@ -126,7 +127,7 @@
     let (handler, (stop, stopped)) = (router.clone(), watch::channel(false));
     // The listener would stop if the sender were dropped.
     std::mem::forget(stop);
-    tokio::spawn(http::serve(listener, Arc::default(), stopped, move |peer, request| {
+    tokio::spawn(http::serve(listener, Arc::default(), Arc::default(), stopped, move |peer, request| {
         handler.clone().handle(peer, request)
     }));
     (router, address)
--- a/crates/data-plane/tests/serving/fleet.rs
+++ b/crates/data-plane/tests/serving/fleet.rs
@@ -66,6 +66,7 @@
         may_bootstrap: true,
         data: None,
         timing: timing(),
+        resources: Default::default(),
         log: "error".into(),
     }
 }
@@ -171,11 +172,11 @@
         let listing = Arc::new(Mutex::new(Listing { pages, ..Listing::default() }));
         let listed = listing.clone();
         world.host(list.ip()).spawn(async move {
-            let handler = move |_, request: hyper::Request<hyper::body::Incoming>| {
+            let handler = move |_, request: hyper::Request<http::RequestBody>| {
                 let (status, page) = lock(&listed).answer(request.uri().path());
                 async move { Ok(text(status, page)) }
             };
-            http::serve(listener, Arc::default(), ended, handler).await;
+            http::serve(listener, Arc::default(), Arc::default(), ended, handler).await;
             drop(end);
         });
         let fleet = Self { listing, ..Self::start_without_reports(world).await };
--- a/crates/data-plane/tests/serving/replica_list.rs
+++ b/crates/data-plane/tests/serving/replica_list.rs
@@ -120,14 +120,14 @@
         let listener = bind(address).await.expect("the list's address");
         let world: Arc<Simulation> = common::runtime::simulation().expect("a world");
         spawn_at(address.ip(), async move {
-            let handler = move |_, request: hyper::Request<hyper::body::Incoming>| {
+            let handler = move |_, request: hyper::Request<http::RequestBody>| {
                 let (delay_ms, code, page) = server.answer(request.uri().path(), world.elapsed_ms());
                 async move {
                     sleep(Duration::from_millis(delay_ms)).await;
                     Ok(text(StatusCode::from_u16(code).expect("a status"), page))
                 }
             };
-            http::serve(listener, Arc::default(), ended, handler).await;
+            http::serve(listener, Arc::default(), Arc::default(), ended, handler).await;
             drop(end);
         });
         router.watch_replicas();
--- a/crates/data-plane/tests/serving/router_fixture.rs
+++ b/crates/data-plane/tests/serving/router_fixture.rs
@@ -380,6 +380,7 @@
         may_bootstrap: true,
         data: None,
         timing: Timing { lease_ms: 600_000, ..Timing::default() },
+        resources: Default::default(),
         log: "error".into(),
     }
 }
@@ -465,7 +466,7 @@
         let (me, listener) = (serving.clone(), bind(http).await.expect("the router's address"));
         let (end, ended) = watch::channel(false);
         spawn(async move {
-            me.listen(listener, Arc::default(), ended).await;
+            me.listen(listener, Arc::default(), Arc::default(), ended).await;
             drop(end);
         });
         Self { world, serving, script, http, cluster_state }
--- a/crates/data-plane/tests/serving/usage_cluster.rs
+++ b/crates/data-plane/tests/serving/usage_cluster.rs
@@ -75,6 +75,7 @@
         may_bootstrap: true,
         data: None,
         timing: timing(),
+        resources: Default::default(),
         log: "error".into(),
     }
 }
--- a/crates/data-plane/tests/serving/usage_platform.rs
+++ b/crates/data-plane/tests/serving/usage_platform.rs
@@ -7,7 +7,7 @@
     runtime::Simulation,
 };
 use http_body_util::BodyExt;
-use hyper::{Request, StatusCode, body::Incoming};
+use hyper::{Request, StatusCode};
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex},
@@ -102,7 +102,7 @@
         let server = platform.clone();
         simulation.host(std::net::IpAddr::from(PLATFORM.0)).spawn(async move {
             let handler = move |_, request| server.clone().answer(request);
-            http::serve(listener, Arc::default(), ended, handler).await;
+            http::serve(listener, Arc::default(), Arc::default(), ended, handler).await;
             drop(end);
         });
         platform
@@ -110,7 +110,7 @@
 
     async fn answer(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<http::RequestBody>,
     ) -> Result<hyper::Response<http::Body>, http::BoxError> {
         let header = |name: &str| request.headers()[name].to_str().expect("text").to_string();
         let (holder, fencing_token) = (header("x-holder"), header("x-fence").parse().expect("a number"));
--- a/crates/simulator/src/node.rs
+++ b/crates/simulator/src/node.rs
@@ -92,6 +92,7 @@
             may_bootstrap: true,
             data: self.is_control.then(|| self.dir.join("data")),
             timing: Timing::default(),
+            resources: Default::default(),
             log: "info".into(),
         }
     }
