Connections of clients: a largest number for a process, beyond which the longest wait ends

Callers saw: with many idle connections or half heads at one listener, a router or control node held all its descriptors; it could then accept nobody and open no connection to replicas or other nodes.

Cause: every connection was accepted, and only its own time limit ended it.

Change: the listeners of a process share a list of open connections, of at most half of the usable descriptors and a quarter of the memory at 32 KiB each. At that number the connection that has waited longest for a request, or for the rest of one, of 16 drawn at random (drawing is cheap at any number), is closed for the new one. A request that is being handled, or whose answer is under way, is never ended for that; if all are, the new connection is closed.

`common/tests/clients.rs`: waiting connections give way, requests in progress do not.

--- a/crates/common/src/connection/mod.rs
+++ b/crates/common/src/connection/mod.rs
@@ -4,6 +4,7 @@
 //! This module knows nothing of the requests' content.
 
 mod body;
+mod open_connections;
 mod response;
 mod stream;
 mod timing;
@@ -23,6 +24,7 @@
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
+use open_connections::{ListedConnection, OpenConnections};
 use response::{head_bytes, head_too_large, timed};
 use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 use stream::{TimedBody, TimedStream};
@@ -59,15 +61,18 @@
 /// Returns the current limits, which may change while connections are open.
 pub type CurrentLimits = Arc<dyn Fn() -> ConnectionLimits + Send + Sync>;
 
-/// What the listeners of a process share: memory for the bytes of requests.
+/// What the listeners of a process share: memory for the bytes of requests, and a largest number of connections.
 pub struct Admission {
     memory: Arc<MemoryBudget>,
+    connections: Arc<OpenConnections>,
 }
 
 impl Admission {
     /// For a process with these resources.
     pub fn of(resources: &Resources) -> Self {
-        Self { memory: MemoryBudget::new(resources.request_bytes()) }
+        let memory = MemoryBudget::new(resources.request_bytes());
+        let connections = OpenConnections::new(resources.client_connections());
+        Self { memory, connections }
     }
 }
 
@@ -119,7 +124,10 @@
     let server = Arc::new(Server { admission, limits, handler });
     let start = |stream, peer, stop| {
         let progress = Arc::new(Progress::new(&server.admission.memory));
-        let connection = AcceptedConnection { stream, peer, progress, _open: connections.enter() };
+        // Without room the connection is closed at once, and the client may ask another node.
+        let Some(listed) = server.admission.connections.enter(progress.clone()) else { return };
+        let connection =
+            AcceptedConnection { stream, peer, progress, _open: connections.enter(), _listed: listed };
         spawn(connection.serve(server.clone(), stop));
     };
     loop {
@@ -168,6 +176,7 @@
     peer: SocketAddr,
     progress: Arc<Progress>,
     _open: OpenGuard,
+    _listed: ListedConnection,
 }
 
 impl AcceptedConnection {
--- a/crates/common/src/connection/timing.rs
+++ b/crates/common/src/connection/timing.rs
@@ -1,5 +1,5 @@
-//! What a connection is doing and since when, as observed on its stream, its requests and its response bodies; and which
-//! time limit applies to it.
+//! What a connection is doing and since when, as observed on its stream, its requests and its response bodies; which
+//! time limit applies to it; and whether it may be closed to make room for others.
 
 use super::ConnectionLimits;
 use crate::{
@@ -10,7 +10,7 @@
     future::poll_fn,
     pin::pin,
     sync::{Arc, Mutex, MutexGuard},
-    task::Poll,
+    task::{Poll, Waker},
     time::Duration,
 };
 use tokio::time::{Instant, sleep_until};
@@ -36,6 +36,10 @@
     announced_idle_timeout_ms: u64,
     /// Since when the client has taken no more bytes of an answer.
     write_blocked_since: Option<Instant>,
+    /// The connection is to be closed unless a request is being handled.
+    evicted: bool,
+    /// Wakes the connection's task.
+    waker: Option<Waker>,
     /// Bytes of the head that is being received, or whose request is being served.
     head_bytes: usize,
     /// Memory for these bytes.
@@ -46,9 +50,13 @@
     fn enter(&mut self, phase: Phase) {
         (self.phase, self.since) = (phase, Instant::now());
     }
+
+    fn is_evictable(&self) -> bool {
+        !self.evicted && self.phase != Phase::Serving && self.write_blocked_since.is_none()
+    }
 }
 
-/// The phase of a connection; shared by its stream, its requests and its timer.
+/// The phase of a connection; shared by its stream, its requests, its timer and the list of open connections.
 pub(super) struct Progress(Mutex<State>);
 
 impl Progress {
@@ -59,6 +67,8 @@
             since: Instant::now(),
             announced_idle_timeout_ms: 0,
             write_blocked_since: None,
+            evicted: false,
+            waker: None,
             head_bytes: 0,
             head_memory: memory.reserve(),
         }))
@@ -104,12 +114,14 @@
 
     pub(super) fn request_begins(&self, has_body: bool) {
         let mut state = self.state();
+        state.evicted = false;
         state.enter(if has_body { Phase::ReceivingBody } else { Phase::Serving });
     }
 
     /// The whole request was read.
     pub(super) fn request_read(&self) {
         let mut state = self.state();
+        state.evicted = false;
         if state.phase == Phase::ReceivingBody {
             state.enter(Phase::Serving);
         }
@@ -117,6 +129,7 @@
 
     pub(super) fn response_begins(&self, idle_timeout_ms: u64) {
         let mut state = self.state();
+        state.evicted = false;
         state.announced_idle_timeout_ms = idle_timeout_ms;
         state.enter(Phase::Serving);
     }
@@ -128,10 +141,32 @@
         state.enter(Phase::Idle);
     }
 
+    /// Since when the connection could be closed to make room for others; `None` while a request is being handled.
+    pub(super) fn evictable_since(&self) -> Option<Instant> {
+        let state = self.state();
+        state.is_evictable().then_some(state.since)
+    }
+
+    /// Has the connection closed, unless a request is being handled by now. Returns whether it will be.
+    pub(super) fn evict(&self) -> bool {
+        let mut state = self.state();
+        if !state.is_evictable() {
+            return false;
+        }
+        state.evicted = true;
+        if let Some(waker) = state.waker.take() {
+            waker.wake();
+        }
+        true
+    }
+
     /// When the connection is closed if its phase does not change. An idle timeout that was announced to the client is
     /// honoured even if the limit has been lowered since.
     fn deadline(&self, limits: &ConnectionLimits) -> Option<Instant> {
         let state = self.state();
+        if state.evicted {
+            return Some(state.since);
+        }
         let idle_timeout_ms = limits.idle_timeout_ms.max(state.announced_idle_timeout_ms);
         let of_phase = match state.phase {
             Phase::Idle => Some(state.since + Duration::from_millis(idle_timeout_ms)),
@@ -141,15 +176,20 @@
         let of_write = state.write_blocked_since.map(|since| since + Duration::from_millis(idle_timeout_ms));
         of_phase.into_iter().chain(of_write).min()
     }
+
+    fn register(&self, waker: &Waker) {
+        self.state().waker = Some(waker.clone());
+    }
 }
 
-/// Completes when the client exceeds a time limit.
+/// Completes when the client exceeds a time limit, or its connection is closed to make room for others.
 ///
 /// It is polled after its connection, so that bytes that have already arrived are read before the deadline is checked and
 /// no client is cut off because this process was delayed.
 pub(super) async fn timed_out(progress: &Progress, limits: impl Fn() -> ConnectionLimits) {
     let mut timer = pin!(sleep_until(Instant::now()));
     poll_fn(|context| {
+        progress.register(context.waker());
         loop {
             let Some(deadline) = progress.deadline(&limits()) else {
                 return Poll::Pending;
--- a/crates/common/src/settings/resources.rs
+++ b/crates/common/src/settings/resources.rs
@@ -8,10 +8,18 @@
 const MIN_OPEN_FILES: usize = 64;
 /// Bytes of a megabyte.
 const MEGABYTE: usize = 1 << 20;
+/// Memory that a connection takes beside the bytes of its request: buffers of the HTTP library and tasks.
+const CONNECTION_BYTES: usize = 32 << 10;
+/// Most descriptors that are left to files of the system's libraries, and the largest part of all, as a divisor.
+const MAX_RESERVED_FILES: usize = 200;
+const RESERVED_FILES_DIVISOR: usize = 3;
+/// Fewest connections of clients, whatever the limits.
+const MIN_CLIENT_CONNECTIONS: usize = 16;
 
 /// What the machine gives the process.
 ///
-/// A quarter of the memory is for the bytes of clients' requests.
+/// A quarter of the memory is for the bytes of clients' requests, and a quarter for their connections. Of the
+/// descriptors, half are for connections of clients; the rest is for replicas and other nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Resources {
@@ -55,4 +63,14 @@
     pub fn request_bytes(&self) -> usize {
         self.memory_mb.saturating_mul(MEGABYTE) / 4
     }
+
+    fn usable_files(&self) -> usize {
+        self.open_files - MAX_RESERVED_FILES.min(self.open_files / RESERVED_FILES_DIVISOR)
+    }
+
+    /// Most connections of clients at the same time.
+    pub fn client_connections(&self) -> usize {
+        let by_memory = self.memory_mb.saturating_mul(MEGABYTE) / 4 / CONNECTION_BYTES;
+        (self.usable_files() / 2).min(by_memory).max(MIN_CLIENT_CONNECTIONS)
+    }
 }
--- a/crates/common/tests/clients.rs
+++ b/crates/common/tests/clients.rs
@@ -7,6 +7,7 @@
     settings::Resources,
 };
 use hyper::{Request, Response, StatusCode};
+use rstest::rstest;
 use std::{
     net::{IpAddr, SocketAddr},
     sync::Arc,
@@ -20,6 +21,8 @@
 
 /// A quarter of it, 4 MiB, is for the bytes of requests; three MiB of that are for large bodies, beside heads.
 const RESOURCES: Resources = Resources { memory_mb: 16, open_files: 64 };
+/// Connections of clients that these resources allow.
+const MAX_CONNECTIONS: usize = 21;
 const MAX_BODY_BYTES: usize = 1 << 20;
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
 /// The default limit on idle connections.
@@ -52,6 +55,9 @@
             drop(copy);
         });
     }
+    if head.uri.path().starts_with("/wait") {
+        sleep(LIMIT).await;
+    }
     let code = read.map_or_else(BodyError::status, |_| StatusCode::OK);
     let mut response = text(code, "read\n");
     if code != StatusCode::OK {
@@ -176,3 +182,36 @@
         assert_eq!(open.open(), 0);
     });
 }
+
+/// Idle connections, half heads and half bodies give way to a new connection.
+#[rstest]
+#[case::idle("")]
+#[case::half_heads("POST / HTTP/1.1\r\nhost: ser")]
+#[case::half_bodies("POST / HTTP/1.1\r\nhost: server\r\ncontent-length: 9\r\n\r\na")]
+fn waiting_connections_give_way(#[case] sent: &'static str) {
+    run(|open| async move {
+        let mut waiting = Vec::new();
+        for _ in 0..3 * MAX_CONNECTIONS {
+            let mut stream = connect().await;
+            let _ = stream.write_all(sent.as_bytes()).await;
+            waiting.push(stream);
+            sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(ask("/", 1_000).await, Some(200));
+        assert!(open.open() <= MAX_CONNECTIONS, "{} open", open.open());
+    });
+}
+
+/// A request that is being handled is not ended for a new connection, which is closed instead.
+#[test]
+fn requests_in_progress_do_not_give_way() {
+    run(|open| async move {
+        let mut served = Vec::new();
+        for _ in 0..MAX_CONNECTIONS {
+            served.push(begin("/wait", 10, 10).await);
+        }
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(ask("/", 10).await, None);
+        assert_eq!(open.open(), MAX_CONNECTIONS);
+    });
+}
