Connections between nodes: a largest number of those without a handshake

Callers saw: clients that connect to the internal ports and stay silent held the descriptors of a router or control node.

Cause: each such connection had two seconds (four call timeouts) for its handshake, and there was no limit on their number.

Change: at most an eighth of the usable descriptors are for connections without a handshake.

`common/tests/clients.rs::silent_connections_do_not_keep_a_node_out`.

--- a/crates/common/src/connection/mod.rs
+++ b/crates/common/src/connection/mod.rs
@@ -9,8 +9,10 @@
 mod response;
 mod stream;
 mod timing;
+mod unidentified;
 
 pub use body::{BodyError, RequestBody};
+pub(crate) use unidentified::{UnidentifiedConnection, UnidentifiedConnections};
 
 use crate::{
     http::{Body, BoxError, OpenCount, OpenGuard},
--- a/crates/common/src/rpc/mod.rs
+++ b/crates/common/src/rpc/mod.rs
@@ -26,6 +26,8 @@
     pub ip: IpAddr,
     /// Default timeout of a call, in milliseconds.
     pub timeout_ms: u64,
+    /// Most incoming connections whose peers have not sent their handshake yet.
+    pub max_unidentified_connections: usize,
 }
 
 /// The same stream with another codec.
--- a/crates/common/src/rpc/server.rs
+++ b/crates/common/src/rpc/server.rs
@@ -2,7 +2,8 @@
 
 use super::{Handshake, HandshakeReply, LocalNode, with_codec};
 use crate::{
-    error::{AtPeer, HANDSHAKE, PeerError, with_timeout},
+    connection::{UnidentifiedConnection, UnidentifiedConnections},
+    error::{AtPeer, HANDSHAKE, PeerError},
     log_event,
     runtime::{Listener, Stream, spawn},
     wire::{Codec, PROTOCOL_VERSION},
@@ -76,14 +77,17 @@
     Fut: Future<Output = R> + Send + 'static,
 {
     let listener = listener.into();
+    let handshake_timeout = Duration::from_millis(local.timeout_ms * HANDSHAKE_TIMEOUT_FACTOR);
+    let unidentified = UnidentifiedConnections::new(local.max_unidentified_connections, handshake_timeout);
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        let Some(connection) = unidentified.enter() else { continue };
         let (local, handler) = (local.clone(), handler.clone());
         spawn(async move {
-            if let Err(e) = serve_connection(stream, peer, local, service, handler).await {
+            if let Err(e) = serve_connection(stream, peer, connection, local, service, handler).await {
                 log_event!(Warn, e.step, "peer" => e.peer, "cause" => e.cause());
             }
         });
@@ -93,6 +97,7 @@
 async fn serve_connection<Q, R, F, Fut>(
     stream: Stream,
     peer: SocketAddr,
+    connection: UnidentifiedConnection,
     local: LocalNode,
     service: &'static str,
     handler: F,
@@ -104,12 +109,13 @@
     Fut: Future<Output = R> + Send + 'static,
 {
     let mut framed = Framed::new(stream, Codec::<Handshake, HandshakeReply>::handshake());
-    let timeout_ms = local.timeout_ms * HANDSHAKE_TIMEOUT_FACTOR;
-    let handshake = with_timeout(timeout_ms, HANDSHAKE, peer, async {
-        let first = framed.next().await;
-        first.unwrap_or_else(|| Err(io::ErrorKind::UnexpectedEof.into())).at_peer(HANDSHAKE, peer)
-    })
-    .await?;
+    let first = tokio::select! {
+        biased;
+        first = framed.next() => first.unwrap_or_else(|| Err(io::ErrorKind::UnexpectedEof.into())),
+        () = connection.expired() => Err(io::ErrorKind::TimedOut.into()),
+    };
+    let handshake = first.at_peer(HANDSHAKE, peer)?;
+    drop(connection);
     let checked = check_handshake(&handshake, &local, service);
     let rejected = checked.as_ref().err().map(HandshakeError::to_string);
     framed.send(HandshakeReply { rejected }).await.at_peer(HANDSHAKE, peer)?;
--- a/crates/common/src/settings/mod.rs
+++ b/crates/common/src/settings/mod.rs
@@ -210,6 +210,7 @@
             node: self.node.clone(),
             ip: self.rpc_addr.ip(),
             timeout_ms: self.timing.rpc_timeout_ms,
+            max_unidentified_connections: self.resources.unidentified_connections(),
         }
     }
 }
--- a/crates/common/src/settings/resources.rs
+++ b/crates/common/src/settings/resources.rs
@@ -19,7 +19,8 @@
 /// What the machine gives the process.
 ///
 /// A quarter of the memory is for the bytes of clients' requests, and a quarter for their connections. Of the
-/// descriptors, half are for connections of clients; the rest is for replicas and other nodes.
+/// descriptors, half are for connections of clients and an eighth for nodes that have not identified themselves; the
+/// rest is for replicas and other nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Resources {
@@ -73,4 +74,9 @@
         let by_memory = self.memory_mb.saturating_mul(MEGABYTE) / 4 / CONNECTION_BYTES;
         (self.usable_files() / 2).min(by_memory).max(MIN_CLIENT_CONNECTIONS)
     }
+
+    /// Most connections of nodes that have not identified themselves.
+    pub fn unidentified_connections(&self) -> usize {
+        self.usable_files() / 8
+    }
 }
--- a/crates/common/tests/clients.rs
+++ b/crates/common/tests/clients.rs
@@ -3,11 +3,13 @@
 use bytes::Bytes;
 use common::{
     http::{Admission, BodyError, BoxError, OpenCount, RequestBody, serve, text},
+    rpc::{LocalNode, RpcClient, listen},
     runtime::{Simulation, Stream, bind, dial, spawn, spawn_at},
     settings::Resources,
 };
 use hyper::{Request, Response, StatusCode};
 use rstest::rstest;
+use serde::{Deserialize, Serialize};
 use std::{
     net::{IpAddr, SocketAddr},
     sync::Arc,
@@ -243,3 +245,42 @@
         assert_eq!(open.open(), MAX_CONNECTIONS);
     });
 }
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Number(u64);
+
+impl tarpc::RequestName for Number {
+    fn name(&self) -> &str {
+        "number"
+    }
+}
+
+fn local_node(ip: IpAddr) -> LocalNode {
+    let max_unidentified_connections = RESOURCES.unidentified_connections();
+    LocalNode { cluster: "c".into(), node: ip.to_string(), ip, timeout_ms: 500, max_unidentified_connections }
+}
+
+/// Connections that never send a handshake do not keep a node out.
+#[test]
+fn silent_connections_do_not_keep_a_node_out() {
+    Simulation::run(7, None, |_| async {
+        let listener = bind(server()).await.unwrap();
+        let answer = |_, number: Number| async move { number };
+        spawn_at(server().ip(), listen(listener, local_node(server().ip()), "numbers", answer));
+        let mut silent = Vec::new();
+        for _ in 0..10 * RESOURCES.unidentified_connections() {
+            silent.push(connect().await);
+        }
+        let client = RpcClient::<Number, Number>::new(local_node(client_ip()), "numbers");
+        assert_eq!(client.call("number", server(), Number(3)).await.unwrap().0, 3);
+        // All but the newest were closed for others before their time.
+        sleep(Duration::from_millis(100)).await;
+        let mut closed = 0;
+        for stream in &mut silent {
+            let read = timeout(Duration::from_millis(1), stream.read(&mut [0; 1])).await;
+            closed += usize::from(read.is_ok());
+        }
+        let kept = silent.len() - closed;
+        assert!(kept <= RESOURCES.unidentified_connections(), "{kept} kept");
+    });
+}
--- a/crates/common/tests/failed_steps.rs
+++ b/crates/common/tests/failed_steps.rs
@@ -46,7 +46,13 @@
 async fn an_error_tells_whether_the_connection_was_refused() {
     let e = send_request(IP, refused_address().await, Method::GET, "/", &[], "", 5_000).await.unwrap_err();
     assert_eq!((e.step, e.is_refused()), ("connect", true));
-    let local_node = LocalNode { cluster: "c".into(), node: "n".into(), ip: IP, timeout_ms: 5_000 };
+    let local_node = LocalNode {
+        cluster: "c".into(),
+        node: "n".into(),
+        ip: IP,
+        timeout_ms: 5_000,
+        max_unidentified_connections: 64,
+    };
     let client: RpcClient<Empty, Empty> = RpcClient::new(local_node, "s");
     let e = client.call("propose", refused_address().await, Empty).await.unwrap_err();
     assert_eq!((e.step, e.is_refused()), ("connect", true));
--- a/crates/common/tests/invalid_input.rs
+++ b/crates/common/tests/invalid_input.rs
@@ -32,7 +32,13 @@
 }
 
 fn local_node(cluster: &str) -> LocalNode {
-    LocalNode { cluster: cluster.into(), node: "n".into(), ip: IP, timeout_ms: 60_000 }
+    LocalNode {
+        cluster: cluster.into(),
+        node: "n".into(),
+        ip: IP,
+        timeout_ms: 60_000,
+        max_unidentified_connections: 64,
+    }
 }
 
 /// Starts a service that answers with the next number; returns its address and the count of answered calls.
--- a/crates/common/tests/overloaded_peer.rs
+++ b/crates/common/tests/overloaded_peer.rs
@@ -35,7 +35,13 @@
 }
 
 fn local_node(ip: IpAddr) -> LocalNode {
-    LocalNode { cluster: "c".into(), node: ip.to_string(), ip, timeout_ms: TIMEOUT_MS }
+    LocalNode {
+        cluster: "c".into(),
+        node: ip.to_string(),
+        ip,
+        timeout_ms: TIMEOUT_MS,
+        max_unidentified_connections: 64,
+    }
 }
 
 fn near() -> IpAddr {
