Heads: half heads leave the small share of the memory to bodies, and an ordinary head needs none of it

Callers saw: with as many connections as a machine of much memory allows, heads of up to 64 KB that do not end could take the whole budget for the time of a head; small bodies were then refused with 503 and new heads closed.

Cause: a head drew on the budget from its first byte, and up to 64 KiB with the right to the share for small messages.

Change: the first 8 KiB of a head, its first read buffer, count as part of the connection; the rest draws on the budget without that share.

--- a/crates/common/src/connection/timing.rs
+++ b/crates/common/src/connection/timing.rs
@@ -15,6 +15,9 @@
 };
 use tokio::time::{Instant, sleep_until};
 
+/// Bytes of a head that count as part of the connection itself: its first read buffer.
+const BUFFERED_HEAD_BYTES: usize = 8 << 10;
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
@@ -46,7 +49,7 @@
     waker: Option<Waker>,
     /// Bytes of the head that is being received, or whose request is being served.
     head_bytes: usize,
-    /// Memory for these bytes.
+    /// Memory for those of them that need more than the first buffer.
     head_memory: Reservation,
 }
 
@@ -75,7 +78,7 @@
             evicted: false,
             waker: None,
             head_bytes: 0,
-            head_memory: memory.reserve(),
+            head_memory: memory.reserve_outside_small_share(),
         }))
     }
 
@@ -98,8 +101,8 @@
             return Ok(());
         }
         state.head_bytes += bytes;
-        let head_bytes = state.head_bytes;
-        state.head_memory.grow_to(head_bytes)
+        let beyond_buffer = state.head_bytes.saturating_sub(BUFFERED_HEAD_BYTES);
+        state.head_memory.grow_to(beyond_buffer)
     }
 
     /// Notes that some bytes of an answer were sent, or that the client takes none now.
--- a/crates/common/src/memory_budget.rs
+++ b/crates/common/src/memory_budget.rs
@@ -39,9 +39,14 @@
         Arc::new(Self { limit_bytes, used_bytes: AtomicUsize::new(0) })
     }
 
-    /// A reservation of no bytes.
+    /// A reservation of no bytes. Up to [`SMALL_MESSAGE_BYTES`] it may use the share that is kept for small messages.
     pub fn reserve(self: &Arc<Self>) -> Reservation {
-        Reservation { budget: self.clone(), bytes: 0 }
+        Reservation { budget: self.clone(), bytes: 0, small_bytes: SMALL_MESSAGE_BYTES }
+    }
+
+    /// A reservation of no bytes that never uses the share for small messages.
+    pub fn reserve_outside_small_share(self: &Arc<Self>) -> Reservation {
+        Reservation { budget: self.clone(), bytes: 0, small_bytes: 0 }
     }
 
     /// Bytes that are reserved now.
@@ -58,12 +63,12 @@
         self.limit_bytes / SMALL_SHARE_DIVISOR
     }
 
-    /// Whether a message may take `bytes` while others take `others`. Small messages may use the whole budget, larger
-    /// ones all but the share for small ones. One large message always fits if the others take no more than that
+    /// Whether a message may take `bytes` while others take `others`. A small one may use the whole budget, a larger
+    /// one all but the share for small ones. One large message always fits if the others take no more than that
     /// share, whatever the size of the budget.
-    fn allows(&self, bytes: usize, others: usize) -> bool {
+    fn allows(&self, bytes: usize, is_small: bool, others: usize) -> bool {
         let total = bytes.saturating_add(others);
-        if bytes <= SMALL_MESSAGE_BYTES {
+        if is_small {
             return total <= self.limit_bytes;
         }
         total <= self.limit_bytes - self.small_share() || others <= self.small_share()
@@ -75,6 +80,8 @@
 pub struct Reservation {
     budget: Arc<MemoryBudget>,
     bytes: usize,
+    /// Up to this size the message counts as small.
+    small_bytes: usize,
 }
 
 impl Reservation {
@@ -87,9 +94,10 @@
             return Ok(());
         }
         let (budget, held) = (&self.budget, self.bytes);
+        let is_small = bytes <= self.small_bytes;
         let grown = budget.used_bytes.fetch_update(Ordering::AcqRel, Ordering::Acquire, |used| {
             let others = used - held;
-            budget.allows(bytes, others).then(|| others + bytes)
+            budget.allows(bytes, is_small, others).then(|| others + bytes)
         });
         grown.map_err(|_| OutOfMemory)?;
         self.bytes = bytes;
@@ -101,11 +109,6 @@
         self.budget.used_bytes.fetch_sub(self.bytes, Ordering::AcqRel);
         self.bytes = 0;
     }
-
-    /// Whether the budget that it belongs to is scarce.
-    pub fn is_scarce(&self) -> bool {
-        self.budget.is_scarce()
-    }
 }
 
 impl Drop for Reservation {
--- a/crates/common/tests/modules/memory_budget.rs
+++ b/crates/common/tests/modules/memory_budget.rs
@@ -51,3 +51,12 @@
     half.grow_to(LIMIT_BYTES / 2 + 1).unwrap();
     assert!(budget.is_scarce());
 }
+
+#[test]
+fn the_share_for_small_messages_can_be_left_to_others() {
+    let budget = MemoryBudget::new(LIMIT_BYTES);
+    let _large = take(&budget, 3 * LARGE_BYTES).unwrap();
+    let mut outside = budget.reserve_outside_small_share();
+    assert!(outside.grow_to(1).is_err());
+    assert!(take(&budget, 1).is_ok());
+}
