Soak: clients that don't behave, at all listeners of all processes, within 64 MB and 600 descriptors

Each process of a soak now has little memory and few descriptors in its settings, and its peak of memory and its open descriptors are checked between disruptions. `--crowd` clients (16) send parts of bodies, whole ones, large and small chunks, bodies without end, half heads and half handshakes, and stay connected until they have had enough or the process is gone. Clients that keep their connections now send requests to routers too. `launcher.rs` was split from `node.rs`.

--- a/crates/simulator/src/fleet.rs
+++ b/crates/simulator/src/fleet.rs
@@ -76,6 +76,7 @@
                     advertised_ip,
                     cluster: deployment.name,
                     seeds: Vec::new(),
+                    resources: Default::default(),
                     running: None,
                     disk: Arc::new(Mutex::new(SimDisk::new(None, SizeLimits::default()))),
                 });
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fake_replica;
 pub mod fault;
 pub mod fleet;
+mod launcher;
 pub mod node;
 pub mod operator;
 pub mod relay;
--- a/crates/simulator/src/node.rs
+++ b/crates/simulator/src/node.rs
@@ -4,7 +4,7 @@
     sim::disk::{DiskCondition, SimDisk},
     simulated_process::SimulatedProcess,
 };
-use common::settings::{Settings, Timing};
+use common::settings::{Resources, Settings, Timing};
 use eyre::{Result, WrapErr, bail, eyre};
 use nix::{
     sys::signal::{Signal, kill},
@@ -20,30 +20,13 @@
 };
 use tokio::process::{Child, Command};
 
+pub use crate::launcher::{Launcher, RunningNode};
+
 /// Port of every node for calls between nodes.
 pub const RPC_PORT: u16 = 7100;
 /// Port of every node for HTTP.
 pub const HTTP_PORT: u16 = 8080;
 
-/// A node that is running.
-pub enum RunningNode {
-    /// A real process.
-    Process(Child),
-    /// Tasks on a simulated host.
-    Simulated(SimulatedProcess),
-}
-
-/// How the nodes of a fleet are started.
-#[derive(Clone)]
-pub enum Launcher {
-    /// As processes, from the programs in this folder.
-    Processes(PathBuf),
-    /// As processes, from the programs in this folder, with this many voters in a new cluster.
-    ProcessesOfCluster(PathBuf, u8),
-    /// On hosts of a simulation.
-    Simulation(Arc<common::runtime::Simulation>),
-}
-
 /// A node of a fleet, running or not.
 pub struct Node {
     /// Its name: `s1` to `s3` for control nodes, `p1` to `p9` for routers.
@@ -64,6 +47,8 @@
     pub cluster: &'static str,
     /// Addresses of the control nodes, as advertised.
     pub seeds: Vec<SocketAddr>,
+    /// Its memory and descriptors.
+    pub resources: Resources,
     /// The running node; `None` while it is down.
     pub running: Option<RunningNode>,
     /// In a simulation: its disk, which outlives the process.
@@ -92,7 +77,7 @@
             may_bootstrap: true,
             data: self.is_control.then(|| self.dir.join("data")),
             timing: Timing::default(),
-            resources: Default::default(),
+            resources: self.resources.clone(),
             log: "info".into(),
         }
     }
--- a/crates/simulator/src/replacements.rs
+++ b/crates/simulator/src/replacements.rs
@@ -38,6 +38,7 @@
             advertised_ip: replacement_ip(old.advertised_ip),
             cluster: old.cluster,
             seeds: old.seeds.clone(),
+            resources: Default::default(),
             running: None,
             disk: Arc::new(Mutex::new(SimDisk::new(None, SizeLimits::default()))),
         };
--- a/crates/simulator/src/soak/clients.rs
+++ b/crates/simulator/src/soak/clients.rs
@@ -1,7 +1,9 @@
 //! Operators and clients of a soak.
 
 use super::{
+    SoakPlan,
     cluster::{Cluster, Process},
+    crowd,
     history::History,
 };
 use common::http::{full, open_client};
@@ -48,8 +50,8 @@
     }
 }
 
-/// Starts the operators and this many clients.
-pub fn start(cluster: &Arc<Cluster>, history: &Arc<History>, clients: usize, seed: u64) -> Clients {
+/// Starts the operators, and as many clients of both kinds as the plan has.
+pub fn start(cluster: &Arc<Cluster>, history: &Arc<History>, plan: &SoakPlan, seed: u64) -> Clients {
     let stopped = Arc::new(AtomicBool::new(false));
     let mut tasks = Vec::new();
     for number in 0..OPERATORS {
@@ -63,12 +65,14 @@
         };
         tasks.push(tokio::spawn(operator.run()));
     }
-    for number in 0..clients {
+    tasks.extend(crowd::start(cluster, &stopped, plan.crowd, seed));
+    for number in 0..plan.clients {
         let (cluster, history, stopped) = (cluster.clone(), history.clone(), stopped.clone());
         let mut rng = SmallRng::seed_from_u64(seed ^ ((number + OPERATORS) as u64) << 32);
         tasks.push(tokio::spawn(async move {
             while !stopped.load(Ordering::Relaxed) {
-                let process = &cluster.control_nodes[rng.random_range(0..cluster.control_nodes.len())];
+                let processes: Vec<&Arc<Process>> = cluster.processes().collect();
+                let process = processes[rng.random_range(0..processes.len())];
                 if use_connection(&cluster, process, &history, &stopped, &mut rng).await.is_err() {
                     sleep(RECONNECT_PAUSE).await;
                 }
@@ -78,7 +82,8 @@
     Clients { stopped, tasks }
 }
 
-/// Reads the document over one connection until that ends.
+/// Sends requests over one connection until that ends: a control node is asked for the document, a router gets requests
+/// for replicas, which need not run.
 async fn use_connection(
     cluster: &Cluster,
     process: &Process,
@@ -89,11 +94,16 @@
     let mut connection = open_client(cluster.caller_ip, process.http, CONNECT_TIMEOUT_MS).await?;
     while !stopped.load(Ordering::Relaxed) {
         let acknowledged = history.newest_acknowledged();
+        let (method, path, body) = if cluster.is_control(process) {
+            (Method::GET, "/v1/timetable", "")
+        } else {
+            (Method::POST, "/v1/notes", "a note")
+        };
         let request = Request::builder()
-            .method(Method::GET)
-            .uri("/v1/timetable")
+            .method(method)
+            .uri(path)
             .header("host", process.http.to_string())
-            .body(full(""))?;
+            .body(full(body))?;
         let exchange = async {
             let (head, body) = connection.send_request(request).await?.into_parts();
             Ok::<_, eyre::Error>((head, body.collect().await?.to_bytes()))
--- a/crates/simulator/src/soak/cluster.rs
+++ b/crates/simulator/src/soak/cluster.rs
@@ -1,6 +1,6 @@
 //! The processes of a soak.
 
-use super::SoakPlan;
+use super::{SoakPlan, process_usage::ProcessUsage};
 use crate::{
     deployment::{Deployment, Firm, deployment},
     fleet::ip,
@@ -8,7 +8,7 @@
     operator::Operator,
     sim::disk::SimDisk,
 };
-use common::http::send_request;
+use common::{http::send_request, settings::Resources};
 use control_plane::types::SizeLimits;
 use eyre::{Result, ensure};
 use hyper::Method;
@@ -31,6 +31,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Timeout of a query for a status, in milliseconds.
 const STATUS_TIMEOUT_MS: u64 = 1_000;
+/// Memory and descriptors of each process: little, so that clients can use them up.
+const RESOURCES: Resources = Resources { memory_mb: 64, open_files: 600 };
 /// Number of control nodes that all others ask first.
 const SEEDS: u8 = 3;
 /// Group of the addresses of control nodes; routers are in the next one.
@@ -81,6 +83,7 @@
                 advertised_ip: own_ip,
                 cluster: deployment.name,
                 seeds: seeds.clone(),
+                resources: RESOURCES,
                 running: None,
                 disk: Arc::new(StdMutex::new(SimDisk::new(None, SizeLimits::default()))),
             };
@@ -161,6 +164,11 @@
         serde_json::from_slice(&body).ok()
     }
 
+    /// Whether a process is a control node.
+    pub fn is_control(&self, process: &Process) -> bool {
+        self.control_nodes.iter().any(|node| node.name == process.name)
+    }
+
     /// All processes.
     pub fn processes(&self) -> impl Iterator<Item = &Arc<Process>> {
         self.control_nodes.iter().chain(&self.routers)
@@ -177,6 +185,22 @@
         self.processes().filter_map(ended).collect()
     }
 
+    /// The largest peak of memory among the processes that are not being disrupted, in KB, and those that have used more
+    /// memory or descriptors than they have.
+    pub fn usage(&self) -> (usize, Vec<String>) {
+        let mut peak_kb = 0;
+        let mut over = Vec::new();
+        for process in self.processes() {
+            let Ok(node) = process.node.try_lock() else { continue };
+            let Some(usage) = node.pid().and_then(ProcessUsage::of) else { continue };
+            peak_kb = peak_kb.max(usage.peak_memory_kb);
+            if usage.peak_memory_kb > RESOURCES.memory_mb << 10 || usage.open_files > RESOURCES.open_files {
+                over.push(format!("{} is over its limits: {usage:?}", process.name));
+            }
+        }
+        (peak_kb, over)
+    }
+
     /// Kills all processes.
     pub async fn stop(&self) {
         for process in self.processes() {
--- a/crates/simulator/src/soak/disruptions.rs
+++ b/crates/simulator/src/soak/disruptions.rs
@@ -32,8 +32,10 @@
     pub disruptions: usize,
     /// Losses of disks among them.
     pub lost_disks: usize,
-    /// Processes that ended by themselves.
+    /// Processes that ended by themselves, or used more than they have.
     pub ended: Vec<String>,
+    /// Largest peak of memory of a process, in KB.
+    pub peak_memory_kb: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,6 +81,9 @@
         }
         sleep(gap).await;
         counts.ended.extend(cluster.ended_by_themselves());
+        let (peak_kb, over) = cluster.usage();
+        counts.peak_memory_kb = counts.peak_memory_kb.max(peak_kb);
+        counts.ended.extend(over);
     }
     while let Some(ended) = running.join_next().await {
         ended??;
--- a/crates/simulator/src/soak/mod.rs
+++ b/crates/simulator/src/soak/mod.rs
@@ -1,11 +1,13 @@
 //! A soak of the control side with real processes (design 7.2): control nodes are frozen, killed, asked to stop, restarted
-//! and robbed of their disks in overlapping series, while operators change the document and clients read it over
-//! connections that they keep until the process is gone.
+//! and robbed of their disks in overlapping series, while operators change the document, clients read it over connections
+//! that they keep until the process is gone, and others send what no client should.
 
 mod clients;
 mod cluster;
+mod crowd;
 mod disruptions;
 mod history;
+mod process_usage;
 
 use bpaf::Bpaf;
 use cluster::Cluster;
@@ -42,6 +44,9 @@
     /// Clients that read the document
     #[bpaf(argument("N"), fallback(8))]
     pub clients: usize,
+    /// Clients that don't behave
+    #[bpaf(argument("N"), fallback(16))]
+    pub crowd: usize,
     /// Seconds of disruptions
     #[bpaf(argument("N"), fallback(20.0))]
     pub seconds: f64,
@@ -66,6 +71,8 @@
     pub disruptions: usize,
     /// Losses of disks among them.
     pub lost_disks: usize,
+    /// Largest peak of memory of a process, in KB.
+    pub peak_memory_kb: usize,
     /// Time from the last disruption until the cluster served and accepted changes again.
     pub recovery: Duration,
     /// What must not happen, and did.
@@ -100,12 +107,13 @@
     let dir = plan.dir.join(seed.to_string());
     let cluster = Arc::new(Cluster::start(plan, &dir, programs).await?);
     let history = Arc::new(History::default());
-    let clients = clients::start(&cluster, &history, plan.clients, seed);
+    let clients = clients::start(&cluster, &history, plan, seed);
     let counts = disruptions::run(&cluster, seed, Duration::from_secs_f64(plan.seconds)).await?;
     let recovery = recover(&cluster, &history).await;
+    let (peak_kb, over) = cluster.usage();
     clients.stop().await;
-    for ended in counts.ended.into_iter().chain(cluster.ended_by_themselves()) {
-        history.violation(ended);
+    for violation in counts.ended.into_iter().chain(cluster.ended_by_themselves()).chain(over) {
+        history.violation(violation);
     }
     cluster.stop().await;
     if history.violations().is_empty() {
@@ -117,6 +125,7 @@
         answers: history.answers(),
         disruptions: counts.disruptions,
         lost_disks: counts.lost_disks,
+        peak_memory_kb: counts.peak_memory_kb.max(peak_kb),
         recovery,
         violations: history.violations(),
     })
--- a/crates/simulator/tests/soak.rs
+++ b/crates/simulator/tests/soak.rs
@@ -38,6 +38,7 @@
         voters,
         routers,
         clients: 8,
+        crowd: 16,
         seconds: 20.0,
         net,
         dir: dir.path().into(),
