Connections of clients: closing one for another is final, and requests have descriptors of their own

Callers saw: 800 clients with whole small requests, held for a replica that does not answer, took a router 732 descriptors of 400 usable ones.

Cause: a connection that was chosen to close left the list at once, but a request that arrived before it closed called that off: it was handled, and counted nowhere. And connections of clients had half of the descriptors, while each request that is being handled needs another one to a replica, beside those for other nodes.

Change: once chosen, a connection handles no request any more; one that arrives still is refused with 503 and Retry-After, which promises that it has not run. Clients have two fifths of the usable descriptors, so that as many are left for replicas.

--- a/crates/common/src/connection/body.rs
+++ b/crates/common/src/connection/body.rs
@@ -34,7 +34,7 @@
     Broken,
     /// It did not arrive in time, or too slowly while memory is scarce.
     TimedOut,
-    /// There is no memory for it now.
+    /// There is no memory for it now, or no room for its connection.
     OutOfMemory,
 }
 
@@ -118,7 +118,9 @@
                 (check_at, length_at_check) = (now + PROGRESS_INTERVAL, buffer.bytes.len());
             }
         }
-        self.progress.request_read();
+        if !self.progress.request_read() {
+            return Err(BodyError::OutOfMemory);
+        }
         Ok(buffer.into_bytes())
     }
 
--- a/crates/common/src/connection/mod.rs
+++ b/crates/common/src/connection/mod.rs
@@ -29,7 +29,7 @@
 };
 use hyper_util::rt::TokioIo;
 use open_connections::{ListedConnection, OpenConnections};
-use response::{head_bytes, head_too_large, timed};
+use response::{head_bytes, head_too_large, no_room, timed};
 use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 use stream::{ReturnedStream, TimedBody, TimedStream};
 use timing::{Progress, timed_out};
@@ -162,8 +162,9 @@
         request: Request<Incoming>,
         progress: Arc<Progress>,
     ) -> Result<Response<TimedBody>, BoxError> {
-        progress.request_begins(!request.body().is_end_stream());
-        let response = if head_bytes(&request) > (self.limits)().max_header_bytes {
+        let response = if !progress.request_begins(!request.body().is_end_stream()) {
+            no_room()
+        } else if head_bytes(&request) > (self.limits)().max_header_bytes {
             head_too_large()
         } else {
             let memory = self.admission.memory.clone();
--- a/crates/common/src/connection/response.rs
+++ b/crates/common/src/connection/response.rs
@@ -4,10 +4,13 @@
 use crate::http::{Body, text};
 use hyper::{
     Request, Response, StatusCode,
-    header::{CONNECTION, HeaderValue},
+    header::{CONNECTION, HeaderValue, RETRY_AFTER},
 };
 use std::sync::Arc;
 
+/// Seconds after which a request for which there was no room may be sent again.
+const RETRY_AFTER_S: &str = "1";
+
 /// Announces the idle timeout to the client and wraps the body, so that the connection's progress learns when the response
 /// has ended.
 pub(super) fn timed(
@@ -37,6 +40,14 @@
     response
 }
 
+/// The response to a request on a connection that is being closed to make room for another one.
+pub(super) fn no_room() -> Response<Body> {
+    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "no room for this connection\n");
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+    response
+}
+
 /// Adds a `keep-alive` header, unless the timeout is below a second or the response has a `connection` header.
 fn announce_idle_timeout(response: &mut Response<Body>, idle_timeout_ms: u64) {
     let seconds = idle_timeout_ms / 1_000;
--- a/crates/common/src/connection/timing.rs
+++ b/crates/common/src/connection/timing.rs
@@ -43,7 +43,7 @@
     write_blocked_since: Option<Instant>,
     /// Part of the newest request has not been read.
     request_unread: bool,
-    /// The connection is to be closed unless a request is being handled.
+    /// The connection is closed to make room for another one, and handles no request any more.
     evicted: bool,
     /// Wakes the connection's task.
     waker: Option<Waker>,
@@ -120,26 +120,33 @@
         }
     }
 
-    pub(super) fn request_begins(&self, has_body: bool) {
+    /// Notes that the head of a request has arrived. Returns whether the request may be handled: not if the connection
+    /// is being closed to make room for another one.
+    pub(super) fn request_begins(&self, has_body: bool) -> bool {
         let mut state = self.state();
-        state.evicted = false;
         state.request_unread = has_body;
+        if state.evicted {
+            return false;
+        }
         state.enter(if has_body { Phase::ReceivingBody } else { Phase::Serving });
+        true
     }
 
-    /// The whole request was read.
-    pub(super) fn request_read(&self) {
+    /// Notes that the whole request was read. Returns whether it may be handled, as [`Progress::request_begins`] does.
+    pub(super) fn request_read(&self) -> bool {
         let mut state = self.state();
-        state.evicted = false;
         state.request_unread = false;
+        if state.evicted {
+            return false;
+        }
         if state.phase == Phase::ReceivingBody {
             state.enter(Phase::Serving);
         }
+        true
     }
 
     pub(super) fn response_begins(&self, idle_timeout_ms: u64) {
         let mut state = self.state();
-        state.evicted = false;
         state.announced_idle_timeout_ms = idle_timeout_ms;
         state.enter(Phase::Serving);
     }
--- a/crates/common/src/settings/resources.rs
+++ b/crates/common/src/settings/resources.rs
@@ -19,7 +19,7 @@
 /// What the machine gives the process.
 ///
 /// A quarter of the memory is for the bytes of clients' requests, and a quarter for their connections. Of the
-/// descriptors, half are for connections of clients and an eighth for nodes that have not identified themselves; the
+/// descriptors, two fifths are for connections of clients, as many for those that their requests need, and an eighth for nodes that have not identified themselves; the
 /// rest is for replicas and other nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -72,7 +72,7 @@
     /// Most connections of clients at the same time.
     pub fn client_connections(&self) -> usize {
         let by_memory = self.memory_mb.saturating_mul(MEGABYTE) / 4 / CONNECTION_BYTES;
-        (self.usable_files() / 2).min(by_memory).max(MIN_CLIENT_CONNECTIONS)
+        (self.usable_files() * 2 / 5).min(by_memory).max(MIN_CLIENT_CONNECTIONS)
     }
 
     /// Most connections of nodes that have not identified themselves.
