--- a/crates/common/tests/clients.rs
+++ b/crates/common/tests/clients.rs
@@ -3,13 +3,12 @@
 use bytes::Bytes;
 use common::{
     http::{Admission, BodyError, BoxError, OpenCount, RequestBody, serve, text},
-    rpc::{LocalNode, RpcClient, listen},
+    rpc::{RpcClient, listen},
     runtime::{Simulation, Stream, bind, dial, spawn, spawn_at},
     settings::Resources,
 };
 use hyper::{Request, Response, StatusCode};
 use rstest::rstest;
-use serde::{Deserialize, Serialize};
 use std::{
     net::{IpAddr, SocketAddr},
     sync::Arc,
@@ -21,6 +20,9 @@
     time::{Instant, sleep, timeout},
 };
 
+mod numbers;
+use numbers::{MAX_UNIDENTIFIED_CONNECTIONS, Number, SERVICE, local_node};
+
 /// A quarter of it, 4 MiB, is for the bytes of requests; three MiB of that are for large bodies, beside heads.
 const RESOURCES: Resources = Resources { memory_mb: 16, open_files: 64 };
 /// Connections of clients that these resources allow.
@@ -274,32 +276,18 @@
     });
 }
 
-#[derive(Debug, Serialize, Deserialize)]
-struct Number(u64);
-
-impl tarpc::RequestName for Number {
-    fn name(&self) -> &str {
-        "number"
-    }
-}
-
-fn local_node(ip: IpAddr) -> LocalNode {
-    let max_unidentified_connections = RESOURCES.unidentified_connections();
-    LocalNode { cluster: "c".into(), node: ip.to_string(), ip, timeout_ms: 500, max_unidentified_connections }
-}
-
 /// Connections that never send a handshake do not keep a node out.
 #[test]
 fn silent_connections_do_not_keep_a_node_out() {
     Simulation::run(7, None, |_| async {
         let listener = bind(server()).await.unwrap();
         let answer = |_, number: Number| async move { number };
-        spawn_at(server().ip(), listen(listener, local_node(server().ip()), "numbers", answer));
+        spawn_at(server().ip(), listen(listener, local_node(server().ip()), SERVICE, answer));
         let mut silent = Vec::new();
-        for _ in 0..10 * RESOURCES.unidentified_connections() {
+        for _ in 0..10 * MAX_UNIDENTIFIED_CONNECTIONS {
             silent.push(connect().await);
         }
-        let client = RpcClient::<Number, Number>::new(local_node(client_ip()), "numbers");
+        let client = RpcClient::<Number, Number>::new(local_node(client_ip()), SERVICE);
         assert_eq!(client.call("number", server(), Number(3)).await.unwrap().0, 3);
         // All but the newest were closed for others before their time.
         sleep(Duration::from_millis(100)).await;
@@ -309,6 +297,6 @@
             closed += usize::from(read.is_ok());
         }
         let kept = silent.len() - closed;
-        assert!(kept <= RESOURCES.unidentified_connections(), "{kept} kept");
+        assert!(kept <= MAX_UNIDENTIFIED_CONNECTIONS, "{kept} kept");
     });
 }
--- a/crates/common/tests/high_latency.rs
+++ b/crates/common/tests/high_latency.rs
@@ -2,35 +2,16 @@
 //! must continue after the call that started it has timed out; otherwise no call would ever succeed.
 
 use common::{
-    rpc::{LocalNode, RpcClient, listen},
+    rpc::{RpcClient, listen},
     runtime::{LatencyModel, Simulation, bind, spawn_at},
 };
 use rstest::rstest;
-use serde::{Deserialize, Serialize};
 use std::{net::IpAddr, time::Duration};
 
-const SERVICE: &str = "numbers";
-const TIMEOUT_MS: u64 = 500;
-const HEARTBEAT_MS: u64 = 100;
-
-#[derive(Debug, Serialize, Deserialize)]
-struct Number(u64);
-
-impl tarpc::RequestName for Number {
-    fn name(&self) -> &str {
-        "number"
-    }
-}
+mod numbers;
+use numbers::{Number, SERVICE, TIMEOUT_MS, local_node};
 
-fn local_node(ip: IpAddr) -> LocalNode {
-    LocalNode {
-        cluster: "c".into(),
-        node: ip.to_string(),
-        ip,
-        timeout_ms: TIMEOUT_MS,
-        max_unidentified_connections: 64,
-    }
-}
+const HEARTBEAT_MS: u64 = 100;
 
 /// With a call at each heartbeat, one succeeds within the timeouts plus a few heartbeats, whatever the latency.
 #[rstest]
--- a/crates/common/tests/invalid_input.rs
+++ b/crates/common/tests/invalid_input.rs
@@ -6,7 +6,6 @@
     wire::{MAX_FRAME_BYTES, MAX_HANDSHAKE_BYTES, PROTOCOL_VERSION, encode},
 };
 use rstest::rstest;
-use serde::{Deserialize, Serialize};
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{
@@ -19,17 +18,10 @@
     net::{TcpListener, TcpStream},
 };
 
-const IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
-const SERVICE: &str = "numbers";
-
-#[derive(Debug, Serialize, Deserialize)]
-struct Number(u64);
+mod numbers;
+use numbers::{Number, SERVICE};
 
-impl tarpc::RequestName for Number {
-    fn name(&self) -> &str {
-        "number"
-    }
-}
+const IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
 fn local_node(cluster: &str) -> LocalNode {
     LocalNode {
--- a/crates/common/tests/overloaded_peer.rs
+++ b/crates/common/tests/overloaded_peer.rs
@@ -2,10 +2,9 @@
 //! another handshake, a cluster that starts at once would never become ready.
 
 use common::{
-    rpc::{LocalNode, RpcClient, listen},
+    rpc::{RpcClient, listen},
     runtime::{LatencyModel, Simulation, Stream, bind, dial, spawn, spawn_at},
 };
-use serde::{Deserialize, Serialize};
 use std::{
     net::{IpAddr, SocketAddr},
     sync::{
@@ -16,8 +15,9 @@
 };
 use tokio::time::sleep;
 
-const SERVICE: &str = "numbers";
-const TIMEOUT_MS: u64 = 500;
+mod numbers;
+use numbers::{Number, SERVICE, TIMEOUT_MS, local_node};
+
 const HEARTBEAT_MS: u64 = 100;
 /// Timeout for opening a connection, in call timeouts.
 const OPEN_TIMEOUTS: u64 = 4;
@@ -25,25 +25,6 @@
 const CALLERS: usize = 8;
 const WATCHED_MS: u64 = 10_000;
 
-#[derive(Debug, Serialize, Deserialize)]
-struct Number(u64);
-
-impl tarpc::RequestName for Number {
-    fn name(&self) -> &str {
-        "number"
-    }
-}
-
-fn local_node(ip: IpAddr) -> LocalNode {
-    LocalNode {
-        cluster: "c".into(),
-        node: ip.to_string(),
-        ip,
-        timeout_ms: TIMEOUT_MS,
-        max_unidentified_connections: 64,
-    }
-}
-
 fn near() -> IpAddr {
     "127.1.0.1".parse().unwrap()
 }
