--- a/crates/simulator/src/actions.rs
+++ b/crates/simulator/src/actions.rs
@@ -83,9 +83,9 @@
         }
         FaultKind::Freeze => fleet.node(target)?.freeze()?,
         FaultKind::Thaw => fleet.node(target)?.thaw()?,
-        FaultKind::Dark => fleet.node(target)?.power_off().await?,
+        FaultKind::PowerOff => fleet.node(target)?.power_off().await?,
         FaultKind::Cut => fleet.cut(target),
-        FaultKind::Mend => fleet.heal(target),
+        FaultKind::Heal => fleet.heal(target),
         FaultKind::KillCore => {
             for name in &control_nodes {
                 fleet.node(name)?.kill().await?;
@@ -103,7 +103,7 @@
         FaultKind::SlowDisk => fleet.node(target)?.set_disk_condition(DiskCondition::Slow)?,
         FaultKind::StallDisk => fleet.node(target)?.set_disk_condition(DiskCondition::Stalled)?,
         FaultKind::FailDisk => fleet.node(target)?.set_disk_condition(DiskCondition::Failing)?,
-        FaultKind::WellDisk => fleet.node(target)?.set_disk_condition(DiskCondition::Healthy)?,
+        FaultKind::HealDisk => fleet.node(target)?.set_disk_condition(DiskCondition::Healthy)?,
         _ => return Ok(false),
     }
     Ok(true)
@@ -146,15 +146,15 @@
         }
         FaultKind::BrownOut => fleet.replicas.iter().for_each(|replica| replica.set_unhealthy(true)),
         FaultKind::BrownOver => fleet.replicas.iter().for_each(|replica| replica.set_unhealthy(false)),
-        FaultKind::Sour => fleet.replicas.iter().for_each(|replica| replica.set_rejecting(true)),
-        FaultKind::Sweet => fleet.replicas.iter().for_each(|replica| replica.set_rejecting(false)),
-        FaultKind::KillArea => {
+        FaultKind::RejectAll => fleet.replicas.iter().for_each(|replica| replica.set_rejecting(true)),
+        FaultKind::AcceptAll => fleet.replicas.iter().for_each(|replica| replica.set_rejecting(false)),
+        FaultKind::KillZone => {
             for name in &zone_nodes {
                 fleet.node(name)?.kill().await?;
             }
             replicas.iter().for_each(|replica| replica.crash());
         }
-        FaultKind::StartArea => {
+        FaultKind::StartZone => {
             for name in &zone_nodes {
                 fleet.start_node(name)?;
             }
--- a/crates/simulator/src/chaos.rs
+++ b/crates/simulator/src/chaos.rs
@@ -35,18 +35,18 @@
             0 | 1 => with_undo(FaultKind::Kill, FaultKind::Start, router),
             2 => with_undo(FaultKind::Freeze, FaultKind::Thaw, router),
             3 => with_undo(FaultKind::Stop, FaultKind::Start, router),
-            4 => with_undo(FaultKind::Dark, FaultKind::Start, router),
+            4 => with_undo(FaultKind::PowerOff, FaultKind::Start, router),
             5 => with_undo(FaultKind::Kill, FaultKind::Start, control_node),
             6 => with_undo(FaultKind::Freeze, FaultKind::Thaw, control_node),
             7 => {
                 extra_pause_s = 6.0;
                 with_undo(FaultKind::Kill, FaultKind::Blank, control_node)
             }
-            8 => with_undo(FaultKind::Cut, FaultKind::Mend, control_node),
-            9 => with_undo(FaultKind::Cut, FaultKind::Mend, router),
-            10 => with_undo(FaultKind::Cut, FaultKind::Mend, format!("{router}>")),
-            11 => with_undo(FaultKind::Cut, FaultKind::Mend, "core".into()),
-            12 => with_undo(FaultKind::Cut, FaultKind::Mend, zone),
+            8 => with_undo(FaultKind::Cut, FaultKind::Heal, control_node),
+            9 => with_undo(FaultKind::Cut, FaultKind::Heal, router),
+            10 => with_undo(FaultKind::Cut, FaultKind::Heal, format!("{router}>")),
+            11 => with_undo(FaultKind::Cut, FaultKind::Heal, "core".into()),
+            12 => with_undo(FaultKind::Cut, FaultKind::Heal, zone),
             13 => with_undo(FaultKind::KillCore, FaultKind::StartCore, String::new()),
             14 => {
                 let group = (1..=9).filter(|_| rng.random_bool(0.5)).map(|n| format!("p{n}"));
@@ -60,9 +60,9 @@
                     fault(start_s + duration_s + 4.0, FaultKind::Start, control_node),
                 ]
             }
-            16 if simulated => with_undo(FaultKind::SlowDisk, FaultKind::WellDisk, control_node),
-            17 if simulated => with_undo(FaultKind::StallDisk, FaultKind::WellDisk, control_node),
-            18 if simulated => with_undo(FaultKind::FailDisk, FaultKind::WellDisk, control_node),
+            16 if simulated => with_undo(FaultKind::SlowDisk, FaultKind::HealDisk, control_node),
+            17 if simulated => with_undo(FaultKind::StallDisk, FaultKind::HealDisk, control_node),
+            18 if simulated => with_undo(FaultKind::FailDisk, FaultKind::HealDisk, control_node),
             19 => with_undo(FaultKind::Evacuate, FaultKind::Restore, zone),
             20 => with_undo(FaultKind::EvacuateAndPatch, FaultKind::Restore, zone),
             21 if in_use => with_undo(FaultKind::Crash, FaultKind::Cold, replica),
@@ -76,11 +76,13 @@
                     _ => single(FaultKind::Swap, replica),
                 }
             }
-            25 if rng.random_bool(0.5) => with_undo(FaultKind::Sour, FaultKind::Sweet, String::new()),
+            25 if rng.random_bool(0.5) => {
+                with_undo(FaultKind::RejectAll, FaultKind::AcceptAll, String::new())
+            }
             25 => with_undo(FaultKind::BrownOut, FaultKind::BrownOver, String::new()),
             26 => single(FaultKind::Race, String::new()),
             27 => single(FaultKind::Burst, String::new()),
-            28 => with_undo(FaultKind::KillArea, FaultKind::StartArea, zone),
+            28 => with_undo(FaultKind::KillZone, FaultKind::StartZone, zone),
             _ => single(FaultKind::Apply, String::new()),
         };
         // A control node that was replaced gets no more faults.
--- a/crates/simulator/src/fault.rs
+++ b/crates/simulator/src/fault.rs
@@ -21,11 +21,11 @@
     /// Resumes a suspended process (SIGCONT).
     Thaw,
     /// The machine loses power: no connection is closed, and nothing answers until it is started.
-    Dark,
+    PowerOff,
     /// Cuts off a node, a zone or `core` (`p1`), only its outgoing traffic (`p1>`), or one link (`s1--s2`).
     Cut,
     /// Restores the links of a cut.
-    Mend,
+    Heal,
     /// Kills all control nodes at once.
     KillCore,
     /// Starts all control nodes.
@@ -39,7 +39,7 @@
     /// A control node's disk fails at its next write.
     FailDisk,
     /// A control node's disk is healthy again.
-    WellDisk,
+    HealDisk,
     /// Evacuates a zone.
     Evacuate,
     /// Ends the evacuation of a zone.
@@ -68,10 +68,10 @@
     BrownOut,
     /// Every replica reports itself as healthy again.
     BrownOver,
-    /// Every replica answers each request with 503 but still reports itself as healthy, until `Sweet`.
-    Sour,
+    /// Every replica answers each request with 503 but still reports itself as healthy, until `AcceptAll`.
+    RejectAll,
     /// Every replica serves requests again.
-    Sweet,
+    AcceptAll,
     /// Applies a new document with a small change.
     Apply,
     /// Applies two documents at once, on the same base revision.
@@ -79,9 +79,9 @@
     /// Applies three documents in quick succession.
     Burst,
     /// Kills all processes and replicas of a zone at once.
-    KillArea,
+    KillZone,
     /// Starts all processes and replicas of a zone.
-    StartArea,
+    StartZone,
 }
 
 /// One fault of a run.
@@ -103,16 +103,16 @@
     ("blank", FaultKind::Blank),
     ("freeze", FaultKind::Freeze),
     ("thaw", FaultKind::Thaw),
-    ("dark", FaultKind::Dark),
+    ("dark", FaultKind::PowerOff),
     ("cut", FaultKind::Cut),
-    ("mend", FaultKind::Mend),
+    ("mend", FaultKind::Heal),
     ("kill-core", FaultKind::KillCore),
     ("start-core", FaultKind::StartCore),
     ("replace", FaultKind::Replace),
     ("slow-disk", FaultKind::SlowDisk),
     ("stall-disk", FaultKind::StallDisk),
     ("fail-disk", FaultKind::FailDisk),
-    ("well-disk", FaultKind::WellDisk),
+    ("well-disk", FaultKind::HealDisk),
     ("evacuate", FaultKind::Evacuate),
     ("restore", FaultKind::Restore),
     ("evacuate-and-patch", FaultKind::EvacuateAndPatch),
@@ -127,13 +127,13 @@
     ("swap", FaultKind::Swap),
     ("brown-out", FaultKind::BrownOut),
     ("brown-over", FaultKind::BrownOver),
-    ("sour", FaultKind::Sour),
-    ("sweet", FaultKind::Sweet),
+    ("sour", FaultKind::RejectAll),
+    ("sweet", FaultKind::AcceptAll),
     ("apply", FaultKind::Apply),
     ("race", FaultKind::Race),
     ("burst", FaultKind::Burst),
-    ("kill-area", FaultKind::KillArea),
-    ("start-area", FaultKind::StartArea),
+    ("kill-area", FaultKind::KillZone),
+    ("start-area", FaultKind::StartZone),
 ];
 
 impl FaultKind {
--- a/crates/simulator/src/slow_start.rs
+++ b/crates/simulator/src/slow_start.rs
@@ -18,17 +18,17 @@
     let target = action.fault.target.as_str();
     let concerned = |replica: &&Arc<FakeReplica>| match action.fault.kind {
         FaultKind::Cold => replica.id == target,
-        FaultKind::StartArea => replica.spec.zone == target,
+        FaultKind::StartZone => replica.spec.zone == target,
         _ => false,
     };
     // When a zone is lost together with the router that tracks its replicas, and is back within three health
     // checks, no router noticed the loss.
     let zone_losses = record.actions.iter().filter(|other| {
-        other.fault.kind == FaultKind::KillArea
+        other.fault.kind == FaultKind::KillZone
             && other.fault.target == target
             && other.started < action.started
     });
-    let undetected = action.fault.kind == FaultKind::StartArea
+    let undetected = action.fault.kind == FaultKind::StartZone
         && zone_losses
             .map(|loss| loss.started)
             .max()
@@ -42,7 +42,7 @@
                 FaultKind::Crash | FaultKind::Mute | FaultKind::Lose | FaultKind::Take => {
                     other.fault.target == replica.id
                 }
-                FaultKind::KillArea => other.fault.target == replica.spec.zone,
+                FaultKind::KillZone => other.fault.target == replica.spec.zone,
                 _ => false,
             }
         });
--- a/crates/simulator/src/timeline.rs
+++ b/crates/simulator/src/timeline.rs
@@ -54,16 +54,20 @@
             let all_replicas =
                 || -> Vec<String> { replicas.iter().map(|replica| replica.id.clone()).collect() };
             match action.fault.kind {
-                FaultKind::Kill | FaultKind::Stop | FaultKind::Freeze | FaultKind::Dark | FaultKind::Cut => {
+                FaultKind::Kill
+                | FaultKind::Stop
+                | FaultKind::Freeze
+                | FaultKind::PowerOff
+                | FaultKind::Cut => {
                     timeline.mark_down(routers(), action.started);
                 }
-                FaultKind::Start | FaultKind::Blank | FaultKind::Thaw | FaultKind::Mend => {
+                FaultKind::Start | FaultKind::Blank | FaultKind::Thaw | FaultKind::Heal => {
                     timeline.mark_up(routers(), action.finished);
                 }
-                FaultKind::KillArea => {
+                FaultKind::KillZone => {
                     timeline.mark_down([routers(), replica_ids()].concat(), action.started);
                 }
-                FaultKind::StartArea => {
+                FaultKind::StartZone => {
                     timeline.mark_up([routers(), replica_ids()].concat(), action.finished);
                 }
                 FaultKind::Crash | FaultKind::Mute | FaultKind::Drain | FaultKind::Remove => {
@@ -73,8 +77,12 @@
                     timeline.mark_down(replica_ids(), action.started);
                 }
                 FaultKind::Cold | FaultKind::Unmute => timeline.mark_up(replica_ids(), action.finished),
-                FaultKind::BrownOut | FaultKind::Sour => timeline.mark_down(all_replicas(), action.started),
-                FaultKind::BrownOver | FaultKind::Sweet => timeline.mark_up(all_replicas(), action.finished),
+                FaultKind::BrownOut | FaultKind::RejectAll => {
+                    timeline.mark_down(all_replicas(), action.started);
+                }
+                FaultKind::BrownOver | FaultKind::AcceptAll => {
+                    timeline.mark_up(all_replicas(), action.finished);
+                }
                 FaultKind::Evacuate | FaultKind::EvacuateAndPatch => {
                     timeline.mark_down(vec![evacuation_key(&target)], action.started);
                 }
--- a/crates/simulator/tests/modules/chaos.rs
+++ b/crates/simulator/tests/modules/chaos.rs
@@ -15,20 +15,20 @@
         assert_eq!(faults, draw_faults(seed, 90.0, &deployment, true));
         let count = |w: &FaultKind| faults.iter().filter(|f| f.kind == *w).count();
         assert_eq!(count(&FaultKind::Freeze), count(&FaultKind::Thaw));
-        assert_eq!(count(&FaultKind::Cut), count(&FaultKind::Mend));
+        assert_eq!(count(&FaultKind::Cut), count(&FaultKind::Heal));
         assert_eq!(
             count(&FaultKind::Evacuate) + count(&FaultKind::EvacuateAndPatch),
             count(&FaultKind::Restore)
         );
-        assert_eq!(count(&FaultKind::KillArea), count(&FaultKind::StartArea));
+        assert_eq!(count(&FaultKind::KillZone), count(&FaultKind::StartZone));
         // Counted together, since the final faults may kill a node that was replaced.
-        let down = [FaultKind::Kill, FaultKind::Stop, FaultKind::Dark, FaultKind::Replace]
+        let down = [FaultKind::Kill, FaultKind::Stop, FaultKind::PowerOff, FaultKind::Replace]
             .iter()
             .map(count)
             .sum::<usize>();
         assert_eq!(down, count(&FaultKind::Start) + count(&FaultKind::Blank), "{faults:?}");
         assert_eq!(count(&FaultKind::KillCore), count(&FaultKind::StartCore));
-        assert_eq!(count(&FaultKind::Sour), count(&FaultKind::Sweet));
+        assert_eq!(count(&FaultKind::RejectAll), count(&FaultKind::AcceptAll));
         assert_eq!(count(&FaultKind::BrownOut), count(&FaultKind::BrownOver));
         assert!(faults.windows(2).all(|w| w[0].second <= w[1].second));
     }
