Refused bodies: when to come back counts from the refusal, and one list of reasons

A body that found no memory was refused with a Retry-After worked out from the time that was left before it was read; a slow body could so be told more than the third of its time that a client waits. It is worked out at the refusal now. The route way uses the statuses of `BodyError` and the reasons of the entry way rather than a second list; all texts stay.

Found on reading the change again; no test shows it.

--- a/crates/data-plane/src/gateway.rs
+++ b/crates/data-plane/src/gateway.rs
@@ -89,7 +89,10 @@
         let left = Duration::from_millis(plan.deadline.since(self.now()));
         let bytes = match body.read(plan.entry.max_body_bytes, left).await {
             Ok(bytes) => bytes,
-            Err(error) => return reject(error.status(), body_rejection(error), error.retry_after_s()),
+            Err(error) => {
+                let why = body_rejection(error, "body over the entry's limit");
+                return reject(error.status(), why, error.retry_after_s());
+            }
         };
         let plan = if forwarded.is_none() { plan.with_key(&head, &bytes) } else { plan };
         let request = Plan::outgoing_request(&head, bytes);
--- a/crates/data-plane/src/response.rs
+++ b/crates/data-plane/src/response.rs
@@ -69,10 +69,10 @@
     with_outcome(response, &plan.request_id, "unknown", error.step)
 }
 
-/// The reason for rejecting a request whose body was not read.
-pub(crate) fn body_rejection(error: BodyError) -> &'static str {
+/// The reason for rejecting a request whose body was not read; `over_limit` is the one for a body that is too large.
+pub(crate) fn body_rejection(error: BodyError, over_limit: &'static str) -> &'static str {
     match error {
-        BodyError::TooLarge => "body over the entry's limit",
+        BodyError::TooLarge => over_limit,
         BodyError::Broken => "body broke off",
         BodyError::TimedOut => "body not here in time",
         BodyError::OutOfMemory => "no memory for the body",
--- a/crates/data-plane/src/serving/gateway.rs
+++ b/crates/data-plane/src/serving/gateway.rs
@@ -7,7 +7,7 @@
     prefill,
     state::Serving,
 };
-use crate::{attempt::strip_hop_by_hop, router::lock};
+use crate::{attempt::strip_hop_by_hop, response::body_rejection, router::lock};
 use bytes::Bytes;
 use common::{
     Tick,
@@ -201,24 +201,16 @@
         deadline: Tick,
         peer: SocketAddr,
     ) -> Result<Bytes, Box<Response<Body>>> {
-        let left_ms = deadline.since(self.now());
-        let error = match body.read(max_bytes, Duration::from_millis(left_ms.max(1))).await {
+        let left = Duration::from_millis(deadline.since(self.now()).max(1));
+        let error = match body.read(max_bytes, left).await {
             Ok(body) => return Ok(body),
             Err(error) => error,
         };
         log_event!(Debug, "read body", "peer" => peer, "cause" => error.to_string());
-        match error {
-            BodyError::TooLarge => {
-                self.refuse_and_close(StatusCode::PAYLOAD_TOO_LARGE, "body over the limit")
-            }
-            BodyError::Broken => self.refuse_and_close(StatusCode::BAD_REQUEST, "body broke off"),
-            BodyError::TimedOut => {
-                self.refuse_and_close(StatusCode::REQUEST_TIMEOUT, "body not here in time")
-            }
-            BodyError::OutOfMemory => self
-                .refuse_for_now("no memory for the body", left_ms)
-                .map_err(|refused| Box::new(close(*refused))),
-        }
+        let retry_after_ms =
+            (error == BodyError::OutOfMemory).then(|| retry_after_ms(deadline.since(self.now())));
+        let why = body_rejection(error, "body over the limit");
+        Err(Box::new(close(self.error_response(error.status(), why, retry_after_ms))))
     }
 
     /// Refuses a request for good.
@@ -226,11 +218,6 @@
         Err(Box::new(self.error_response(status, why, None)))
     }
 
-    /// Refuses a request whose body is not read to its end, and closes the connection.
-    fn refuse_and_close<T>(&self, status: StatusCode, why: &'static str) -> Result<T, Box<Response<Body>>> {
-        Err(Box::new(close(self.error_response(status, why, None))))
-    }
-
     /// Refuses a request that may succeed later, with `Retry-After`.
     fn refuse_for_now<T>(&self, why: &'static str, left_ms: u64) -> Result<T, Box<Response<Body>>> {
         let retry_after_ms = Some(retry_after_ms(left_ms));
