Connections: unused body implementation out, one waker kept, two notes in place of a flag

`RequestBody` was also an HTTP body, which only one stand-in of a test used; it reads like the handlers now. A connection's task clones its waker only when it changes rather than at each poll. `sent(bool)` is `sent` and `write_blocked`. The list of unidentified connections has one empty budget instead of one for each connection. Behaviour is as it was.

Clippy of `common` and `data-plane`, the tests of `common` and the serving tests pass.

--- a/crates/common/src/connection/body.rs
+++ b/crates/common/src/connection/body.rs
@@ -7,15 +7,9 @@
 use http_body_util::BodyExt;
 use hyper::{
     StatusCode,
-    body::{Body as HttpBody, Frame, Incoming, SizeHint},
-};
-use std::{
-    fmt,
-    pin::Pin,
-    sync::Arc,
-    task::{Context, Poll},
-    time::Duration,
+    body::{Body as _, Incoming},
 };
+use std::{fmt, sync::Arc, time::Duration};
 use tokio::time::{Instant, timeout_at};
 
 /// Smallest memory of a body that is not empty.
@@ -130,30 +124,6 @@
     }
 }
 
-impl HttpBody for RequestBody {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let polled = Pin::new(&mut self.incoming).poll_frame(context);
-        if matches!(polled, Poll::Ready(None)) {
-            self.progress.request_read();
-        }
-        polled
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint()
-    }
-}
-
 /// The part of a body that has arrived, in one piece. Pieces of the HTTP library's buffer are copied, since each of them
 /// would keep a whole buffer alive.
 struct BodyBuffer {
--- a/crates/common/src/connection/stream.rs
+++ b/crates/common/src/connection/stream.rs
@@ -49,8 +49,8 @@
 
     fn note_sent(&self, written: &Poll<io::Result<usize>>) {
         match written {
-            Poll::Ready(Ok(count)) if *count > 0 => self.progress.sent(true),
-            Poll::Pending => self.progress.sent(false),
+            Poll::Ready(Ok(count)) if *count > 0 => self.progress.sent(),
+            Poll::Pending => self.progress.write_blocked(),
             Poll::Ready(_) => {}
         }
     }
--- a/crates/common/src/connection/timing.rs
+++ b/crates/common/src/connection/timing.rs
@@ -105,14 +105,14 @@
         state.head_memory.grow_to(beyond_buffer)
     }
 
-    /// Notes that some bytes of an answer were sent, or that the client takes none now.
-    pub(super) fn sent(&self, any: bool) {
+    /// Notes that the client takes no bytes of an answer now.
+    pub(super) fn write_blocked(&self) {
+        self.state().write_blocked_since.get_or_insert_with(Instant::now);
+    }
+
+    /// Notes that some bytes of an answer were sent.
+    pub(super) fn sent(&self) {
         let mut state = self.state();
-        if !any {
-            let now = Instant::now();
-            state.write_blocked_since.get_or_insert(now);
-            return;
-        }
         state.write_blocked_since = None;
         // The last bytes of a response may be sent after its body has ended; the idle time starts after them.
         if state.phase == Phase::Idle {
@@ -181,8 +181,8 @@
             return false;
         }
         state.evicted = true;
-        if let Some(waker) = state.waker.take() {
-            waker.wake();
+        if let Some(waker) = &state.waker {
+            waker.wake_by_ref();
         }
         true
     }
@@ -205,7 +205,11 @@
     }
 
     fn register(&self, waker: &Waker) {
-        self.state().waker = Some(waker.clone());
+        let mut state = self.state();
+        match &mut state.waker {
+            Some(known) => known.clone_from(waker),
+            None => state.waker = Some(waker.clone()),
+        }
     }
 }
 
--- a/crates/common/src/connection/unidentified.rs
+++ b/crates/common/src/connection/unidentified.rs
@@ -11,6 +11,8 @@
 /// The connections of a listener whose peers have not identified themselves.
 pub(crate) struct UnidentifiedConnections {
     list: Arc<OpenConnections>,
+    /// Empty: a first message is bounded by its codec, and nothing is reserved for it.
+    memory: Arc<MemoryBudget>,
     timeout: Duration,
 }
 
@@ -24,13 +26,12 @@
 impl UnidentifiedConnections {
     /// At most `max` connections, whose peers must identify themselves within `timeout`.
     pub(crate) fn new(max: usize, timeout: Duration) -> Self {
-        Self { list: OpenConnections::new(max), timeout }
+        Self { list: OpenConnections::new(max), memory: MemoryBudget::new(0), timeout }
     }
 
     /// Adds a connection, for which one that has waited longer may have to close; `None` if none may.
     pub(crate) fn enter(&self) -> Option<UnidentifiedConnection> {
-        // Nothing is reserved for it: a first message is bounded by its codec.
-        let progress = Arc::new(Progress::new(&MemoryBudget::new(0)));
+        let progress = Arc::new(Progress::new(&self.memory));
         let listed = self.list.enter(progress.clone())?;
         Some(UnidentifiedConnection { progress, timeout: self.timeout, _listed: listed })
     }
--- a/crates/data-plane/tests/serving/usage_platform.rs
+++ b/crates/data-plane/tests/serving/usage_platform.rs
@@ -6,7 +6,6 @@
     lock,
     runtime::Simulation,
 };
-use http_body_util::BodyExt;
 use hyper::{Request, StatusCode};
 use std::{
     collections::BTreeMap,
@@ -16,6 +15,9 @@
 use tokio::{sync::watch, time::sleep};
 
 pub const PLATFORM: ([u8; 4], u16) = ([10, 0, 9, 9], 9);
+/// Longest report, and the time in which it must arrive.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+const REPORT_TIMEOUT: Duration = Duration::from_secs(60);
 /// After another node has acted as holder, a former holder must not act again within this time, in milliseconds.
 const REACQUIRE_PAUSE_MS: u64 = 3_000;
 
@@ -114,7 +116,7 @@
     ) -> Result<hyper::Response<http::Body>, http::BoxError> {
         let header = |name: &str| request.headers()[name].to_str().expect("text").to_string();
         let (holder, fencing_token) = (header("x-holder"), header("x-fence").parse().expect("a number"));
-        let body = request.into_body().collect().await?.to_bytes();
+        let body = request.into_body().read(MAX_REPORT_BYTES, REPORT_TIMEOUT).await?;
         let body = String::from_utf8(body.to_vec())?;
         let (window, counts) = body.split_once(' ').expect("a window and its counts");
         let pairs = counts.split(' ').filter_map(|pair| pair.split_once('='));
