--- a/crates/simulator/src/soak/crowd.rs
+++ b/crates/simulator/src/soak/crowd.rs
@@ -77,9 +77,10 @@
         let plain = vec![b'a'; PIECE_BYTES];
         let chunk = [format!("{PIECE_BYTES:x}\r\n").as_bytes(), &plain, b"\r\n"].concat();
         let pieces = BODY_BYTES / PIECE_BYTES;
+        let beyond_pieces = BODY_BYTES % PIECE_BYTES;
         match self {
-            Self::AlmostWholeBody => (with_length, plain, pieces),
-            Self::WholeBody => ([with_length, vec![b'a'; BODY_BYTES % PIECE_BYTES]].concat(), plain, pieces),
+            Self::AlmostWholeBody => ([with_length, vec![b'a'; beyond_pieces - 1]].concat(), plain, pieces),
+            Self::WholeBody => ([with_length, vec![b'a'; beyond_pieces]].concat(), plain, pieces),
             Self::LargeChunks => (in_chunks, chunk, pieces),
             Self::SmallChunks => (in_chunks, b"1\r\na\r\n".repeat(SMALL_CHUNKS), SMALL_CHUNK_PIECES),
             Self::Endless => (in_chunks, chunk, 4 * pieces),
--- a/crates/simulator/src/soak/disruptions.rs
+++ b/crates/simulator/src/soak/disruptions.rs
@@ -33,7 +33,7 @@
     /// Losses of disks among them.
     pub lost_disks: usize,
     /// Processes that ended by themselves, or used more than they have.
-    pub ended: Vec<String>,
+    pub violations: Vec<String>,
     /// Largest peak of memory of a process, in KB.
     pub peak_memory_kb: usize,
 }
@@ -80,17 +80,17 @@
             running.spawn(disrupt(process, kind, duration, cluster.clone()));
         }
         sleep(gap).await;
-        counts.ended.extend(cluster.ended_by_themselves());
+        counts.violations.extend(cluster.ended_by_themselves());
         let (peak_kb, over) = cluster.usage();
         counts.peak_memory_kb = counts.peak_memory_kb.max(peak_kb);
-        counts.ended.extend(over);
+        counts.violations.extend(over);
     }
     while let Some(ended) = running.join_next().await {
         ended??;
     }
-    counts.ended.extend(cluster.ended_by_themselves());
-    counts.ended.sort();
-    counts.ended.dedup();
+    counts.violations.extend(cluster.ended_by_themselves());
+    counts.violations.sort();
+    counts.violations.dedup();
     Ok(counts)
 }
 
--- a/crates/simulator/src/soak/mod.rs
+++ b/crates/simulator/src/soak/mod.rs
@@ -112,7 +112,7 @@
     let recovery = recover(&cluster, &history).await;
     let (peak_kb, over) = cluster.usage();
     clients.stop().await;
-    for violation in counts.ended.into_iter().chain(cluster.ended_by_themselves()).chain(over) {
+    for violation in counts.violations.into_iter().chain(cluster.ended_by_themselves()).chain(over) {
         history.violation(violation);
     }
     cluster.stop().await;
