--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -189,10 +189,14 @@
 pub struct Fleet {
     began: Instant,
     folder: PathBuf,
+    net: u8,
     port: u16,
     platform: SocketAddr,
-    seeds: Vec<String>,
+    /// The operator's list: addresses of three nodes that serve `control`.
+    seeds: Mutex<Vec<String>>,
     pub machines: Vec<Machine>,
+    /// The machines that serve `control` now.
+    serving: Mutex<Vec<Machine>>,
     pub processes: Mutex<Vec<Process>>,
     pub replicas: Vec<Replica>,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
@@ -255,9 +259,11 @@
         let fleet = Arc::new(Self {
             began: Instant::now(),
             folder,
+            net,
             port,
             platform,
-            seeds,
+            seeds: Mutex::new(seeds),
+            serving: Mutex::new(machines.iter().filter(|machine| machine.name.ends_with("-1")).cloned().collect()),
             machines,
             processes: Mutex::default(),
             replicas: replicas.clone(),
@@ -410,7 +416,7 @@
 duties = []
 lag-ms = 800
 "#,
-            machine.name, machine.zone, p + 1, self.seeds, self.platform
+            machine.name, machine.zone, p + 1, self.seeds.lock().unwrap(), self.platform
         );
         let path = self.folder.join(format!("{}-{role}.toml", machine.name));
         fs::write(&path, text).unwrap_or_else(|error| cannot_run(&error.to_string()));
@@ -419,7 +425,7 @@
 
     /// Starts a role on a machine, with the command of the deploy file.
     pub fn start(&self, machine: &Machine, role: &str, first_run: bool) {
-        let core = self.machines.iter().any(|known| known.name == machine.name && machine.name.ends_with("-1"));
+        let core = self.core().iter().any(|known| known.name == machine.name);
         let file = self.node_file(machine, role, first_run, core);
         let log = |kind: &str| {
             let path = self.folder.join(format!("{}-{role}.{kind}", machine.name));
@@ -478,7 +484,54 @@
 
     /// The machines whose loss counts: the first one of each zone.
     pub fn core(&self) -> Vec<Machine> {
-        self.machines.iter().filter(|machine| machine.name.ends_with("-1")).cloned().collect()
+        self.serving.lock().unwrap().clone()
+    }
+
+    /// A machine that replaces another one of its zone: another name, another address and an empty disk.
+    pub fn new_machine(&self, zone: &'static str, number: usize) -> Machine {
+        let z = ZONES.iter().position(|(known, _)| *known == zone).unwrap();
+        Machine { name: format!("edge-{zone}-{number}"), zone, ip: format!("127.{}.{}.{number}", self.net, z + 1) }
+    }
+
+    /// Adds a machine with both roles. Its settings name the nodes of the operator's list as that stands.
+    pub fn add(&self, machine: &Machine) {
+        self.serving.lock().unwrap().push(machine.clone());
+        self.log(&format!("machine {} is added, empty; its seed nodes: {:?}", machine.name, self.seeds.lock().unwrap()));
+        self.start(machine, "control", false);
+        self.start(machine, "router", false);
+    }
+
+    /// Removes a machine for good with this signal.
+    pub fn remove(&self, machine: &Machine, signal: &str) {
+        self.serving.lock().unwrap().retain(|known| known.name != machine.name);
+        for role in ["control", "router"] {
+            self.signal(&machine.name, role, signal);
+        }
+    }
+
+    /// The operator's list has changed: all settings files name its nodes now, and all processes get SIGHUP.
+    pub fn turn_over_seeds(&self) {
+        let core = self.core();
+        *self.seeds.lock().unwrap() = core.iter().take(3).map(|machine| self.control(machine).to_string()).collect();
+        self.log(&format!("the settings files name new seed nodes: {:?}", self.seeds.lock().unwrap()));
+        let running: Vec<String> = self.processes.lock().unwrap().iter().map(|process| process.name.clone()).collect();
+        for machine in self.machines.iter().chain(&core) {
+            for role in ["control", "router"] {
+                if running.contains(&format!("{}/{role}", machine.name)) {
+                    self.node_file(machine, role, false, core.iter().any(|known| known.name == machine.name));
+                    self.quiet_signal(&machine.name, role, "HUP");
+                }
+            }
+        }
+    }
+
+    /// Reads the configuration at a node: its status and version.
+    pub fn read(&self, machine: &Machine) -> (u16, u64) {
+        let answer = call(self.control(machine), "GET", "/foldshunt/config/read", &[], "", Duration::from_secs(1));
+        let Ok(answer) = answer else { return (0, 0) };
+        let text = String::from_utf8_lossy(&answer.body).to_string();
+        let version = text.split("\"version\":").nth(1).map_or(0, |rest| rest.chars().take_while(char::is_ascii_digit).collect::<String>().parse().unwrap_or(0));
+        (answer.status(), version)
     }
 
     fn order_headers(built_on: Option<u64>) -> Vec<(&'static str, String)> {
@@ -513,22 +566,26 @@
 
     /// The process that runs a role on a machine.
     pub fn signal(&self, machine: &str, role: &str, signal: &str) {
+        self.quiet_signal(machine, role, signal);
+        self.log(&format!("{machine}/{role}: SIG{signal}"));
+    }
+
+    fn quiet_signal(&self, machine: &str, role: &str, signal: &str) {
         let name = format!("{machine}/{role}");
         let processes = self.processes.lock().unwrap();
         let Some(process) = processes.iter().rev().find(|process| process.name == name) else { return };
         let _ = Command::new("kill").arg(format!("-{signal}")).arg(process.child.id().to_string()).status();
-        drop(processes);
-        self.log(&format!("{name}: SIG{signal}"));
     }
 
     /// Clients in each zone that send a request every `gap_ms` to the routers of their zone, on connections of their own.
-    pub fn start_clients(self: &Arc<Self>, per_zone: [usize; 3], gap_ms: u64, path: &'static str) {
+    /// `routers` is the end of the names of those that are used.
+    pub fn start_clients(self: &Arc<Self>, per_zone: [usize; 3], gap_ms: u64, path: &'static str, routers: &'static str) {
         for (zone, clients) in ZONES.iter().map(|(zone, _)| *zone).zip(per_zone) {
             for c in 0..clients {
                 let me = self.clone();
                 thread::spawn(move || {
                     let routers: Vec<SocketAddr> =
-                        me.machines.iter().filter(|machine| machine.zone == zone).map(|machine| me.address(&machine.ip, 2)).collect();
+                        me.machines.iter().filter(|machine| machine.zone == zone && machine.name.ends_with(routers)).map(|machine| me.address(&machine.ip, 2)).collect();
                     for n in 0u64.. {
                         if me.stop.load(Ordering::Relaxed) {
                             return;
@@ -604,7 +661,7 @@
 fn late_finish(trouble: bool) -> i32 {
     let fleet = Fleet::new([2, 2, 2], 2, 20);
     fleet.start_all(&configuration(1, 0.0, 0.0));
-    fleet.start_clients([2, 2, 2], 20, "/read/a");
+    fleet.start_clients([2, 2, 2], 20, "/read/a", "");
     thread::sleep(Duration::from_secs(3));
     let core = fleet.core();
     let which = env::var("NODE").ok().and_then(|n| n.parse().ok()).unwrap_or(2usize);
@@ -668,8 +725,8 @@
     let fleet = Fleet::new([2, 2, 2], 2, 20);
     fleet.falls_over_above.store(2 * BOUND as u64, Ordering::Relaxed);
     fleet.start_all(&configuration(1, 3.0, PER_S));
-    fleet.start_clients([2, 2, 8], 10, "/read/a");
-    fleet.start_clients([0, 0, 6], 10, "/write/a");
+    fleet.start_clients([2, 2, 8], 10, "/read/a", "");
+    fleet.start_clients([0, 0, 6], 10, "/write/a", "");
     thread::sleep(Duration::from_secs(3));
     let other = fleet.core()[0].clone();
     if fleet.order(&other, "POST", "/foldshunt/evacuate/cumbres/start", None, "") != 200 {
@@ -724,11 +781,94 @@
     i32::from(broken)
 }
 
+/// Two core machines are replaced one after the other. While the third one is replaced as planned work is, the last of
+/// the first machines is frozen for a moment. Then one more machine is replaced.
+fn replaced_core(trouble: bool) -> i32 {
+    let fleet = Fleet::new([2, 2, 2], 1, 20);
+    fleet.start_all(&configuration(1, 0.0, 0.0));
+    // They use the routers that stay: the second machine of each zone.
+    fleet.start_clients([1, 1, 1], 50, "/read/a", "-2");
+    let (a, b, c) = { let core = fleet.core(); (core[0].clone(), core[1].clone(), core[2].clone()) };
+    let pause = |s: f64| thread::sleep(Duration::from_millis((s * 1_000.0) as u64));
+    let change = |from: u64, to: u64| {
+        let headers = Some(from);
+        (0..10).any(|_| fleet.order_to_any("POST", "/foldshunt/config/replace", headers, &configuration(to, 0.0, 0.0)).is_some())
+    };
+    // One machine after the other: SIGTERM, a new one 2 s later, and the new list in all settings 3 s after that.
+    let mut replacements = Vec::new();
+    for (old, number) in [(&a, 11), (&b, 12)] {
+        fleet.remove(old, "TERM");
+        pause(2.0);
+        let new = fleet.new_machine(old.zone, number);
+        fleet.add(&new);
+        pause(3.0);
+        fleet.turn_over_seeds();
+        pause(5.0);
+        replacements.push(new);
+    }
+    let (d, f) = (replacements[0].clone(), replacements[1].clone());
+    if !change(1, 2) {
+        fleet.end();
+        cannot_run("the second configuration was not acknowledged");
+    }
+    // The third one is replaced as planned work is: the new one first, then SIGTERM.
+    let g = fleet.new_machine(d.zone, 13);
+    fleet.add(&g);
+    pause(2.0);
+    if trouble {
+        ["control", "router"].iter().for_each(|role| fleet.signal(&c.name, role, "STOP"));
+    }
+    pause(3.5);
+    if trouble {
+        ["control", "router"].iter().for_each(|role| fleet.signal(&c.name, role, "CONT"));
+    }
+    // `catch-up-s` and more.
+    pause(6.0);
+    fleet.remove(&d, "TERM");
+    pause(3.0);
+    fleet.turn_over_seeds();
+    pause(9.0);
+    if !change(2, 3) {
+        fleet.end();
+        cannot_run("the third configuration was not acknowledged");
+    }
+    pause(2.0);
+    fleet.remove(&f, "KILL");
+    pause(2.0);
+    let h = fleet.new_machine(f.zone, 14);
+    fleet.add(&h);
+    pause(3.0);
+    fleet.turn_over_seeds();
+    let settled = fleet.ms();
+    fleet.log("from here on no machine is lost or added: three core machines run");
+    pause(16.0);
+    // The operator reads the configuration back, again and again for `quiet-ms` at least.
+    let mut newest = 0;
+    let end = fleet.ms() + 8_000;
+    while fleet.ms() < end {
+        for machine in fleet.core() {
+            let (status, version) = fleet.read(&machine);
+            fleet.log(&format!("operator: GET /foldshunt/config/read at {}: {status}, version {version}", machine.name));
+            if status == 200 {
+                newest = newest.max(version);
+            }
+        }
+        pause(0.7);
+    }
+    fleet.record(end - 8_000, end);
+    fleet.summary();
+    let held = newest >= 3;
+    fleet.log(&format!("CONFIG: the newest acknowledged version is 3; read back for 8 s, from {} ms after the last machine was added: {}", end - 8_000 - settled, if newest == 0 { "nothing came".to_string() } else { format!("version {newest}") }));
+    fleet.end();
+    i32::from(!held)
+}
+
 fn main() {
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let scenario = env::args().nth(1).unwrap_or_default();
     let code = match scenario.as_str() {
         "late-finish" => late_finish(trouble),
+        "replaced-core" => replaced_core(trouble),
         "cold-zone" => cold_zone(trouble),
         _ => cannot_run("no such scenario"),
     };
